--- /dev/null
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/call/CallAnswer.java
@@ -0,0 +1,24 @@
+package org.sequoiashunt.call;
+
+import java.util.List;
+import java.util.Objects;
+
+/**
+ * Whole answer of a target. Immutable and thread-safe.
+ *
+ * @param status the HTTP status.
+ * @param headers the headers, without hop-by-hop ones.
+ * @param body the whole body.
+ */
+public record CallAnswer(int status, List<HeaderField> headers, Body body) {
+
+    /**
+     * Checks the components and copies the list.
+     *
+     * @throws NullPointerException if a component is null.
+     */
+    public CallAnswer {
+        headers = List.copyOf(headers);
+        Objects.requireNonNull(body, "body");
+    }
+}
--- /dev/null
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/call/CallHandler.java
@@ -0,0 +1,18 @@
+package org.sequoiashunt.call;
+
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * Runs calls that arrive at this node for one of its targets. Implementations are thread-safe and never block.
+ */
+@FunctionalInterface
+public interface CallHandler {
+
+    /**
+     * Runs a call.
+     *
+     * @param request the call, not null.
+     * @return completes with how the call ended, never exceptionally. Cancelling it cancels the call.
+     */
+    CompletableFuture<CallResult> handle(CallRequest request);
+}
--- /dev/null
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/call/GateCaller.java
@@ -0,0 +1,23 @@
+package org.sequoiashunt.call;
+
+import java.util.concurrent.CompletableFuture;
+import org.sequoiashunt.peer.NodeAddress;
+
+/**
+ * Sends a call to the gate on a target's node.
+ *
+ * <p>Implementations are thread-safe and never block.
+ */
+@FunctionalInterface
+public interface GateCaller {
+
+    /**
+     * Sends a call.
+     *
+     * @param gate the link address of the target's node, not null.
+     * @param request the call, not null.
+     * @return completes with how the call ended, never exceptionally, at the call's deadline at the latest. Cancelling
+     *     it cancels the call at the gate.
+     */
+    CompletableFuture<CallResult> call(NodeAddress gate, CallRequest request);
+}
--- /dev/null
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/configuration/ServiceConfiguration.java
@@ -0,0 +1,57 @@
+package org.sequoiashunt.configuration;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import org.sequoiashunt.blackboard.EntryValue;
+import org.sequoiashunt.blackboard.Section;
+
+/**
+ * Configuration of one service: the part of the manifest that is replicated under its digest.
+ *
+ * <p>Immutable and thread-safe. Invariant: there is at least one route, and a move starts at the current version.
+ *
+ * @param service the name of the service.
+ * @param version the target version that has the traffic when no move is under way.
+ * @param move the move under way, if any.
+ * @param routes the routes in the order in which they are matched.
+ * @param homeGroups the names of the home groups over which the keys of this service spread, may be empty.
+ */
+public record ServiceConfiguration(
+        String service, String version, Optional<Move> move, List<Route> routes, List<String> homeGroups)
+        implements EntryValue {
+
+    /**
+     * Checks the components and copies the lists.
+     *
+     * @throws NullPointerException if a component is null.
+     * @throws IllegalArgumentException if there is no route, or if the move starts at another version.
+     */
+    public ServiceConfiguration {
+        Objects.requireNonNull(service, "service");
+        Objects.requireNonNull(version, "version");
+        Objects.requireNonNull(move, "move");
+        routes = List.copyOf(routes);
+        homeGroups = List.copyOf(homeGroups);
+        if (routes.isEmpty()) {
+            throw new IllegalArgumentException("service '" + service + "' has no route");
+        }
+        if (move.isPresent() && !move.get().from().equals(version)) {
+            throw new IllegalArgumentException("the move of service '" + service + "' must start at its version");
+        }
+    }
+
+    /**
+     * Returns the identity of the move under way.
+     *
+     * @return the identity, or empty if there is no move.
+     */
+    public Optional<String> moveIdentity() {
+        return move.map(present -> present.identity(service));
+    }
+
+    @Override
+    public Section section() {
+        return Section.CONFIGURATION_PART;
+    }
+}
--- /dev/null
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/store/Store.java
@@ -0,0 +1,82 @@
+package org.sequoiashunt.store;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * The platform's key-value store: compare-and-swap, leases and watches.
+ *
+ * <p>Calls block until answered or timed out. Implementations are thread-safe. Keys are paths of
+ * {@code [A-Za-z0-9._-]} segments joined by slashes. Values hold at most {@value #MAXIMUM_VALUE_BYTES} bytes. Each call
+ * counts against the platform's rates, a waiting watch as one.
+ */
+public interface Store {
+
+    /** Largest value, in bytes; larger ones are refused by the platform. */
+    int MAXIMUM_VALUE_BYTES = 1_048_576;
+
+    /** Revision that {@link #compareAndSwap} takes for a key that must not exist yet. */
+    long ABSENT = 0;
+
+    /**
+     * Reads a value.
+     *
+     * @param key the key, not null.
+     * @return the value, or empty if the key does not exist.
+     * @throws StoreException if the store did not answer.
+     */
+    Optional<StoredValue> read(String key) throws StoreException;
+
+    /**
+     * Reads all values whose keys start with a prefix.
+     *
+     * @param prefix the prefix, not null.
+     * @return the values, ordered by key.
+     * @throws StoreException if the store did not answer.
+     */
+    List<StoredValue> list(String prefix) throws StoreException;
+
+    /**
+     * Writes a value if the key still has the revision expected.
+     *
+     * @param key the key, not null.
+     * @param expectedRevision the revision that the key must have, {@link #ABSENT} if it must not exist.
+     * @param value the bytes to write, not null.
+     * @return the new revision, greater than every earlier one of the key.
+     * @throws StoreConflictException if the key has another revision; nothing was written.
+     * @throws StoreException if the store did not answer; {@link StoreException#mayHaveTakenEffect()} tells whether
+     *     the value may have been written.
+     */
+    long compareAndSwap(String key, long expectedRevision, byte[] value) throws StoreException;
+
+    /**
+     * Waits for a key to change.
+     *
+     * @param key the key, not null.
+     * @param knownRevision the revision known to the caller, {@link #ABSENT} for none.
+     * @param waitMs the longest wait in milliseconds, positive.
+     * @return the value if its revision differs from the known one, or empty if the wait ended without a change.
+     * @throws StoreException if the store did not answer.
+     */
+    Optional<StoredValue> watch(String key, long knownRevision, long waitMs) throws StoreException;
+
+    /**
+     * Acquires or renews a lease.
+     *
+     * @param name the name of the lease, not null.
+     * @param holder who asks, not null.
+     * @param durationMs how long the lease lasts from the moment the store grants it, in milliseconds, positive.
+     * @return the lease as the store holds it now: the caller has it if {@link StoredLease#holder()} is its own name.
+     * @throws StoreException if the store did not answer; the lease may have been granted.
+     */
+    StoredLease acquireLease(String name, String holder, long durationMs) throws StoreException;
+
+    /**
+     * Gives a lease back. Does nothing if another holder has it.
+     *
+     * @param name the name of the lease, not null.
+     * @param holder who gives it back, not null.
+     * @throws StoreException if the store did not answer.
+     */
+    void releaseLease(String name, String holder) throws StoreException;
+}
--- /dev/null
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/time/Clock.java
@@ -0,0 +1,20 @@
+package org.sequoiashunt.time;
+
+/**
+ * Source of time for every decision.
+ *
+ * <p>Use {@link #nowMs()} for time stamps and for intervals alike. The value never decreases within one process. It
+ * is comparable between processes only within the clock drift that the platform allows.
+ *
+ * <p>Implementations are thread-safe.
+ */
+@FunctionalInterface
+public interface Clock {
+
+    /**
+     * Returns the current time.
+     *
+     * @return milliseconds since the epoch, never less than an earlier value returned to the same process.
+     */
+    long nowMs();
+}
