Request path: routing table, target selection, dispatcher, gate and HTTP exchanges

Decisions are in core without sockets; the HTTP exchanger on Undertow's client gives back whole answers only and says whether a byte was sent.

--- /dev/null
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/dispatch/CallDispatcher.java
@@ -0,0 +1,108 @@
+package org.sequoiashunt.dispatch;
+
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.sequoiashunt.call.CallResult;
+import org.sequoiashunt.call.GateCaller;
+import org.sequoiashunt.call.Reason;
+import org.sequoiashunt.execution.Claims;
+import org.sequoiashunt.limit.RetryBudget;
+import org.sequoiashunt.routing.CandidateSource;
+import org.sequoiashunt.routing.RoutingTable;
+import org.sequoiashunt.routing.RoutingTable.RouteMatch;
+import org.sequoiashunt.routing.TargetSelector;
+import org.sequoiashunt.routing.VersionChooser;
+import org.sequoiashunt.time.Clock;
+
+/**
+ * Serves callers' requests at the entry: matches the route, claims the key, and makes attempts until one ends the call.
+ *
+ * <p>A call is tried again only where its outcome permits it, while its deadline and the retry budget last. A call
+ * whose route is not idempotent and which carries a key is dispatched only after its key was claimed.
+ *
+ * <p>Thread-safe.
+ */
+public final class CallDispatcher {
+
+    private final Collaborators collaborators;
+    private final RetryBudget retryBudget;
+
+    /**
+     * Creates a dispatcher.
+     *
+     * @param collaborators everything that the dispatcher reads and calls, not null.
+     */
+    public CallDispatcher(final Collaborators collaborators) {
+        this.collaborators = Objects.requireNonNull(collaborators, "collaborators");
+        this.retryBudget = new RetryBudget(collaborators.clock());
+    }
+
+    /**
+     * Serves a request.
+     *
+     * @param call the request, not null.
+     * @return completes with how the call ended, never exceptionally. Cancelling it cancels the attempt under way.
+     */
+    public CompletableFuture<CallResult> dispatch(final IncomingCall call) {
+        Objects.requireNonNull(call, "call");
+        RoutingTable table = collaborators.routingTable().get();
+        if (table.version() == 0) {
+            return CompletableFuture.completedFuture(CallResult.notRun(Reason.NOT_READY));
+        }
+        Optional<RouteMatch> match = table.match(call.service(), call.method(), call.path());
+        if (match.isEmpty()) {
+            return CompletableFuture.completedFuture(CallResult.notRun(Reason.NO_ROUTE));
+        }
+        return start(call, match.get());
+    }
+
+    private CompletableFuture<CallResult> start(final IncomingCall call, final RouteMatch match) {
+        long nowMs = collaborators.clock().nowMs();
+        long limitMs = match.route().timeoutMs();
+        long timeoutMs = Math.max(0, Math.min(limitMs, call.timeoutMs().orElse(limitMs)));
+        retryBudget.firstAttempt();
+        DispatchedCall dispatched = new DispatchedCall(collaborators, retryBudget, call, match, nowMs + timeoutMs);
+        return dispatched.start();
+    }
+
+    /**
+     * What a dispatcher reads and calls. Immutable and thread-safe.
+     *
+     * @param clock the clock.
+     * @param routingTable gives the table in force.
+     * @param versions chooses target versions.
+     * @param candidates lists targets.
+     * @param selector selects targets.
+     * @param gates sends calls to gates.
+     * @param claims decides about keys.
+     * @param callIds makes identities of attempts.
+     */
+    public record Collaborators(
+            Clock clock,
+            Supplier<RoutingTable> routingTable,
+            VersionChooser versions,
+            CandidateSource candidates,
+            TargetSelector selector,
+            GateCaller gates,
+            Claims claims,
+            CallIdSource callIds) {
+
+        /**
+         * Checks the components.
+         *
+         * @throws NullPointerException if a component is null.
+         */
+        public Collaborators {
+            Objects.requireNonNull(clock, "clock");
+            Objects.requireNonNull(routingTable, "routingTable");
+            Objects.requireNonNull(versions, "versions");
+            Objects.requireNonNull(candidates, "candidates");
+            Objects.requireNonNull(selector, "selector");
+            Objects.requireNonNull(gates, "gates");
+            Objects.requireNonNull(claims, "claims");
+            Objects.requireNonNull(callIds, "callIds");
+        }
+    }
+}
--- /dev/null
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/dispatch/DispatchedCall.java
@@ -0,0 +1,204 @@
+package org.sequoiashunt.dispatch;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.sequoiashunt.call.CallRequest;
+import org.sequoiashunt.call.CallResult;
+import org.sequoiashunt.call.Outcome;
+import org.sequoiashunt.call.Reason;
+import org.sequoiashunt.dispatch.CallDispatcher.Collaborators;
+import org.sequoiashunt.limit.RetryBudget;
+import org.sequoiashunt.routing.Candidate;
+import org.sequoiashunt.routing.RoutingTable.RouteMatch;
+
+/**
+ * One request on its way: claim, attempts, result.
+ *
+ * <p>Thread-safe: attempts follow one another, and what they share is guarded by this object's monitor. Invariants: at
+ * most one attempt is under way; no attempt starts after the deadline or after the caller gave up; the worst outcome of
+ * any attempt is never hidden by a later {@link Outcome#NOT_RUN}.
+ */
+final class DispatchedCall {
+
+    /** Attempts of one call, the first included. */
+    private static final int MAXIMUM_ATTEMPTS = 3;
+
+    private final Collaborators collaborators;
+    private final RetryBudget retryBudget;
+    private final IncomingCall call;
+    private final RouteMatch match;
+    private final long deadlineMs;
+    private final List<String> versions;
+    private final String claimId;
+    private final CompletableFuture<CallResult> result = new CompletableFuture<>();
+    private final Set<String> excluded = new HashSet<>();
+    private CompletableFuture<?> underWay = CompletableFuture.completedFuture(null);
+    private Outcome worst = Outcome.NOT_RUN;
+    private int attempts;
+
+    DispatchedCall(
+            final Collaborators collaborators,
+            final RetryBudget retryBudget,
+            final IncomingCall call,
+            final RouteMatch match,
+            final long deadlineMs) {
+        this.collaborators = collaborators;
+        this.retryBudget = retryBudget;
+        this.call = call;
+        this.match = match;
+        this.deadlineMs = deadlineMs;
+        this.versions = collaborators.versions().choose(match.service());
+        this.claimId = collaborators.callIds().next();
+    }
+
+    CompletableFuture<CallResult> start() {
+        result.whenComplete((ended, failure) -> {
+            if (result.isCancelled()) {
+                cancelAttempt();
+            }
+        });
+        if (needsClaim()) {
+            claim();
+        } else {
+            attempt();
+        }
+        return result;
+    }
+
+    private boolean needsClaim() {
+        return !match.route().idempotent() && call.key().isPresent();
+    }
+
+    private void claim() {
+        CompletableFuture<Optional<CallResult>> claimed = collaborators
+                .claims()
+                .claim(match.service().service(), call.key().orElseThrow(), claimId, deadlineMs);
+        claimed.whenComplete((refusal, failure) -> {
+            if (failure != null) {
+                finish(CallResult.notRun(Reason.CLAIM_UNAVAILABLE));
+            } else if (refusal.isPresent()) {
+                result.complete(refusal.get());
+            } else {
+                attempt();
+            }
+        });
+    }
+
+    private void attempt() {
+        if (result.isDone()) {
+            finish(CallResult.notRun(Reason.CANCELLED));
+            return;
+        }
+        if (collaborators.clock().nowMs() >= deadlineMs) {
+            finish(CallResult.notRun(Reason.DEADLINE));
+            return;
+        }
+        Optional<Candidate> selected = select();
+        if (selected.isEmpty()) {
+            finish(CallResult.notRun(Reason.NO_TARGET));
+            return;
+        }
+        send(selected.get());
+    }
+
+    private Optional<Candidate> select() {
+        String service = match.service().service();
+        for (String version : versions) {
+            List<Candidate> candidates = collaborators.candidates().candidates(service, version);
+            Optional<Candidate> selected = collaborators.selector().select(candidates, excludedSnapshot());
+            if (selected.isPresent()) {
+                return selected;
+            }
+        }
+        return Optional.empty();
+    }
+
+    private void send(final Candidate candidate) {
+        collaborators.selector().started(candidate);
+        CompletableFuture<CallResult> sent = collaborators.gates().call(candidate.gate(), request(candidate));
+        synchronized (this) {
+            attempts++;
+            underWay = sent;
+        }
+        if (result.isCancelled()) {
+            sent.cancel(true);
+        }
+        sent.whenComplete((ended, failure) -> {
+            CallResult known = failure == null ? ended : CallResult.unknown(Reason.CANCELLED);
+            collaborators.selector().ended(candidate, known);
+            attemptEnded(candidate, known);
+        });
+    }
+
+    private CallRequest request(final Candidate candidate) {
+        return new CallRequest(
+                collaborators.callIds().next(),
+                match.service().service(),
+                match.route().name(),
+                candidate.targetVersion(),
+                candidate.target(),
+                call.method(),
+                call.uri(),
+                call.headers(),
+                call.body(),
+                match.route().idempotent(),
+                call.key(),
+                deadlineMs);
+    }
+
+    private void attemptEnded(final Candidate candidate, final CallResult ended) {
+        synchronized (this) {
+            excluded.add(candidate.identity());
+            if (ended.outcome() == Outcome.UNKNOWN) {
+                worst = Outcome.UNKNOWN;
+            }
+        }
+        if (mayRetry(ended)) {
+            attempt();
+        } else {
+            finish(ended);
+        }
+    }
+
+    private boolean mayRetry(final CallResult ended) {
+        synchronized (this) {
+            if (attempts >= MAXIMUM_ATTEMPTS) {
+                return false;
+            }
+        }
+        return ended.reason().isTransient()
+                && ended.outcome().permitsRetry(match.route().idempotent())
+                && !result.isDone()
+                && collaborators.clock().nowMs() < deadlineMs
+                && retryBudget.tryRetry();
+    }
+
+    private void finish(final CallResult ended) {
+        CallResult told = truthful(ended);
+        if (needsClaim()) {
+            collaborators.claims().record(match.service().service(), call.key().orElseThrow(), claimId, told);
+        }
+        result.complete(told);
+    }
+
+    /** A later refusal does not undo an earlier attempt that may have run. */
+    private synchronized CallResult truthful(final CallResult ended) {
+        boolean hidden = ended.outcome() == Outcome.NOT_RUN && worst == Outcome.UNKNOWN;
+        return hidden ? CallResult.unknown(ended.reason()) : ended;
+    }
+
+    private synchronized Set<String> excludedSnapshot() {
+        return Set.copyOf(excluded);
+    }
+
+    private void cancelAttempt() {
+        CompletableFuture<?> current;
+        synchronized (this) {
+            current = underWay;
+        }
+        current.cancel(true);
+    }
+}
--- /dev/null
+++ b/sequoiashunt-platform/src/main/java/org/sequoiashunt/http/HttpExchange.java
@@ -0,0 +1,173 @@
+package org.sequoiashunt.http;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientRequest;
+import io.undertow.client.ClientResponse;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.HeaderValues;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import io.undertow.util.Methods;
+import io.undertow.util.StatusCodes;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.sequoiashunt.call.Body;
+import org.sequoiashunt.call.CallAnswer;
+import org.sequoiashunt.call.HeaderField;
+import org.sequoiashunt.peer.NodeAddress;
+import org.xnio.IoUtils;
+
+/**
+ * One request and its answer on one connection.
+ *
+ * <p>Thread-safe: the input and output run on the connection's thread; the end may come from any thread and counts
+ * once. Invariants: the connection is released exactly once; it is reused only after a whole answer.
+ */
+final class HttpExchange {
+
+    private final HttpRequest request;
+    private final CompletableFuture<CallAnswer> result;
+    private final int maximumAnswerBytes;
+    private volatile boolean sent;
+
+    HttpExchange(final HttpRequest request, final CompletableFuture<CallAnswer> result, final int maximumAnswerBytes) {
+        this.request = request;
+        this.result = result;
+        this.maximumAnswerBytes = maximumAnswerBytes;
+    }
+
+    void start(final ClientConnection connection, final NodeAddress address, final Consumer<Boolean> release) {
+        if (result.isDone()) {
+            release.accept(true);
+            return;
+        }
+        sent = true;
+        result.whenComplete((answer, failure) -> {
+            if (failure != null) {
+                connection.getIoThread().execute(() -> IoUtils.safeClose(connection));
+            }
+        });
+        connection.sendRequest(clientRequest(address), new Sent(release));
+    }
+
+    private ClientRequest clientRequest(final NodeAddress address) {
+        ClientRequest clientRequest =
+                new ClientRequest().setMethod(new HttpString(request.method())).setPath(request.uri());
+        HeaderMap headers = clientRequest.getRequestHeaders();
+        request.headers().forEach(field -> headers.add(new HttpString(field.name()), field.value()));
+        if (!headers.contains(Headers.HOST)) {
+            headers.put(Headers.HOST, address.toString());
+        }
+        headers.put(Headers.CONTENT_LENGTH, request.body().length());
+        return clientRequest;
+    }
+
+    void timedOut() {
+        HttpException.Kind kind = sent ? HttpException.Kind.TIMEOUT : HttpException.Kind.NOT_SENT;
+        fail(kind, "no answer within the time given", null);
+    }
+
+    void fail(final HttpException.Kind kind, final String message, final Throwable cause) {
+        result.completeExceptionally(new HttpException(kind, message, cause));
+    }
+
+    private void cut(final IOException failure) {
+        fail(HttpException.Kind.CUT, "the connection ended before the whole answer arrived", failure);
+    }
+
+    private void answered(final ClientExchange exchange, final Consumer<Boolean> release) {
+        ClientResponse response = exchange.getResponse();
+        if (!hasVisibleEnd(response)) {
+            fail(HttpException.Kind.MALFORMED, "the answer has neither a length nor chunks", null);
+            return;
+        }
+        new BodyReader(maximumAnswerBytes, exchange.getConnection().getBufferPool())
+                .read(exchange.getResponseChannel())
+                .whenComplete((body, failure) -> {
+                    if (failure == null) {
+                        complete(response, body, release);
+                    } else {
+                        failReading(failure);
+                    }
+                });
+    }
+
+    private void complete(final ClientResponse response, final Body body, final Consumer<Boolean> release) {
+        boolean keep = !"close".equalsIgnoreCase(response.getResponseHeaders().getFirst(Headers.CONNECTION));
+        boolean first = result.complete(new CallAnswer(response.getResponseCode(), headersOf(response), body));
+        release.accept(first && keep);
+    }
+
+    private void failReading(final Throwable failure) {
+        if (failure instanceof BodyReader.TooLargeException) {
+            fail(HttpException.Kind.TOO_LARGE, "the answer exceeds " + maximumAnswerBytes + " bytes", failure);
+        } else {
+            cut(new IOException(failure));
+        }
+    }
+
+    private boolean hasVisibleEnd(final ClientResponse response) {
+        HeaderMap headers = response.getResponseHeaders();
+        int status = response.getResponseCode();
+        return headers.contains(Headers.CONTENT_LENGTH)
+                || headers.contains(Headers.TRANSFER_ENCODING)
+                || status == StatusCodes.NO_CONTENT
+                || status == StatusCodes.NOT_MODIFIED
+                || Methods.HEAD_STRING.equals(request.method());
+    }
+
+    private static List<HeaderField> headersOf(final ClientResponse response) {
+        List<HeaderField> fields = new ArrayList<>();
+        for (HeaderValues values : response.getResponseHeaders()) {
+            String name = values.getHeaderName().toString();
+            values.forEach(value -> fields.add(new HeaderField(name, value)));
+        }
+        return HopByHopHeaders.remove(fields);
+    }
+
+    /** Writes the body and waits for the answer. */
+    private final class Sent implements ClientCallback<ClientExchange> {
+
+        private final Consumer<Boolean> release;
+
+        private Sent(final Consumer<Boolean> release) {
+            this.release = release;
+        }
+
+        @Override
+        public void completed(final ClientExchange exchange) {
+            exchange.setResponseListener(new Answered(release));
+            BodyWriter.write(request.body(), exchange.getRequestChannel(), HttpExchange.this::cut);
+        }
+
+        @Override
+        public void failed(final IOException failure) {
+            cut(failure);
+        }
+    }
+
+    /** Reads the answer. */
+    private final class Answered implements ClientCallback<ClientExchange> {
+
+        private final Consumer<Boolean> release;
+
+        private Answered(final Consumer<Boolean> release) {
+            this.release = release;
+        }
+
+        @Override
+        public void completed(final ClientExchange exchange) {
+            answered(exchange, release);
+        }
+
+        @Override
+        public void failed(final IOException failure) {
+            cut(failure);
+        }
+    }
+}
