--- /dev/null
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/AnnouncementException.java
@@ -0,0 +1,13 @@
+package org.sequoiashunt.node;
+
+/**
+ * Reports an announcement that is not right. Immutable and thread-safe.
+ */
+final class AnnouncementException extends Exception {
+
+    private static final long serialVersionUID = 1L;
+
+    AnnouncementException(final String message) {
+        super(message);
+    }
+}
--- /dev/null
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/CallerHandler.java
@@ -0,0 +1,164 @@
+package org.sequoiashunt.node;
+
+import io.undertow.io.Receiver;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderValues;
+import io.undertow.util.Headers;
+import io.undertow.util.SameThreadExecutor;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import org.sequoiashunt.call.Body;
+import org.sequoiashunt.call.CallResult;
+import org.sequoiashunt.call.HeaderField;
+import org.sequoiashunt.call.Reason;
+import org.sequoiashunt.dispatch.CallDispatcher;
+import org.sequoiashunt.dispatch.IncomingCall;
+import org.sequoiashunt.http.HopByHopHeaders;
+
+/**
+ * Takes callers' requests, whole and bounded, and answers them.
+ *
+ * <p>Thread-safe; never blocks. Invariant: each request gets exactly one answer, its own and whole, or its connection
+ * is closed.
+ */
+public final class CallerHandler implements HttpHandler {
+
+    private static final int MAXIMUM_KEY_CHARACTERS = 200;
+
+    private final CallDispatcher dispatcher;
+    private final CallerAdmission admission;
+    private final CallMetrics metrics;
+    private final int maximumBodyBytes;
+
+    /**
+     * Creates a handler.
+     *
+     * @param dispatcher serves the requests, not null.
+     * @param admission bounds the requests held at a time, not null.
+     * @param metrics counts the requests, not null.
+     * @param maximumBodyBytes the largest body of a request, in bytes.
+     */
+    public CallerHandler(
+            final CallDispatcher dispatcher,
+            final CallerAdmission admission,
+            final CallMetrics metrics,
+            final int maximumBodyBytes) {
+        this.dispatcher = Objects.requireNonNull(dispatcher, "dispatcher");
+        this.admission = Objects.requireNonNull(admission, "admission");
+        this.metrics = Objects.requireNonNull(metrics, "metrics");
+        this.maximumBodyBytes = maximumBodyBytes;
+    }
+
+    @Override
+    public void handleRequest(final HttpServerExchange exchange) {
+        Optional<Reason> refusal = admission.enter();
+        if (refusal.isPresent()) {
+            exchange.setPersistent(refusal.get() != Reason.DRAINING);
+            CallAnswers.refuse(exchange, CallResult.notRun(refusal.get()));
+            return;
+        }
+        exchange.addExchangeCompleteListener((completed, next) -> {
+            admission.leave();
+            next.proceed();
+        });
+        if (exchange.getRequestContentLength() > maximumBodyBytes) {
+            refuseLargeBody(exchange);
+            return;
+        }
+        exchange.setMaxEntitySize(maximumBodyBytes);
+        exchange.getRequestReceiver().receiveFullBytes(this::received, (failed, exception) -> {
+            if (exception instanceof Receiver.RequestToLargeException) {
+                refuseLargeBody(failed);
+            } else {
+                failed.setPersistent(false);
+                failed.endExchange();
+            }
+        });
+    }
+
+    private static void refuseLargeBody(final HttpServerExchange exchange) {
+        exchange.setPersistent(false);
+        CallAnswers.refuse(exchange, CallResult.notRun(Reason.TOO_LARGE));
+    }
+
+    private void received(final HttpServerExchange exchange, final byte[] bytes) {
+        Optional<String> problem = problemOf(exchange);
+        if (problem.isPresent()) {
+            CallAnswers.reject(exchange, problem.get());
+            return;
+        }
+        exchange.dispatch(SameThreadExecutor.INSTANCE, () -> serve(exchange, bytes));
+    }
+
+    private void serve(final HttpServerExchange exchange, final byte[] bytes) {
+        long startedNanos = System.nanoTime();
+        CompletableFuture<CallResult> result = dispatcher.dispatch(incomingCall(exchange, bytes));
+        exchange.addExchangeCompleteListener((completed, next) -> {
+            result.cancel(true);
+            next.proceed();
+        });
+        result.whenComplete((ended, failure) -> {
+            CallResult known = failure == null ? ended : CallResult.unknown(Reason.CANCELLED);
+            metrics.callEnded(known, System.nanoTime() - startedNanos);
+            exchange.getIoThread().execute(() -> CallAnswers.answer(exchange, known));
+        });
+    }
+
+    private static Optional<String> problemOf(final HttpServerExchange exchange) {
+        String timeout = exchange.getRequestHeaders().getFirst(CallHeaders.TIMEOUT_MS);
+        if (timeout != null && !timeout.matches("[0-9]{1,9}")) {
+            return Optional.of(CallHeaders.TIMEOUT_MS + " must be a whole number of milliseconds");
+        }
+        HeaderValues keys = exchange.getRequestHeaders().get(CallHeaders.IDEMPOTENCY_KEY);
+        if (keys != null && (keys.size() > 1 || !isKey(keys.getFirst()))) {
+            return Optional.of(CallHeaders.IDEMPOTENCY_KEY + " must be one value of 1 to " + MAXIMUM_KEY_CHARACTERS
+                    + " characters");
+        }
+        return Optional.empty();
+    }
+
+    private static boolean isKey(final String key) {
+        return !key.isBlank() && key.length() <= MAXIMUM_KEY_CHARACTERS;
+    }
+
+    private static IncomingCall incomingCall(final HttpServerExchange exchange, final byte[] bytes) {
+        String query = exchange.getQueryString();
+        String path = exchange.getRequestURI();
+        String timeout = exchange.getRequestHeaders().getFirst(CallHeaders.TIMEOUT_MS);
+        return new IncomingCall(
+                serviceOf(exchange),
+                exchange.getRequestMethod().toString(),
+                path,
+                query.isEmpty() ? path : path + "?" + query,
+                headersOf(exchange),
+                Body.of(bytes),
+                Optional.ofNullable(exchange.getRequestHeaders().getFirst(CallHeaders.IDEMPOTENCY_KEY)),
+                timeout == null ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(timeout)));
+    }
+
+    private static String serviceOf(final HttpServerExchange exchange) {
+        String named = exchange.getRequestHeaders().getFirst(CallHeaders.SERVICE);
+        if (named != null) {
+            return named;
+        }
+        String host = exchange.getHostName();
+        int dot = host.indexOf('.');
+        return dot < 0 ? host : host.substring(0, dot);
+    }
+
+    private static List<HeaderField> headersOf(final HttpServerExchange exchange) {
+        List<HeaderField> fields = new ArrayList<>();
+        for (HeaderValues values : exchange.getRequestHeaders()) {
+            String name = values.getHeaderName().toString();
+            if (!name.equalsIgnoreCase(CallHeaders.TIMEOUT_MS) && !name.equalsIgnoreCase(Headers.HOST_STRING)) {
+                values.forEach(value -> fields.add(new HeaderField(name, value)));
+            }
+        }
+        return HopByHopHeaders.remove(fields);
+    }
+}
