--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/routing/TargetSelector.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/routing/TargetSelector.java
@@ -58,6 +58,7 @@
         Objects.requireNonNull(candidates, "candidates");
         Objects.requireNonNull(excluded, "excluded");
         long nowMs = clock.nowMs();
+        takeInUnknown(candidates, nowMs);
         List<Candidate> remaining = candidates.stream()
                 .filter(candidate -> !excluded.contains(candidate.identity()))
                 .toList();
@@ -105,6 +106,13 @@
                 .count();
     }
 
+    /** Targets that are all new to this entry are taken as warm: it is the entry that is new. */
+    private void takeInUnknown(final List<Candidate> candidates, final long nowMs) {
+        boolean noneKnown = candidates.stream().noneMatch(candidate -> statistics.containsKey(candidate.identity()));
+        long firstSeenMs = noneKnown ? nowMs - TargetStatistics.RAMP_MS : nowMs;
+        candidates.forEach(candidate -> statisticsOf(candidate, firstSeenMs));
+    }
+
     private List<Candidate> withoutEjected(final List<Candidate> candidates, final long nowMs) {
         List<Candidate> healthy = candidates.stream()
                 .filter(candidate -> !statisticsOf(candidate, nowMs).isEjected(nowMs))
@@ -143,7 +151,7 @@
         return firstScore <= secondScore ? first : second;
     }
 
-    private TargetStatistics statisticsOf(final Candidate candidate, final long nowMs) {
-        return statistics.computeIfAbsent(candidate.identity(), identity -> new TargetStatistics(nowMs));
+    private TargetStatistics statisticsOf(final Candidate candidate, final long firstSeenMs) {
+        return statistics.computeIfAbsent(candidate.identity(), identity -> new TargetStatistics(firstSeenMs));
     }
 }
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/routing/TargetStatistics.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/routing/TargetStatistics.java
@@ -39,9 +39,9 @@
     private long ejectedUntilMs;
     private long lastUsedMs;
 
-    TargetStatistics(final long nowMs) {
-        this.firstSeenMs = nowMs;
-        this.lastUsedMs = nowMs;
+    TargetStatistics(final long firstSeenMs) {
+        this.firstSeenMs = firstSeenMs;
+        this.lastUsedMs = firstSeenMs;
     }
 
     synchronized void started(final long nowMs) {
