--- /dev/null
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/process/NodePlan.java
@@ -0,0 +1,64 @@
+package org.sequoiashunt.trial.process;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.sequoiashunt.peer.NodeAddress;
+
+/**
+ * Where one node of a trial runs. Immutable and thread-safe.
+ *
+ * @param name the name of the node.
+ * @param failureDomain its failure domain.
+ * @param region its region.
+ * @param callers where callers' requests arrive.
+ * @param link where other nodes connect.
+ * @param admin where targets announce themselves.
+ */
+public record NodePlan(
+        String name, String failureDomain, String region, NodeAddress callers, NodeAddress link, NodeAddress admin) {
+
+    /**
+     * Plans a node on free ports of a loopback address.
+     *
+     * @param name the name of the node, not null.
+     * @param failureDomain its failure domain, not null.
+     * @param region its region, not null.
+     * @param host the loopback address, not null.
+     * @return the plan, never null.
+     * @throws IOException if no port is free.
+     */
+    public static NodePlan of(final String name, final String failureDomain, final String region, final String host)
+            throws IOException {
+        return new NodePlan(name, failureDomain, region, free(host), free(host), free(host));
+    }
+
+    private static NodeAddress free(final String host) throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(host))) {
+            return new NodeAddress(host, socket.getLocalPort());
+        }
+    }
+
+    /**
+     * Writes the settings of the node.
+     *
+     * @param directory the directory for the file, not null.
+     * @param store the address of the store, not null.
+     * @return the file, never null.
+     * @throws IOException if it cannot be written.
+     */
+    public Path writeSettings(final Path directory, final NodeAddress store) throws IOException {
+        String yaml = """
+                node: %s
+                failureDomain: %s
+                region: %s
+                callers: %s
+                link: %s
+                admin: %s
+                store: %s
+                """.formatted(name, failureDomain, region, callers, link, admin, store);
+        return Files.writeString(directory.resolve(name + ".yaml"), yaml);
+    }
+}
