--- /dev/null
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/ClaimRelease.java
@@ -0,0 +1,28 @@
+package org.sequoiashunt.execution;
+
+import java.util.Objects;
+import org.sequoiashunt.peer.ControlMessage;
+
+/**
+ * States that an attempt did not run and never will, so that a later attempt with the key may run. Only the entry that
+ * created the attempt may send it. Repeating it is harmless, also before the {@link ClaimRequest} arrives.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param group the home group of the guard.
+ * @param key the key.
+ * @param attempt the attempt that ended.
+ */
+public record ClaimRelease(String group, ClaimKey key, String attempt) implements ControlMessage {
+
+    /**
+     * Checks the components.
+     *
+     * @throws NullPointerException if a component is null.
+     */
+    public ClaimRelease {
+        Objects.requireNonNull(group, "group");
+        Objects.requireNonNull(key, "key");
+        Objects.requireNonNull(attempt, "attempt");
+    }
+}
--- /dev/null
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/GuardHeartbeat.java
@@ -0,0 +1,25 @@
+package org.sequoiashunt.execution;
+
+import java.util.Objects;
+import org.sequoiashunt.peer.ControlMessage;
+
+/**
+ * Heartbeat from one guard of a home group to another, answered by {@link GuardHeartbeatReply}.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param group the home group.
+ * @param epoch the epoch of the roster that the sender knows.
+ * @param sentMs when it was sent, in milliseconds of the sender's clock; only the sender interprets it.
+ */
+public record GuardHeartbeat(String group, long epoch, long sentMs) implements ControlMessage {
+
+    /**
+     * Checks the components.
+     *
+     * @throws NullPointerException if the group is null.
+     */
+    public GuardHeartbeat {
+        Objects.requireNonNull(group, "group");
+    }
+}
