Claims of idempotency keys at a majority of guards

An entry asks three guards of the key's home group and dispatches only after a majority with complete history granted the claim. Guards are chosen by rendezvous hash over a roster under an epoch, never over a membership view.

--- /dev/null
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/ClaimCoordinator.java
@@ -0,0 +1,293 @@
+package org.sequoiashunt.execution;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.sequoiashunt.blackboard.Blackboard;
+import org.sequoiashunt.blackboard.Controller;
+import org.sequoiashunt.blackboard.Section;
+import org.sequoiashunt.call.CallResult;
+import org.sequoiashunt.call.Outcome;
+import org.sequoiashunt.call.Reason;
+import org.sequoiashunt.execution.ClaimAttempt.Addressed;
+import org.sequoiashunt.execution.ClaimAttempt.State;
+import org.sequoiashunt.peer.ControlMessage;
+import org.sequoiashunt.time.Clock;
+
+/**
+ * Entry's side of claims: asks the guards of a key's home group and decides whether a call may be dispatched.
+ *
+ * <p>Use: {@link #claim}, and if it completes empty, {@link #beginDispatch} directly before sending the call; then
+ * {@link #record} once the call has ended, whatever its result. {@link #tick} must be called several times a second.
+ *
+ * <p>Thread-safe: attempts lie in shards, each under its own lock, and each attempt has a lock of its own; no lock is
+ * held while a message is sent or a future completes. Invariant: an attempt whose caller was told {@code not-run} is
+ * never dispatched.
+ */
+public final class ClaimCoordinator implements Claims, Controller {
+
+    private static final int SHARDS = 16;
+
+    /** Time between requests to a guard that has not replied. */
+    private static final long REPEAT_MS = 250;
+
+    /** Longest wait for guards. */
+    private static final long ASK_TIMEOUT_MS = 2_000;
+
+    /** How often a release is sent, since one that is lost keeps the key blocked for the retention window. */
+    private static final int RELEASE_SENDS = 2;
+
+    private final Blackboard blackboard;
+    private final HomeGroups homes;
+    private final Clock clock;
+    private final ClaimTiming timing;
+    private final Set<ClaimRule> rules;
+    private final ControlMessenger messenger;
+    private final EntryPause pause;
+    private final List<Map<String, Pending>> shards = new ArrayList<>();
+
+    /**
+     * Creates a coordinator without attempts.
+     *
+     * @param blackboard where rosters replicate, not null.
+     * @param homes finds home groups, not null.
+     * @param clock the time, not null.
+     * @param timing the times, not null.
+     * @param rules the rules that are on, not null.
+     * @param messenger sends messages, not null.
+     */
+    public ClaimCoordinator(
+            final Blackboard blackboard,
+            final HomeGroups homes,
+            final Clock clock,
+            final ClaimTiming timing,
+            final Set<ClaimRule> rules,
+            final ControlMessenger messenger) {
+        this.blackboard = Objects.requireNonNull(blackboard, "blackboard");
+        this.homes = Objects.requireNonNull(homes, "homes");
+        this.clock = Objects.requireNonNull(clock, "clock");
+        this.timing = Objects.requireNonNull(timing, "timing");
+        this.rules = Set.copyOf(rules);
+        this.messenger = Objects.requireNonNull(messenger, "messenger");
+        this.pause = new EntryPause(clock, timing.pauseMs());
+        for (int index = 0; index < SHARDS; index++) {
+            shards.add(new HashMap<>());
+        }
+    }
+
+    @Override
+    public CompletableFuture<Optional<CallResult>> claim(
+            final String service, final String key, final String attempt, final long deadlineMs) {
+        long nowMs = clock.nowMs();
+        List<Optional<Roster>> rosters =
+                homes.find(service, key).stream().map(this::roster).toList();
+        boolean paused = rules.contains(ClaimRule.ENTRY_PAUSE) && pause.isRecent();
+        if (paused || rosters.isEmpty() || rosters.stream().anyMatch(Optional::isEmpty) || deadlineMs <= nowMs) {
+            return CompletableFuture.completedFuture(Optional.of(CallResult.notRun(Reason.CLAIM_UNAVAILABLE)));
+        }
+        ClaimAttempt claim = new ClaimAttempt(
+                ClaimKey.of(service, key),
+                attempt,
+                deadlineMs,
+                Math.min(deadlineMs, nowMs + timing.attemptMs()),
+                rules.contains(ClaimRule.MAJORITY));
+        rosters.forEach(roster -> claim.ask(roster.orElseThrow()));
+        put(attempt, new Pending(claim, nowMs));
+        send(claim.openRequests(nowMs));
+        return claim.decision();
+    }
+
+    @Override
+    public boolean beginDispatch(final String service, final String key, final String attempt) {
+        Pending pending = find(attempt);
+        if (pending == null) {
+            return false;
+        }
+        if (isInTime(pending.claim) && pending.claim.move(State.GRANTED, State.DISPATCHED)) {
+            return true;
+        }
+        if (pending.claim.move(State.GRANTED, State.ABANDONED)) {
+            release(pending);
+        }
+        return false;
+    }
+
+    @Override
+    public void record(final String service, final String key, final String attempt, final CallResult result) {
+        Pending pending = find(attempt);
+        if (pending == null) {
+            return;
+        }
+        if (result.outcome() == Outcome.NOT_RUN) {
+            pending.claim.move(State.GRANTED, State.ABANDONED);
+            pending.claim.move(State.DISPATCHED, State.ABANDONED);
+            release(pending);
+            return;
+        }
+        remove(attempt);
+        if (result.outcome() == Outcome.COMPLETE) {
+            pending.claim
+                    .asked()
+                    .forEach(to -> messenger.send(
+                            to.node(), new ClaimOutcome(to.content(), pending.claim.key(), attempt, result)));
+        }
+    }
+
+    @Override
+    public void tick() {
+        pause.tick();
+        homes.refresh();
+        long nowMs = clock.nowMs();
+        for (Map<String, Pending> shard : shards) {
+            List<Pending> all;
+            synchronized (shard) {
+                all = List.copyOf(shard.values());
+            }
+            all.forEach(pending -> tick(pending, nowMs));
+        }
+    }
+
+    @Override
+    public boolean receive(final String sender, final ControlMessage message) {
+        if (!(message instanceof ClaimReply reply)) {
+            return false;
+        }
+        Pending pending = find(reply.attempt());
+        if (pending != null && pending.claim.isAsking()) {
+            noteReply(pending, sender, reply);
+        }
+        return true;
+    }
+
+    private void noteReply(final Pending pending, final String guard, final ClaimReply reply) {
+        pending.claim.note(guard, reply);
+        decide(pending);
+        Optional<Roster> roster = roster(reply.group());
+        if (reply.verdict() == ClaimVerdict.EPOCH_DIFFERS
+                && roster.isPresent()
+                && reply.epoch() < roster.get().epoch()) {
+            messenger.send(guard, new RosterNotice(roster.get()));
+        }
+    }
+
+    private void decide(final Pending pending) {
+        ClaimAttempt claim = pending.claim;
+        if (claim.isGranted()) {
+            if (isInTime(claim) && claim.move(State.ASKING, State.GRANTED)) {
+                claim.decision().complete(Optional.empty());
+            } else {
+                abandon(pending);
+            }
+        } else if (claim.isRefused()) {
+            abandon(pending);
+        }
+    }
+
+    private void abandon(final Pending pending) {
+        if (pending.claim.move(State.ASKING, State.ABANDONED)) {
+            CallResult refusal = pending.claim.refusal();
+            release(pending);
+            pending.claim.decision().complete(Optional.of(refusal));
+        }
+    }
+
+    private void tick(final Pending pending, final long nowMs) {
+        ClaimAttempt claim = pending.claim;
+        if (claim.isAsking()) {
+            tickAsking(pending, nowMs);
+        } else if (nowMs > claim.latestDispatchMs() && claim.move(State.GRANTED, State.ABANDONED)) {
+            release(pending);
+        } else if (pending.releasesLeft > 0) {
+            sendRelease(pending);
+        } else if (pending.releasing || nowMs > claim.deadlineMs() + timing.attemptMs()) {
+            remove(claim.attempt());
+        }
+    }
+
+    private void tickAsking(final Pending pending, final long nowMs) {
+        ClaimAttempt claim = pending.claim;
+        if (nowMs - pending.startMs > ASK_TIMEOUT_MS || nowMs > claim.latestDispatchMs()) {
+            abandon(pending);
+        } else if (nowMs - pending.askedMs >= REPEAT_MS) {
+            pending.askedMs = nowMs;
+            pending.claim.asked().stream()
+                    .map(Addressed::content)
+                    .distinct()
+                    .forEach(group -> roster(group).ifPresent(claim::ask));
+            send(claim.openRequests(nowMs));
+        }
+    }
+
+    private boolean isInTime(final ClaimAttempt claim) {
+        return !rules.contains(ClaimRule.ENTRY_DEADLINE) || clock.nowMs() <= claim.latestDispatchMs();
+    }
+
+    private void release(final Pending pending) {
+        pending.releasing = true;
+        pending.releasesLeft = RELEASE_SENDS;
+        sendRelease(pending);
+    }
+
+    private void sendRelease(final Pending pending) {
+        pending.releasesLeft--;
+        ClaimAttempt claim = pending.claim;
+        claim.asked()
+                .forEach(to -> messenger.send(to.node(), new ClaimRelease(to.content(), claim.key(), claim.attempt())));
+    }
+
+    private void send(final List<Addressed<ClaimRequest>> requests) {
+        requests.forEach(request -> messenger.send(request.node(), request.content()));
+    }
+
+    private Optional<Roster> roster(final String group) {
+        return blackboard.value(Section.ROSTER, group, Roster.class);
+    }
+
+    private void put(final String attempt, final Pending pending) {
+        Map<String, Pending> shard = shard(attempt);
+        synchronized (shard) {
+            if (shard.putIfAbsent(attempt, pending) != null) {
+                throw new IllegalArgumentException("attempt is not unique: " + attempt);
+            }
+        }
+    }
+
+    private Pending find(final String attempt) {
+        Map<String, Pending> shard = shard(attempt);
+        synchronized (shard) {
+            return shard.get(attempt);
+        }
+    }
+
+    private void remove(final String attempt) {
+        Map<String, Pending> shard = shard(attempt);
+        synchronized (shard) {
+            shard.remove(attempt);
+        }
+    }
+
+    private Map<String, Pending> shard(final String attempt) {
+        return shards.get(Math.floorMod(attempt.hashCode(), SHARDS));
+    }
+
+    /** Attempt with the bookkeeping of its messages, written by any thread; a lost update only repeats a message. */
+    private static final class Pending {
+
+        private final ClaimAttempt claim;
+        private final long startMs;
+        private volatile long askedMs;
+        private volatile boolean releasing;
+        private volatile int releasesLeft;
+
+        private Pending(final ClaimAttempt claim, final long nowMs) {
+            this.claim = claim;
+            this.startMs = nowMs;
+            this.askedMs = nowMs;
+        }
+    }
+}
--- /dev/null
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/ClaimGuard.java
@@ -0,0 +1,186 @@
+package org.sequoiashunt.execution;
+
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import org.sequoiashunt.blackboard.Blackboard;
+import org.sequoiashunt.blackboard.Controller;
+import org.sequoiashunt.blackboard.Entry;
+import org.sequoiashunt.blackboard.EntryVersion;
+import org.sequoiashunt.blackboard.Section;
+import org.sequoiashunt.call.CallResult;
+import org.sequoiashunt.peer.ControlMessage;
+import org.sequoiashunt.time.Clock;
+
+/**
+ * Guard of the keys of one home group on one node: answers claims and exchanges heartbeats with the other guards. A
+ * node runs one for each home group that its failure domain belongs to, whether or not it is in the roster.
+ *
+ * <p>Thread-safe: standing and ledger have their own locks, and no lock is held while a message is sent. Invariant: of
+ * two claims of a key within the retention window at most one is granted, unless the first was released by its entry.
+ */
+public final class ClaimGuard implements Controller {
+
+    private static final String WRITER = "store";
+
+    private final String node;
+    private final GuardStanding standing;
+    private final ClaimLedger ledger;
+    private final Blackboard blackboard;
+    private final Clock clock;
+    private final ClaimTiming timing;
+    private final Set<ClaimRule> rules;
+    private final ControlMessenger messenger;
+    private long nextHeartbeatMs;
+
+    /**
+     * Creates a guard with an empty ledger.
+     *
+     * @param node the name of this node, not null.
+     * @param standing the node's standing in the group, not null.
+     * @param blackboard where rosters replicate, not null.
+     * @param clock the time, not null.
+     * @param timing the times, not null.
+     * @param capacity the bounds, not null.
+     * @param rules the rules that are on, not null.
+     * @param messenger sends messages, not null.
+     */
+    public ClaimGuard(
+            final String node,
+            final GuardStanding standing,
+            final Blackboard blackboard,
+            final Clock clock,
+            final ClaimTiming timing,
+            final ClaimCapacity capacity,
+            final Set<ClaimRule> rules,
+            final ControlMessenger messenger) {
+        this.node = Objects.requireNonNull(node, "node");
+        this.standing = Objects.requireNonNull(standing, "standing");
+        this.blackboard = Objects.requireNonNull(blackboard, "blackboard");
+        this.clock = Objects.requireNonNull(clock, "clock");
+        this.timing = Objects.requireNonNull(timing, "timing");
+        this.rules = Set.copyOf(rules);
+        this.messenger = Objects.requireNonNull(messenger, "messenger");
+        this.ledger = new ClaimLedger(capacity, timing.retentionMs(), rules);
+    }
+
+    @Override
+    public void tick() {
+        blackboard.value(Section.ROSTER, standing.group(), Roster.class).ifPresent(standing::adopt);
+        standing.roster().ifPresent(roster -> publish(blackboard, roster));
+        ledger.expire(clock.nowMs());
+        sendHeartbeats();
+    }
+
+    @Override
+    public boolean receive(final String sender, final ControlMessage message) {
+        if (message instanceof ClaimRequest request && isOwn(request.group())) {
+            messenger.send(sender, answer(request));
+            return true;
+        }
+        if (message instanceof ClaimRelease release && isOwn(release.group())) {
+            ledger.release(release.key(), release.attempt());
+            return true;
+        }
+        if (message instanceof ClaimOutcome outcome && isOwn(outcome.group())) {
+            ledger.record(outcome.key(), outcome.attempt(), outcome.result());
+            return true;
+        }
+        return receiveGuardMessage(sender, message);
+    }
+
+    /**
+     * Counts the claims retained.
+     *
+     * @return the number of claims.
+     */
+    public int claimCount() {
+        return ledger.size();
+    }
+
+    /**
+     * Writes a roster to a blackboard, where it replaces any older epoch.
+     *
+     * @param blackboard the blackboard, not null.
+     * @param roster the roster, not null.
+     */
+    static void publish(final Blackboard blackboard, final Roster roster) {
+        blackboard.merge(Entry.of(roster.group(), WRITER, EntryVersion.of(roster.epoch(), 0), roster));
+    }
+
+    private boolean receiveGuardMessage(final String sender, final ControlMessage message) {
+        if (message instanceof GuardHeartbeat heartbeat && isOwn(heartbeat.group())) {
+            answerHeartbeat(sender, heartbeat);
+            return true;
+        }
+        if (message instanceof GuardHeartbeatReply reply && isOwn(reply.group())) {
+            standing.answered(sender, reply.epoch(), reply.sentMs());
+            tellIfOlder(sender, reply.epoch());
+            return true;
+        }
+        if (message instanceof RosterNotice notice && isOwn(notice.roster().group())) {
+            standing.adopt(notice.roster());
+            publish(blackboard, notice.roster());
+            return true;
+        }
+        return false;
+    }
+
+    private ClaimReply answer(final ClaimRequest request) {
+        ClaimVerdict refusal = refusal(request);
+        if (refusal != null) {
+            return reply(request, refusal, Optional.empty());
+        }
+        boolean complete = standing.isComplete(request.key());
+        ClaimLedger.Decision decision =
+                ledger.claim(request.key(), request.attempt(), request.remainingMs(), clock.nowMs());
+        boolean counts = complete || decision.verdict() != ClaimVerdict.GRANTED;
+        return reply(request, counts ? decision.verdict() : ClaimVerdict.RECORDED, decision.answer());
+    }
+
+    /** Tells why a claim may not even be recorded, or null. */
+    private ClaimVerdict refusal(final ClaimRequest request) {
+        if (rules.contains(ClaimRule.EPOCH_CHECK) && (request.epoch() != standing.epoch() || !standing.isGuard())) {
+            return ClaimVerdict.EPOCH_DIFFERS;
+        }
+        if (request.remainingMs() <= 0) {
+            return ClaimVerdict.ENDED;
+        }
+        return standing.isConfirmed() && standing.isHeard() ? null : ClaimVerdict.FENCED;
+    }
+
+    private ClaimReply reply(
+            final ClaimRequest request, final ClaimVerdict verdict, final Optional<CallResult> result) {
+        return new ClaimReply(standing.group(), standing.epoch(), request.key(), request.attempt(), verdict, result);
+    }
+
+    private void answerHeartbeat(final String sender, final GuardHeartbeat heartbeat) {
+        tellIfOlder(sender, heartbeat.epoch());
+        if (standing.isConfirmed()) {
+            messenger.send(sender, new GuardHeartbeatReply(standing.group(), standing.epoch(), heartbeat.sentMs()));
+        }
+    }
+
+    private void tellIfOlder(final String other, final long otherEpoch) {
+        if (otherEpoch < standing.epoch()) {
+            standing.roster().ifPresent(roster -> messenger.send(other, new RosterNotice(roster)));
+        }
+    }
+
+    private void sendHeartbeats() {
+        long nowMs = clock.nowMs();
+        if (nowMs < nextHeartbeatMs || !standing.isGuard()) {
+            return;
+        }
+        nextHeartbeatMs = nowMs + timing.heartbeatMs();
+        GuardHeartbeat heartbeat = new GuardHeartbeat(standing.group(), standing.epoch(), nowMs);
+        standing.roster().stream()
+                .flatMap(roster -> roster.guards().stream())
+                .filter(guard -> !guard.equals(node))
+                .forEach(guard -> messenger.send(guard, heartbeat));
+    }
+
+    private boolean isOwn(final String group) {
+        return group.equals(standing.group());
+    }
+}
--- /dev/null
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/ClaimLedger.java
@@ -0,0 +1,224 @@
+package org.sequoiashunt.execution;
+
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.sequoiashunt.call.CallResult;
+
+/**
+ * Claims that one guard has recorded, in the order of recording.
+ *
+ * <p>Thread-safe: the claims lie in shards, each under its own lock. Invariants: a claim stays for the retention window
+ * unless its own attempt is released; the number of claims and of released attempts is bounded.
+ */
+final class ClaimLedger {
+
+    private static final int SHARDS = 16;
+
+    /** Released attempts remembered, as a part of the capacity; they only spare a resend the wait for the window. */
+    private static final int RELEASED_DIVISOR = 8;
+
+    private final Shard[] shards = new Shard[SHARDS];
+    private final RecordedOutcomes outcomes;
+
+    /**
+     * Creates an empty ledger.
+     *
+     * @param capacity the bounds, not null.
+     * @param retentionMs how long a claim is retained, in milliseconds.
+     * @param rules the rules that are on, not null.
+     */
+    ClaimLedger(final ClaimCapacity capacity, final long retentionMs, final Set<ClaimRule> rules) {
+        int perShard = Math.max(1, capacity.claims() / SHARDS);
+        boolean refuseWhenFull = rules.contains(ClaimRule.REFUSE_WHEN_FULL);
+        for (int index = 0; index < SHARDS; index++) {
+            shards[index] = new Shard(perShard, retentionMs, refuseWhenFull);
+        }
+        this.outcomes = new RecordedOutcomes(capacity.outcomes(), capacity.outcomeBytes());
+    }
+
+    /**
+     * Records a claim unless another attempt holds the key.
+     *
+     * @param key the key, not null.
+     * @param attempt the attempt, not null.
+     * @param remainingMs how long the attempt may run, in milliseconds.
+     * @param nowMs the time.
+     * @return {@link ClaimVerdict#GRANTED} if the attempt holds the key now, or why it does not, with the recorded
+     *     answer if there is one.
+     */
+    Decision claim(final ClaimKey key, final String attempt, final long remainingMs, final long nowMs) {
+        ClaimKey digest = ClaimKey.digest(attempt);
+        Claim claim = new Claim(digest.high(), digest.low(), nowMs, nowMs + remainingMs);
+        Shard shard = shard(key);
+        synchronized (shard) {
+            ClaimVerdict verdict = shard.claim(key, claim);
+            Optional<CallResult> answer =
+                    verdict.isHeld() ? outcomes.find(shard.claims.get(key).attempt()) : Optional.empty();
+            return answer.isPresent()
+                    ? new Decision(ClaimVerdict.HELD_DONE, answer)
+                    : new Decision(verdict, Optional.empty());
+        }
+    }
+
+    /**
+     * Removes the claim of an attempt that has not run and never will.
+     *
+     * @param key the key, not null.
+     * @param attempt the attempt, not null.
+     */
+    void release(final ClaimKey key, final String attempt) {
+        shard(key).release(key, ClaimKey.digest(attempt));
+    }
+
+    /**
+     * Keeps the answer of the attempt that holds a key.
+     *
+     * @param key the key, not null.
+     * @param attempt the attempt, not null.
+     * @param result the answer, not null.
+     */
+    void record(final ClaimKey key, final String attempt, final CallResult result) {
+        ClaimKey digest = ClaimKey.digest(attempt);
+        if (shard(key).isHeldBy(key, digest)) {
+            outcomes.put(digest, result);
+        }
+    }
+
+    /**
+     * Removes claims whose retention has ended.
+     *
+     * @param nowMs the time.
+     */
+    void expire(final long nowMs) {
+        for (Shard shard : shards) {
+            shard.expire(nowMs, outcomes);
+        }
+    }
+
+    /**
+     * Counts the claims retained.
+     *
+     * @return the number of claims.
+     */
+    int size() {
+        int sum = 0;
+        for (Shard shard : shards) {
+            sum += shard.size();
+        }
+        return sum;
+    }
+
+    private Shard shard(final ClaimKey key) {
+        return shards[(int) Math.floorMod(key.low(), (long) SHARDS)];
+    }
+
+    /**
+     * What the ledger says to a claim. Immutable.
+     *
+     * @param verdict the verdict.
+     * @param answer the recorded answer, present exactly if the verdict is {@link ClaimVerdict#HELD_DONE}.
+     */
+    record Decision(ClaimVerdict verdict, Optional<CallResult> answer) {}
+
+    /** Claim of one attempt, whose identity is kept as a digest to save memory. Immutable. */
+    private record Claim(long attemptHigh, long attemptLow, long recordedMs, long runsUntilMs) {
+
+        private ClaimKey attempt() {
+            return new ClaimKey(attemptHigh, attemptLow);
+        }
+
+        private boolean isBy(final ClaimKey attempt) {
+            return attemptHigh == attempt.high() && attemptLow == attempt.low();
+        }
+    }
+
+    /** Part of the claims. Thread-safe: guarded by its own monitor. */
+    private static final class Shard {
+
+        private final int capacity;
+        private final long retentionMs;
+        private final boolean refuseWhenFull;
+        private final Map<ClaimKey, Claim> claims = new LinkedHashMap<>();
+        private final Set<ClaimKey> released = new LinkedHashSet<>();
+
+        private Shard(final int capacity, final long retentionMs, final boolean refuseWhenFull) {
+            this.capacity = capacity;
+            this.retentionMs = retentionMs;
+            this.refuseWhenFull = refuseWhenFull;
+        }
+
+        private synchronized ClaimVerdict claim(final ClaimKey key, final Claim claim) {
+            Claim present = claims.get(key);
+            if (present != null && isRetained(present, claim.recordedMs)) {
+                return verdict(present, claim);
+            }
+            if (released.contains(claim.attempt())) {
+                return ClaimVerdict.ENDED;
+            }
+            claims.remove(key);
+            if (claims.size() >= capacity && !removeOldest(claim.recordedMs)) {
+                return ClaimVerdict.FULL;
+            }
+            claims.put(key, claim);
+            return ClaimVerdict.GRANTED;
+        }
+
+        private static ClaimVerdict verdict(final Claim present, final Claim claim) {
+            if (present.isBy(claim.attempt())) {
+                return ClaimVerdict.GRANTED;
+            }
+            return claim.recordedMs < present.runsUntilMs ? ClaimVerdict.HELD_RUNNING : ClaimVerdict.HELD_UNKNOWN;
+        }
+
+        private boolean isRetained(final Claim claim, final long nowMs) {
+            return nowMs - claim.recordedMs < retentionMs;
+        }
+
+        private boolean removeOldest(final long nowMs) {
+            Iterator<Claim> oldest = claims.values().iterator();
+            Claim claim = oldest.next();
+            if (refuseWhenFull && isRetained(claim, nowMs)) {
+                return false;
+            }
+            oldest.remove();
+            return true;
+        }
+
+        private synchronized void release(final ClaimKey key, final ClaimKey attempt) {
+            if (isHeldBy(key, attempt)) {
+                claims.remove(key);
+            }
+            released.add(attempt);
+            if (released.size() > capacity / RELEASED_DIVISOR + 1) {
+                Iterator<ClaimKey> oldest = released.iterator();
+                oldest.next();
+                oldest.remove();
+            }
+        }
+
+        private synchronized boolean isHeldBy(final ClaimKey key, final ClaimKey attempt) {
+            Claim present = claims.get(key);
+            return present != null && present.isBy(attempt);
+        }
+
+        private synchronized void expire(final long nowMs, final RecordedOutcomes outcomes) {
+            Iterator<Claim> oldest = claims.values().iterator();
+            while (oldest.hasNext()) {
+                Claim claim = oldest.next();
+                if (isRetained(claim, nowMs)) {
+                    return;
+                }
+                oldest.remove();
+                outcomes.remove(claim.attempt());
+            }
+        }
+
+        private synchronized int size() {
+            return claims.size();
+        }
+    }
+}
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/Claims.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/Claims.java
@@ -17,12 +17,27 @@
      * @param attempt identity of this attempt, unique, not null.
      * @param deadlineMs when the attempt ends, in milliseconds of the local clock.
      * @return completes with empty if the call may be dispatched now, or with the result to tell the caller: the
-     *     recorded answer, or a refusal. The caller must check the deadline again before it dispatches.
+     *     recorded answer, or a refusal. Before dispatch, {@link #beginDispatch} must say that there is still time.
      */
     CompletableFuture<Optional<CallResult>> claim(String service, String key, String attempt, long deadlineMs);
 
     /**
-     * Records how a claimed call ended, so that a resend gets the same answer. Best effort.
+     * Begins the dispatch of a claimed call. Must be called directly before the first byte of the call leaves this
+     * node; it checks the time once more and answers true at most once for each attempt.
+     *
+     * @param service the service called, not null.
+     * @param key the caller's key, not null.
+     * @param attempt identity of the attempt that was claimed, not null.
+     * @return true if the call may be dispatched now; false if it must never be, and its caller is told
+     *     {@code not-run}.
+     */
+    default boolean beginDispatch(final String service, final String key, final String attempt) {
+        return true;
+    }
+
+    /**
+     * Records how a claimed call ended, so that a resend gets the same answer, or may run if this one did not and never
+     * will. Must be called once for each call that was dispatched or given up after a claim. Best effort.
      *
      * @param service the service called, not null.
      * @param key the caller's key, not null.
--- /dev/null
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/EntryPause.java
@@ -0,0 +1,56 @@
+package org.sequoiashunt.execution;
+
+import org.sequoiashunt.time.Clock;
+
+/**
+ * Notices that this process was paused, so that a request which waited in a buffer meanwhile is not taken for a new
+ * one.
+ *
+ * <p>Thread-safe: one lock. Invariant: a pause is noticed by the first reader after it, tick or not.
+ */
+final class EntryPause {
+
+    /** How long after a pause requests may still come out of buffers. */
+    private static final long DRAIN_MS = 2_000;
+
+    private final Clock clock;
+    private final long pauseMs;
+    private long tickedMs;
+    private long wokenMs;
+
+    /**
+     * Creates an observer of a process that runs now.
+     *
+     * @param clock the time, not null.
+     * @param pauseMs the longest gap between ticks that is not a pause, in milliseconds.
+     */
+    EntryPause(final Clock clock, final long pauseMs) {
+        this.clock = clock;
+        this.pauseMs = pauseMs;
+        this.tickedMs = clock.nowMs();
+        this.wokenMs = tickedMs - DRAIN_MS - 1;
+    }
+
+    /** Notes that the process runs. */
+    synchronized void tick() {
+        observe();
+        tickedMs = clock.nowMs();
+    }
+
+    /**
+     * Tells whether a request read now may have waited through a pause.
+     *
+     * @return true if so.
+     */
+    synchronized boolean isRecent() {
+        observe();
+        return clock.nowMs() - wokenMs <= DRAIN_MS;
+    }
+
+    private void observe() {
+        long nowMs = clock.nowMs();
+        if (nowMs - tickedMs > pauseMs) {
+            wokenMs = nowMs;
+        }
+    }
+}
--- /dev/null
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/GroupVote.java
@@ -0,0 +1,114 @@
+package org.sequoiashunt.execution;
+
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.sequoiashunt.call.CallResult;
+
+/**
+ * Replies of one home group's guards to one attempt. Not thread-safe: guarded by the attempt.
+ *
+ * <p>Invariant: only replies of the guards chosen by the current roster count, each once.
+ */
+final class GroupVote {
+
+    /** Every guard ever asked, also under former rosters. */
+    final Set<String> asked = new LinkedHashSet<>();
+
+    /** Epoch of the roster in use. */
+    long epoch;
+
+    private List<String> guards = List.of();
+    private final Map<String, ClaimReply> replies = new HashMap<>();
+
+    /**
+     * Starts over with another roster.
+     *
+     * @param roster the roster, not null.
+     * @param key the key, not null.
+     */
+    void restart(final Roster roster, final ClaimKey key) {
+        if (!guards.isEmpty() && roster.epoch() <= epoch) {
+            return;
+        }
+        epoch = roster.epoch();
+        guards = GuardStanding.guardsOf(roster, key);
+        asked.addAll(guards);
+        replies.clear();
+    }
+
+    /**
+     * Notes a reply.
+     *
+     * @param guard who replied, not null.
+     * @param reply the reply, not null.
+     */
+    void note(final String guard, final ClaimReply reply) {
+        if (guards.contains(guard) && reply.epoch() == epoch || reply.verdict().isHeld()) {
+            replies.put(guard, reply);
+        }
+    }
+
+    /**
+     * Lists the guards that have not replied.
+     *
+     * @return the names.
+     */
+    List<String> open() {
+        return guards.stream().filter(guard -> !replies.containsKey(guard)).toList();
+    }
+
+    /**
+     * Tells whether enough guards granted the key.
+     *
+     * @param needsMajority whether one grant is not enough.
+     * @return true if so.
+     */
+    boolean isGranted(final boolean needsMajority) {
+        return granted() >= needed(needsMajority);
+    }
+
+    /**
+     * Tells whether enough guards have granted the key or may still do so.
+     *
+     * @param needsMajority whether one grant is not enough.
+     * @return true if so.
+     */
+    boolean isPossible(final boolean needsMajority) {
+        return granted() + open().size() >= needed(needsMajority);
+    }
+
+    /**
+     * Tells whether a guard said something.
+     *
+     * @param verdict what it said, not null.
+     * @return true if so.
+     */
+    boolean heard(final ClaimVerdict verdict) {
+        return replies.values().stream().anyMatch(reply -> reply.verdict() == verdict);
+    }
+
+    /**
+     * Lists the answers of the attempt that holds the key.
+     *
+     * @return the answers.
+     */
+    List<CallResult> answers() {
+        return replies.values().stream()
+                .flatMap(reply -> reply.result().stream())
+                .toList();
+    }
+
+    private long granted() {
+        return guards.stream()
+                .map(replies::get)
+                .filter(reply -> reply != null && reply.verdict() == ClaimVerdict.GRANTED)
+                .count();
+    }
+
+    private int needed(final boolean needsMajority) {
+        return guards.isEmpty() || needsMajority ? guards.size() / 2 + 1 : 1;
+    }
+}
--- /dev/null
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/GuardStanding.java
@@ -0,0 +1,304 @@
+package org.sequoiashunt.execution;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import org.sequoiashunt.time.Clock;
+
+/**
+ * What one node knows about its own standing as a guard of a home group: the roster, who answers, and how far back its
+ * history of a key is complete.
+ *
+ * <p>Thread-safe: one lock. Invariant: the epoch never decreases.
+ */
+public final class GuardStanding implements GuardReachability {
+
+    /** How many guards hold a key. */
+    public static final int GUARDS_PER_KEY = 3;
+
+    private static final long NEVER_MS = Long.MIN_VALUE;
+
+    private final String node;
+    private final String group;
+    private final Clock clock;
+    private final ClaimTiming timing;
+    private final Set<ClaimRule> rules;
+    private final long startMs;
+    /** Consecutive epochs adopted, the newest first. */
+    private final Deque<AdoptedRoster> adopted = new ArrayDeque<>();
+    /** When the heartbeat that each guard answered last at the current epoch was sent. */
+    private final Map<String, Long> answeredMs = new HashMap<>();
+    /** When the heartbeat that each guard answered last at any epoch was sent. */
+    private final Map<String, Long> reachedMs = new HashMap<>();
+
+    private boolean storeWasEmpty;
+    private boolean storeWasRead;
+
+    /**
+     * Creates the standing of a node that has just started.
+     *
+     * @param node the name of the node, not null.
+     * @param group the home group, not null.
+     * @param clock the time, not null.
+     * @param timing the times, not null.
+     * @param rules the rules that are on, not null.
+     */
+    public GuardStanding(
+            final String node,
+            final String group,
+            final Clock clock,
+            final ClaimTiming timing,
+            final Set<ClaimRule> rules) {
+        this.node = Objects.requireNonNull(node, "node");
+        this.group = Objects.requireNonNull(group, "group");
+        this.clock = Objects.requireNonNull(clock, "clock");
+        this.timing = Objects.requireNonNull(timing, "timing");
+        this.rules = Set.copyOf(rules);
+        this.startMs = clock.nowMs();
+    }
+
+    /**
+     * Returns the name of the home group.
+     *
+     * @return the name, never null.
+     */
+    public String group() {
+        return group;
+    }
+
+    /**
+     * Returns the newest roster known.
+     *
+     * @return the roster, or empty if none is known.
+     */
+    public synchronized Optional<Roster> roster() {
+        return Optional.ofNullable(adopted.peekFirst()).map(first -> first.roster);
+    }
+
+    /**
+     * Returns the newest epoch known.
+     *
+     * @return the epoch, zero if no roster is known.
+     */
+    public synchronized long epoch() {
+        return adopted.isEmpty() ? 0 : adopted.peekFirst().roster.epoch();
+    }
+
+    /**
+     * Adopts a roster if it is newer than the one known.
+     *
+     * @param roster the roster, not null; ignored if it belongs to another group.
+     * @return true if the roster was adopted.
+     */
+    public synchronized boolean adopt(final Roster roster) {
+        if (!roster.group().equals(group) || roster.epoch() <= epoch()) {
+            return false;
+        }
+        if (roster.epoch() != epoch() + 1) {
+            adopted.clear();
+        }
+        long nowMs = clock.nowMs();
+        adopted.addFirst(new AdoptedRoster(roster));
+        answeredMs.clear();
+        reachedMs.keySet().retainAll(roster.guards());
+        roster.guards().forEach(guard -> reachedMs.putIfAbsent(guard, nowMs));
+        updateActivity(nowMs);
+        return true;
+    }
+
+    /**
+     * Notes what the store holds, read in the life of this process.
+     *
+     * @param roster the roster, or empty if the store holds none.
+     */
+    public synchronized void storeRead(final Optional<Roster> roster) {
+        storeWasRead = true;
+        storeWasEmpty |= roster.isEmpty();
+        roster.ifPresent(this::adopt);
+        updateActivity(clock.nowMs());
+    }
+
+    /**
+     * Notes that a guard answered a heartbeat.
+     *
+     * @param guard the name of the guard, not null.
+     * @param guardEpoch the epoch that the guard knows.
+     * @param sentMs when the heartbeat was sent, by this node's clock.
+     */
+    public synchronized void answered(final String guard, final long guardEpoch, final long sentMs) {
+        long nowMs = clock.nowMs();
+        if (sentMs > nowMs) {
+            return;
+        }
+        reachedMs.merge(guard, sentMs, Math::max);
+        if (guardEpoch == epoch()) {
+            answeredMs.merge(guard, sentMs, Math::max);
+            updateActivity(nowMs);
+        }
+    }
+
+    /**
+     * Tells whether this node may answer heartbeats and grant claims after its start: it must have learned the epoch
+     * from the store, or from a majority of the others after their memory of its earlier life has lapsed.
+     *
+     * @return true if this node takes part.
+     */
+    public synchronized boolean isConfirmed() {
+        if (storeWasRead || !rules.contains(ClaimRule.CONFIRMED_START)) {
+            return true;
+        }
+        long nowMs = clock.nowMs();
+        boolean lapsed = nowMs - startMs > 2 * timing.fenceMs() + timing.heartbeatMs();
+        return lapsed && !adopted.isEmpty() && othersAnswering(nowMs) >= majority();
+    }
+
+    /**
+     * Tells whether a majority of the roster answered within the fence time at this node's epoch.
+     *
+     * @return true if this node is a guard and not cut off.
+     */
+    public synchronized boolean isHeard() {
+        long nowMs = clock.nowMs();
+        updateActivity(nowMs);
+        return isGuard() && (!rules.contains(ClaimRule.FENCE) || isHeard(nowMs));
+    }
+
+    /**
+     * Tells whether a majority of the roster has adopted it, as far as this node has seen.
+     *
+     * @return true if the roster may be replaced by the next one.
+     */
+    public synchronized boolean isSettled() {
+        updateActivity(clock.nowMs());
+        return !adopted.isEmpty() && adopted.peekFirst().activeMs != NEVER_MS;
+    }
+
+    /**
+     * Tells whether this node is in the roster.
+     *
+     * @return true if this node is a guard of the group.
+     */
+    public synchronized boolean isGuard() {
+        return !adopted.isEmpty() && adopted.peekFirst().roster.guards().contains(node);
+    }
+
+    /**
+     * Tells whether no claim of a key can have been granted within the retention window without this node's having
+     * had its part as one of the key's guards.
+     *
+     * @param key the key, not null.
+     * @return true if this node's grant counts.
+     */
+    public synchronized boolean isComplete(final ClaimKey key) {
+        long nowMs = clock.nowMs();
+        updateActivity(nowMs);
+        boolean first = isFirstEpochWitnessed();
+        if (rules.contains(ClaimRule.COMPLETE_AFTER_START) && !first && !isPast(startMs, nowMs)) {
+            return false;
+        }
+        return !rules.contains(ClaimRule.COMPLETE_AFTER_ENTRY) || isCompleteByEpochs(key, nowMs, first);
+    }
+
+    @Override
+    public synchronized long silentMs(final String guard) {
+        long nowMs = clock.nowMs();
+        return guard.equals(node) ? 0 : nowMs - reachedMs.getOrDefault(guard, nowMs);
+    }
+
+    /**
+     * Returns the guards of a key.
+     *
+     * @param roster the roster, not null.
+     * @param key the key, not null.
+     * @return three names, or all of a smaller roster.
+     */
+    public static List<String> guardsOf(final Roster roster, final ClaimKey key) {
+        return RendezvousHash.first(key, roster.guards(), GUARDS_PER_KEY);
+    }
+
+    private boolean isCompleteByEpochs(final ClaimKey key, final long nowMs, final boolean first) {
+        Iterator<AdoptedRoster> epochs = adopted.iterator();
+        while (epochs.hasNext()) {
+            AdoptedRoster epoch = epochs.next();
+            if (!guardsOf(epoch.roster, key).contains(node)) {
+                return false;
+            }
+            if (epoch.activeMs != NEVER_MS && isPast(epoch.activeMs, nowMs)) {
+                return true;
+            }
+        }
+        return first;
+    }
+
+    /** The oldest epoch adopted is the first one, and this process runs since before it: nothing can precede it. */
+    private boolean isFirstEpochWitnessed() {
+        return storeWasEmpty && !adopted.isEmpty() && adopted.peekLast().roster.epoch() == 1;
+    }
+
+    private boolean isPast(final long sinceMs, final long nowMs) {
+        return nowMs - sinceMs >= timing.retentionMs();
+    }
+
+    private void updateActivity(final long nowMs) {
+        if (adopted.isEmpty() || !isHeard(nowMs)) {
+            return;
+        }
+        AdoptedRoster current = adopted.peekFirst();
+        if (current.activeMs == NEVER_MS) {
+            current.activeMs = nowMs;
+        }
+        dropSuperseded(nowMs);
+    }
+
+    private void dropSuperseded(final long nowMs) {
+        if (isFirstEpochWitnessed() && adopted.size() == 1) {
+            return;
+        }
+        boolean covered = false;
+        Iterator<AdoptedRoster> epochs = adopted.iterator();
+        while (epochs.hasNext()) {
+            AdoptedRoster epoch = epochs.next();
+            if (covered) {
+                epochs.remove();
+            }
+            covered |= epoch.activeMs != NEVER_MS && isPast(epoch.activeMs, nowMs);
+        }
+    }
+
+    private boolean isHeard(final long nowMs) {
+        int self = isGuard() ? 1 : 0;
+        return self + othersAnswering(nowMs) >= majority();
+    }
+
+    private int majority() {
+        return adopted.peekFirst().roster.guards().size() / 2 + 1;
+    }
+
+    private int othersAnswering(final long nowMs) {
+        int count = 0;
+        for (String guard : adopted.peekFirst().roster.guards()) {
+            long sentMs = answeredMs.getOrDefault(guard, NEVER_MS);
+            if (!guard.equals(node) && sentMs != NEVER_MS && nowMs - sentMs <= timing.fenceMs()) {
+                count++;
+            }
+        }
+        return count;
+    }
+
+    /** Roster with the time at which a majority of it was first heard. Guarded by the standing's lock. */
+    private static final class AdoptedRoster {
+
+        private final Roster roster;
+        private long activeMs = NEVER_MS;
+
+        private AdoptedRoster(final Roster roster) {
+            this.roster = roster;
+        }
+    }
+}
--- /dev/null
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/RecordedOutcomes.java
@@ -0,0 +1,83 @@
+package org.sequoiashunt.execution;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.sequoiashunt.call.CallResult;
+
+/**
+ * Answers of attempts that ended, bounded in count and bytes; the oldest is dropped for a new one.
+ *
+ * <p>Thread-safe: guarded by its own monitor.
+ */
+final class RecordedOutcomes {
+
+    private final int maximumCount;
+    private final int maximumBytes;
+    private final Map<ClaimKey, CallResult> results = new LinkedHashMap<>();
+    private final Map<ClaimKey, Integer> sizes = new HashMap<>();
+    private int bytes;
+
+    /**
+     * Creates an empty collection.
+     *
+     * @param maximumCount how many answers to keep.
+     * @param maximumBytes how many bytes of bodies and headers to keep.
+     */
+    RecordedOutcomes(final int maximumCount, final int maximumBytes) {
+        this.maximumCount = maximumCount;
+        this.maximumBytes = maximumBytes;
+    }
+
+    /**
+     * Keeps an answer, unless it is larger than the bound.
+     *
+     * @param attempt the digest of the attempt, not null.
+     * @param result the answer, not null.
+     */
+    synchronized void put(final ClaimKey attempt, final CallResult result) {
+        remove(attempt);
+        int size = sizeBytes(result);
+        if (size > maximumBytes) {
+            return;
+        }
+        results.put(attempt, result);
+        sizes.put(attempt, size);
+        bytes += size;
+        while (results.size() > maximumCount || bytes > maximumBytes) {
+            remove(results.keySet().iterator().next());
+        }
+    }
+
+    /**
+     * Finds an answer.
+     *
+     * @param attempt the digest of the attempt, not null.
+     * @return the answer, or empty if there is none or it was dropped.
+     */
+    synchronized Optional<CallResult> find(final ClaimKey attempt) {
+        return Optional.ofNullable(results.get(attempt));
+    }
+
+    /**
+     * Removes an answer, if present.
+     *
+     * @param attempt the digest of the attempt, not null.
+     */
+    synchronized void remove(final ClaimKey attempt) {
+        if (results.remove(attempt) != null) {
+            bytes -= sizes.remove(attempt);
+        }
+    }
+
+    private static int sizeBytes(final CallResult result) {
+        return result.answer()
+                .map(answer -> answer.body().length()
+                        + answer.headers().stream()
+                                .mapToInt(header ->
+                                        header.name().length() + header.value().length())
+                                .sum())
+                .orElse(0);
+    }
+}
