--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/ClaimAttempt.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/ClaimAttempt.java
@@ -140,6 +140,15 @@
         return true;
     }
 
+    /**
+     * Dispatches a granted attempt, or once more one whose earlier dispatch ended not run.
+     *
+     * @return true if the attempt may be dispatched.
+     */
+    synchronized boolean beginDispatch() {
+        return move(State.GRANTED, State.DISPATCHED) || state == State.DISPATCHED;
+    }
+
     /**
      * Returns what to tell the caller of an attempt that is not dispatched. It is {@code not-run} only if no guard
      * named another attempt that holds the key.
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/ClaimCoordinator.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/ClaimCoordinator.java
@@ -108,7 +108,7 @@
         if (pending == null) {
             return false;
         }
-        if (isInTime(pending.claim) && pending.claim.move(State.GRANTED, State.DISPATCHED)) {
+        if (isInTime(pending.claim) && pending.claim.beginDispatch()) {
             return true;
         }
         if (pending.claim.move(State.GRANTED, State.ABANDONED)) {
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/ClaimGuard.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/ClaimGuard.java
@@ -173,6 +173,7 @@
             return;
         }
         nextHeartbeatMs = nowMs + timing.heartbeatMs();
+        standing.asking();
         GuardHeartbeat heartbeat = new GuardHeartbeat(standing.group(), standing.epoch(), nowMs);
         standing.roster().stream()
                 .flatMap(roster -> roster.guards().stream())
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/Claims.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/Claims.java
@@ -23,7 +23,8 @@
 
     /**
      * Begins the dispatch of a claimed call. Must be called directly before the first byte of the call leaves this
-     * node; it checks the time once more and answers true at most once for each attempt.
+     * node, and again before a second dispatch of the same attempt, which is allowed only if the first one ended
+     * {@code NOT_RUN}. It checks the time once more.
      *
      * @param service the service called, not null.
      * @param key the caller's key, not null.
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/GuardStanding.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/GuardStanding.java
@@ -37,6 +37,7 @@
     /** When the heartbeat that each guard answered last at any epoch was sent. */
     private final Map<String, Long> reachedMs = new HashMap<>();
 
+    private long askedMs;
     private boolean storeWasEmpty;
     private boolean storeWasRead;
 
@@ -124,6 +125,18 @@
         updateActivity(clock.nowMs());
     }
 
+    /**
+     * Notes that this node asks the other guards for an answer. After a gap of its own, silence is counted anew: what
+     * was not asked cannot be missed.
+     */
+    public synchronized void asking() {
+        long nowMs = clock.nowMs();
+        if (nowMs - askedMs > timing.fenceMs()) {
+            reachedMs.replaceAll((guard, reached) -> nowMs);
+        }
+        askedMs = nowMs;
+    }
+
     /**
      * Notes that a guard answered a heartbeat.
      *
