--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/RosterController.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/RosterController.java
@@ -15,8 +15,8 @@
  * Keeps the roster of a home group in the store: creates the first one, and removes or adds one guard at a time. Runs
  * on each node of the group; the store's compare-and-swap decides between nodes that act at the same time.
  *
- * <p>Confined to one thread, which the store may block. Invariant: a roster is proposed only by a node of the group, and
- * only after a majority of the roster before it has adopted that one.
+ * <p>Confined to one thread, which the store may block. Invariant: a roster is proposed only by a node of the group,
+ * and only after a majority of the roster before it has adopted that one.
  */
 public final class RosterController implements Controller {
 
