--- /dev/null
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/VersionJudge.java
@@ -0,0 +1,27 @@
+package org.sequoiashunt.rollout;
+
+/**
+ * Judges one move's new version against the version beside it. Confined to one thread; one instance serves one move.
+ */
+public interface VersionJudge {
+
+    /**
+     * Takes in what was counted since the last call and judges.
+     *
+     * @param block the calls of one interval, not null, may be empty.
+     * @return the judgement over everything taken in, never null.
+     */
+    Judgement judge(EvidenceBlock block);
+
+    /** Creates a judge for each move. Implementations are thread-safe. */
+    @FunctionalInterface
+    interface Factory {
+
+        /**
+         * Creates a judge.
+         *
+         * @return a judge that has seen nothing, never null.
+         */
+        VersionJudge create();
+    }
+}
