--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/CallCounts.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/CallCounts.java
@@ -2,6 +2,8 @@
 
 import java.util.Arrays;
 import java.util.List;
+import org.sequoiashunt.call.CallResult;
+import org.sequoiashunt.call.Reason;
 
 /**
  * Running counts of the calls of one target version and route, the mutable side of {@link Evidence}.
@@ -11,26 +13,38 @@
  */
 final class CallCounts {
 
+    private static final int COLD_CALLS = 10;
+
     private final long[] buckets = new long[Evidence.BUCKETS];
     private long requests;
     private long failures;
-    private long skipped;
+    private long calls;
 
     /**
-     * Counts a call, unless it is one of the first, which find a cold target.
+     * Counts a call. The latency of the first calls is left out, since they find a cold target; so are first calls that
+     * ran into their deadline.
      *
-     * @param failed whether the call failed.
+     * @param result how the call ended, not null.
      * @param latencyMs its latency in milliseconds, zero or more.
-     * @param coldCalls how many calls to leave out at the start.
      */
-    synchronized void add(final boolean failed, final long latencyMs, final int coldCalls) {
-        if (skipped < coldCalls) {
-            skipped++;
+    synchronized void add(final CallResult result, final long latencyMs) {
+        CallVerdict verdict = CallVerdict.of(result);
+        if (verdict == CallVerdict.IGNORED) {
+            return;
+        }
+        boolean cold = calls < COLD_CALLS;
+        calls++;
+        if (cold && result.reason() == Reason.DEADLINE) {
             return;
         }
         requests++;
-        failures += failed ? 1 : 0;
-        buckets[bucketOf(latencyMs)]++;
+        failures += verdict == CallVerdict.FAILURE ? 1 : 0;
+        buckets[bucketOf(latencyMs)] += cold ? 0 : 1;
+    }
+
+    /** Makes the next calls count as first ones, because the target was started anew. */
+    synchronized void restartCold() {
+        calls = 0;
     }
 
     /**
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/EvidenceBlock.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/EvidenceBlock.java
@@ -1,5 +1,6 @@
 package org.sequoiashunt.rollout;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
 
@@ -25,6 +26,18 @@
         counts = List.copyOf(counts);
     }
 
+    /**
+     * Adds the calls of a later interval.
+     *
+     * @param later the later block of the same move, not null.
+     * @return a block of both intervals, never null.
+     */
+    public EvidenceBlock plus(final EvidenceBlock later) {
+        List<Evidence> both = new ArrayList<>(counts);
+        both.addAll(later.counts);
+        return new EvidenceBlock(from, to, both);
+    }
+
     /**
      * Counts the requests of one target version.
      *
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/EvidenceLedger.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/EvidenceLedger.java
@@ -33,8 +33,6 @@
     /** Longest time without an entry, which shows readers that this node is within reach, in milliseconds. */
     public static final long REFRESH_INTERVAL_MS = 5_000;
 
-    private static final int COLD_CALLS = 3;
-
     private final String node;
     private final long incarnation;
     private final Blackboard blackboard;
@@ -81,13 +79,22 @@
         if (!movingServices.contains(service)) {
             return;
         }
-        CallVerdict verdict = CallVerdict.of(result);
-        if (verdict == CallVerdict.IGNORED) {
-            return;
-        }
         Subject subject = new Subject(service, targetVersion, route);
-        counts.computeIfAbsent(subject, key -> new CallCounts())
-                .add(verdict == CallVerdict.FAILURE, latencyMs, COLD_CALLS);
+        counts.computeIfAbsent(subject, key -> new CallCounts()).add(result, latencyMs);
+    }
+
+    /**
+     * Leaves out the first latencies of a target that has just announced itself.
+     *
+     * @param service the service of the target, not null.
+     * @param targetVersion its version, not null.
+     */
+    public void targetStarted(final String service, final String targetVersion) {
+        counts.forEach((subject, present) -> {
+            if (subject.service().equals(service) && subject.targetVersion().equals(targetVersion)) {
+                present.restartCold();
+            }
+        });
     }
 
     @Override
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/EvidenceTracker.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/EvidenceTracker.java
@@ -68,6 +68,15 @@
         return nodes;
     }
 
+    /**
+     * Counts the nodes from which evidence has come.
+     *
+     * @return the number of nodes.
+     */
+    int nodes() {
+        return heardSince(Long.MIN_VALUE).size();
+    }
+
     private boolean concerns(final Evidence evidence) {
         return evidence.service().equals(service)
                 && (evidence.targetVersion().equals(move.from())
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/MoveRun.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/MoveRun.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import org.sequoiashunt.blackboard.Blackboard;
 import org.sequoiashunt.blackboard.Entry;
+import org.sequoiashunt.blackboard.EntryVersion;
 import org.sequoiashunt.blackboard.Section;
 import org.sequoiashunt.configuration.Move;
 import org.sequoiashunt.configuration.ServiceConfiguration;
@@ -18,7 +19,9 @@
  */
 final class MoveRun {
 
-    private static final long BLOCK_INTERVAL_MS = 1_000;
+    private static final long BLOCK_INTERVAL_MS = 500;
+
+    /** How long to wait for what the store holds of the move before it starts without. */
     private static final long STORE_WAIT_MS = 5_000;
 
     private final String node;
@@ -28,14 +31,14 @@
     private final Blackboard blackboard;
     private final ServingMembers serving;
     private final RolloutSealer sealer;
-    private final VersionJudge judge;
     private final Clock clock;
-    private final EvidenceTracker tracker;
+    private final MoveEvidence evidence;
+    private final TargetWatch targets;
+    private final StepPacer pacer;
     private final long begunMs;
-    private Optional<RolloutProgress> known = Optional.empty();
-    private long stepBeganMs;
+    private Optional<EntryVersion> known = Optional.empty();
+    private long sharedSinceMs;
     private long blockBeganMs;
-    private Judgement judgement = Judgement.SOUND;
 
     MoveRun(
             final String node,
@@ -52,17 +55,18 @@
         this.blackboard = blackboard;
         this.serving = serving;
         this.sealer = sealer;
-        this.judge = judge;
         this.clock = clock;
-        this.tracker = new EvidenceTracker(service, move);
+        this.evidence = new MoveEvidence(service, move, judge);
+        this.targets = new TargetWatch(service, move.to(), blackboard, serving);
         this.begunMs = clock.nowMs();
-        this.stepBeganMs = begunMs;
+        this.pacer = new StepPacer(move.finishByMs(), begunMs);
         this.blockBeganMs = begunMs;
     }
 
     /** Does what is due. */
     void tick() {
-        Optional<RolloutProgress> present = blackboard.value(Section.ROLLOUT, identity, RolloutProgress.class);
+        pacer.noteTick(clock.nowMs());
+        Optional<RolloutProgress> present = read();
         noteChange(present);
         if (present.isEmpty()) {
             start();
@@ -76,12 +80,21 @@
         }
     }
 
+    private Optional<RolloutProgress> read() {
+        return blackboard.value(Section.ROLLOUT, identity, RolloutProgress.class);
+    }
+
     private void noteChange(final Optional<RolloutProgress> present) {
-        if (!present.equals(known)) {
-            known = present;
-            stepBeganMs = clock.nowMs();
-            present.filter(progress -> !progress.stage().isSealed()).ifPresent(sealer::offer);
+        Optional<EntryVersion> version = present.map(RolloutProgress::entryVersion);
+        if (version.equals(known)) {
+            return;
         }
+        if (known.isEmpty()) {
+            sharedSinceMs = clock.nowMs();
+        }
+        known = version;
+        pacer.begin(clock.nowMs());
+        present.filter(progress -> !progress.stage().isSealed()).ifPresent(sealer::offer);
     }
 
     private void start() {
@@ -92,50 +105,45 @@
     }
 
     private void carryOn(final RolloutProgress progress) {
-        judgeIfDue();
-        if (judgement.finding() == Judgement.Finding.FAULTY) {
-            takeBack(progress);
-            return;
-        }
-        stepUpIfDue(RolloutStep.of(progress));
-    }
-
-    private void judgeIfDue() {
         long nowMs = clock.nowMs();
-        if (nowMs - blockBeganMs < BLOCK_INTERVAL_MS) {
-            return;
+        if (nowMs - blockBeganMs >= BLOCK_INTERVAL_MS) {
+            blockBeganMs = nowMs;
+            evidence.advance(blackboard.entries(Section.EVIDENCE), nowMs);
+        }
+        Optional<String> fault = evidence.fault().or(() -> targets.look(nowMs));
+        if (fault.isPresent()) {
+            long seconds = (nowMs - sharedSinceMs) / 1_000;
+            write(progress.takenBack(fault.get() + "; " + seconds + " s after the start"));
+        } else {
+            stepUpIfDue(RolloutStep.of(progress), nowMs);
         }
-        blockBeganMs = nowMs;
-        judgement = judge.judge(tracker.advance(blackboard.entries(Section.EVIDENCE), nowMs));
     }
 
-    private void stepUpIfDue(final RolloutStep step) {
-        long remainingMs = move.finishByMs() - stepBeganMs;
-        if (clock.nowMs() - stepBeganMs < step.holdMs(remainingMs)) {
+    private void stepUpIfDue(final RolloutStep step, final long nowMs) {
+        boolean waiting = evidence.isDoubtful() || evidence.isCutOff(nowMs);
+        if (!pacer.isDue(step, waiting, nowMs)) {
             return;
         }
         if (step == RolloutStep.WHOLE) {
-            sealer.offer(progress(Stage.SEALED_DONE, step.shareParts()));
+            sealer.offer(progress(Stage.SEALED_DONE, step));
         } else {
             step.next().ifPresent(this::publish);
         }
     }
 
-    private void takeBack(final RolloutProgress progress) {
-        String reason = "taken back at " + ShareText.percent(progress.shareParts()) + ": " + judgement.explanation();
-        write(new RolloutProgress(identity, service, Stage.TAKEN_BACK, 0, reason));
-    }
-
     private void publish(final RolloutStep step) {
-        write(progress(step.stage(), step.shareParts()));
+        write(progress(step.stage(), step));
     }
 
-    private RolloutProgress progress(final Stage stage, final int shareParts) {
-        return new RolloutProgress(identity, service, stage, shareParts, "at " + ShareText.percent(shareParts));
+    private RolloutProgress progress(final Stage stage, final RolloutStep step) {
+        long nowMs = clock.nowMs();
+        String prefix = stage == Stage.SEALED_DONE ? "done" : "at " + ShareText.percent(step.shareParts());
+        String reason = prefix + "; " + evidence.describe(nowMs) + pacer.describe(step, nowMs);
+        return new RolloutProgress(identity, service, stage, step.shareParts(), reason);
     }
 
     private void write(final RolloutProgress progress) {
         blackboard.merge(Entry.of(identity, node, progress.entryVersion(), progress));
-        noteChange(blackboard.value(Section.ROLLOUT, identity, RolloutProgress.class));
+        noteChange(read());
     }
 }
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/RolloutProgress.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/RolloutProgress.java
@@ -47,6 +47,17 @@
         return EntryVersion.of(stage.rank(), shareParts);
     }
 
+    /**
+     * Returns this move as taken back: no share, and the evidence in the reason.
+     *
+     * @param evidence what was seen, part of a sentence, not null.
+     * @return the progress, never null.
+     */
+    public RolloutProgress takenBack(final String evidence) {
+        String sentence = "taken back at " + ShareText.percent(shareParts) + ": " + evidence;
+        return new RolloutProgress(move, service, Stage.TAKEN_BACK, 0, sentence);
+    }
+
     @Override
     public Section section() {
         return Section.ROLLOUT;
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/RolloutStep.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/RolloutStep.java
@@ -108,11 +108,20 @@
      * @return true if the move will be finished late.
      */
     public boolean isLate(final long remainingMs) {
+        return remainingMs < floorsAheadMs();
+    }
+
+    /**
+     * Returns the shortest time in which this step and all after it can be held.
+     *
+     * @return milliseconds.
+     */
+    public long floorsAheadMs() {
         long neededMs = 0;
         for (int index = ordinal(); index < values().length; index++) {
             neededMs += values()[index].floorMs;
         }
-        return remainingMs < neededMs;
+        return neededMs;
     }
 
     /**
