--- /dev/null
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/MoveRun.java
@@ -0,0 +1,149 @@
+package org.sequoiashunt.rollout;
+
+import java.util.Optional;
+import org.sequoiashunt.blackboard.Blackboard;
+import org.sequoiashunt.blackboard.Entry;
+import org.sequoiashunt.blackboard.EntryVersion;
+import org.sequoiashunt.blackboard.Section;
+import org.sequoiashunt.configuration.Move;
+import org.sequoiashunt.configuration.ServiceConfiguration;
+import org.sequoiashunt.time.Clock;
+
+/**
+ * One controller's part in one move.
+ *
+ * <p>Each tick reads the move's progress afresh. A step that is new to this controller, because another one took it or
+ * because this process was frozen, starts its time anew here, so that no step is skipped or cut short.
+ *
+ * <p>Confined to the control thread. Invariant: writes only progress that is newer than what it has read.
+ */
+final class MoveRun {
+
+    private static final long BLOCK_INTERVAL_MS = 500;
+
+    /** How long to wait for what the store holds of the move before it starts without. */
+    private static final long STORE_WAIT_MS = 5_000;
+
+    private final String node;
+    private final String service;
+    private final Move move;
+    private final String identity;
+    private final Blackboard blackboard;
+    private final ServingMembers serving;
+    private final RolloutSealer sealer;
+    private final Clock clock;
+    private final MoveEvidence evidence;
+    private final TargetWatch targets;
+    private final StepPacer pacer;
+    private final long begunMs;
+    private Optional<EntryVersion> known = Optional.empty();
+    private long sharedSinceMs;
+    private long blockBeganMs;
+
+    MoveRun(
+            final String node,
+            final ServiceConfiguration configuration,
+            final Blackboard blackboard,
+            final ServingMembers serving,
+            final RolloutSealer sealer,
+            final VersionJudge judge,
+            final Clock clock) {
+        this.node = node;
+        this.service = configuration.service();
+        this.move = configuration.move().orElseThrow();
+        this.identity = configuration.moveIdentity().orElseThrow();
+        this.blackboard = blackboard;
+        this.serving = serving;
+        this.sealer = sealer;
+        this.clock = clock;
+        this.evidence = new MoveEvidence(service, move, judge);
+        this.targets = new TargetWatch(service, move.to(), blackboard, serving);
+        this.begunMs = clock.nowMs();
+        this.pacer = new StepPacer(move.finishByMs(), begunMs);
+        this.blockBeganMs = begunMs;
+    }
+
+    /** Does what is due. */
+    void tick() {
+        pacer.noteTick(clock.nowMs());
+        Optional<RolloutProgress> present = read();
+        noteChange(present);
+        if (present.isEmpty()) {
+            start();
+            return;
+        }
+        RolloutProgress progress = present.get();
+        switch (progress.stage()) {
+            case SHIFTING, WATCHING -> carryOn(progress);
+            case TAKEN_BACK -> sealer.offer(progress);
+            default -> sealer.forget(identity);
+        }
+    }
+
+    private Optional<RolloutProgress> read() {
+        return blackboard.value(Section.ROLLOUT, identity, RolloutProgress.class);
+    }
+
+    private void noteChange(final Optional<RolloutProgress> present) {
+        Optional<EntryVersion> version = present.map(RolloutProgress::entryVersion);
+        if (version.equals(known)) {
+            return;
+        }
+        if (known.isEmpty()) {
+            sharedSinceMs = clock.nowMs();
+        }
+        known = version;
+        pacer.begin(clock.nowMs());
+        present.filter(progress -> !progress.stage().isSealed()).ifPresent(sealer::offer);
+    }
+
+    private void start() {
+        boolean storeKnown = sealer.hasAnswered(identity) || clock.nowMs() - begunMs >= STORE_WAIT_MS;
+        if (storeKnown && serving.serves(service, move.to())) {
+            publish(RolloutStep.TRACE);
+        }
+    }
+
+    private void carryOn(final RolloutProgress progress) {
+        long nowMs = clock.nowMs();
+        if (nowMs - blockBeganMs >= BLOCK_INTERVAL_MS) {
+            blockBeganMs = nowMs;
+            evidence.advance(blackboard.entries(Section.EVIDENCE), nowMs);
+        }
+        Optional<String> fault = evidence.fault().or(() -> targets.look(nowMs));
+        if (fault.isPresent()) {
+            long seconds = (nowMs - sharedSinceMs) / 1_000;
+            write(progress.takenBack(fault.get() + "; " + seconds + " s after the start"));
+        } else {
+            stepUpIfDue(RolloutStep.of(progress), nowMs);
+        }
+    }
+
+    private void stepUpIfDue(final RolloutStep step, final long nowMs) {
+        boolean waiting = evidence.isDoubtful() || evidence.isCutOff(nowMs);
+        if (!pacer.isDue(step, waiting, nowMs)) {
+            return;
+        }
+        if (step == RolloutStep.WHOLE) {
+            sealer.offer(progress(Stage.SEALED_DONE, step));
+        } else {
+            step.next().ifPresent(this::publish);
+        }
+    }
+
+    private void publish(final RolloutStep step) {
+        write(progress(step.stage(), step));
+    }
+
+    private RolloutProgress progress(final Stage stage, final RolloutStep step) {
+        long nowMs = clock.nowMs();
+        String prefix = stage == Stage.SEALED_DONE ? "done" : "at " + ShareText.percent(step.shareParts());
+        String reason = prefix + "; " + evidence.describe(nowMs) + pacer.describe(step, nowMs);
+        return new RolloutProgress(identity, service, stage, step.shareParts(), reason);
+    }
+
+    private void write(final RolloutProgress progress) {
+        blackboard.merge(Entry.of(identity, node, progress.entryVersion(), progress));
+        noteChange(read());
+    }
+}
