--- /dev/null
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/CallCodec.java
@@ -0,0 +1,121 @@
+package org.sequoiashunt.link;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.UnsafeByteOperations;
+import java.util.List;
+import java.util.Optional;
+import org.sequoiashunt.call.Body;
+import org.sequoiashunt.call.CallAnswer;
+import org.sequoiashunt.call.CallRequest;
+import org.sequoiashunt.call.CallResult;
+import org.sequoiashunt.call.HeaderField;
+import org.sequoiashunt.call.Outcome;
+import org.sequoiashunt.call.Reason;
+import org.sequoiashunt.link.wire.FrameProto;
+
+/**
+ * Maps calls and results to frames.
+ *
+ * <p>Stateless and thread-safe. Invariant: a body whose length is not the announced one is never handed on.
+ */
+final class CallCodec {
+
+    private CallCodec() {}
+
+    static FrameProto.CallStart encode(
+            final long number, final CallRequest request, final FrameProto.Freshness freshness) {
+        FrameProto.CallStart.Builder builder = FrameProto.CallStart.newBuilder()
+                .setNumber(number)
+                .setCallId(request.callId())
+                .setFreshness(freshness)
+                .setService(request.service())
+                .setRoute(request.route())
+                .setTargetVersion(request.targetVersion())
+                .setTarget(request.target())
+                .setMethod(request.method())
+                .setUri(request.uri())
+                .setIdempotent(request.idempotent())
+                .setBodyLength(request.body().length())
+                .setBody(bytes(request.body()));
+        request.headers().forEach(header -> builder.addHeaders(encode(header)));
+        request.key().ifPresent(builder::setKey);
+        return builder.build();
+    }
+
+    static CallRequest decode(final FrameProto.CallStart start, final long deadlineMs) throws LinkProtocolException {
+        requireLength(start.getBodyLength(), start.getBody());
+        return new CallRequest(
+                start.getCallId(),
+                start.getService(),
+                start.getRoute(),
+                start.getTargetVersion(),
+                start.getTarget(),
+                start.getMethod(),
+                start.getUri(),
+                decode(start.getHeadersList()),
+                body(start.getBody()),
+                start.getIdempotent(),
+                start.hasKey() ? Optional.of(start.getKey()) : Optional.empty(),
+                deadlineMs);
+    }
+
+    static FrameProto.CallEnd encode(final long number, final String callId, final CallResult result) {
+        FrameProto.CallEnd.Builder builder = FrameProto.CallEnd.newBuilder()
+                .setNumber(number)
+                .setCallId(callId)
+                .setOutcome(Enums.code(result.outcome()))
+                .setReason(Enums.code(result.reason()))
+                .setLoad(result.load());
+        result.answer().ifPresent(answer -> encode(answer, builder));
+        return builder.build();
+    }
+
+    static CallResult decode(final FrameProto.CallEnd end) throws LinkProtocolException {
+        requireLength(end.getBodyLength(), end.getBody());
+        try {
+            Outcome outcome = Enums.decode(Outcome.values(), end.getOutcome());
+            Reason reason = Enums.decode(Reason.values(), end.getReason());
+            Optional<CallAnswer> answer = outcome == Outcome.COMPLETE ? Optional.of(answer(end)) : Optional.empty();
+            return new CallResult(outcome, reason, answer, end.getLoad());
+        } catch (IllegalArgumentException exception) {
+            throw new LinkProtocolException(Refusal.MALFORMED, "invalid end of a call", exception);
+        }
+    }
+
+    private static void encode(final CallAnswer answer, final FrameProto.CallEnd.Builder builder) {
+        builder.setStatus(answer.status()).setBodyLength(answer.body().length()).setBody(bytes(answer.body()));
+        answer.headers().forEach(header -> builder.addHeaders(encode(header)));
+    }
+
+    private static CallAnswer answer(final FrameProto.CallEnd end) {
+        return new CallAnswer(end.getStatus(), decode(end.getHeadersList()), body(end.getBody()));
+    }
+
+    private static FrameProto.Header encode(final HeaderField header) {
+        return FrameProto.Header.newBuilder()
+                .setName(header.name())
+                .setValue(header.value())
+                .build();
+    }
+
+    private static List<HeaderField> decode(final List<FrameProto.Header> headers) {
+        return headers.stream()
+                .map(header -> new HeaderField(header.getName(), header.getValue()))
+                .toList();
+    }
+
+    private static ByteString bytes(final Body body) {
+        return UnsafeByteOperations.unsafeWrap(body.bytes());
+    }
+
+    private static Body body(final ByteString bytes) {
+        return Body.of(bytes.toByteArray());
+    }
+
+    private static void requireLength(final int announced, final ByteString body) throws LinkProtocolException {
+        if (announced != body.size()) {
+            throw new LinkProtocolException(
+                    Refusal.WRONG_LENGTH, "body of " + body.size() + " bytes announced as " + announced);
+        }
+    }
+}
--- /dev/null
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/EntryCodec.java
@@ -0,0 +1,245 @@
+package org.sequoiashunt.link;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.sequoiashunt.blackboard.Entry;
+import org.sequoiashunt.blackboard.EntryKey;
+import org.sequoiashunt.blackboard.EntryValue;
+import org.sequoiashunt.blackboard.EntryVersion;
+import org.sequoiashunt.blackboard.Section;
+import org.sequoiashunt.configuration.ConfigurationHead;
+import org.sequoiashunt.configuration.Move;
+import org.sequoiashunt.configuration.Route;
+import org.sequoiashunt.configuration.ServiceConfiguration;
+import org.sequoiashunt.execution.QuarantinedRequest;
+import org.sequoiashunt.execution.Roster;
+import org.sequoiashunt.link.wire.EntryProto;
+import org.sequoiashunt.membership.Member;
+import org.sequoiashunt.rollout.Evidence;
+import org.sequoiashunt.rollout.RolloutProgress;
+import org.sequoiashunt.rollout.Stage;
+
+/**
+ * Maps entries of the blackboard to their wire form. Decoding throws {@link IllegalArgumentException} for what breaks
+ * an invariant of a record or is of an unknown type. Stateless and thread-safe.
+ */
+final class EntryCodec {
+
+    private EntryCodec() {}
+
+    static EntryProto.Entry encode(final Entry entry) {
+        EntryProto.Entry.Builder builder = EntryProto.Entry.newBuilder()
+                .setKey(encode(entry.key()))
+                .setWriter(entry.writer())
+                .setVersion(encode(entry.version()));
+        encode(entry.value(), builder);
+        return builder.build();
+    }
+
+    static Entry decode(final EntryProto.Entry entry) {
+        return new Entry(decode(entry.getKey()), entry.getWriter(), decode(entry.getVersion()), value(entry));
+    }
+
+    static EntryProto.EntryKey encode(final EntryKey key) {
+        return EntryProto.EntryKey.newBuilder()
+                .setSection(Enums.code(key.section()))
+                .setName(key.name())
+                .build();
+    }
+
+    static EntryKey decode(final EntryProto.EntryKey key) {
+        return EntryKey.of(Enums.decode(Section.values(), key.getSection()), key.getName());
+    }
+
+    static EntryProto.EntryVersion encode(final EntryVersion version) {
+        return EntryProto.EntryVersion.newBuilder()
+                .setMajor(version.major())
+                .setMinor(version.minor())
+                .build();
+    }
+
+    static EntryVersion decode(final EntryProto.EntryVersion version) {
+        return EntryVersion.of(version.getMajor(), version.getMinor());
+    }
+
+    private static void encode(final EntryValue value, final EntryProto.Entry.Builder builder) {
+        if (value instanceof ConfigurationHead head) {
+            builder.setConfigurationHead(encode(head));
+        } else if (value instanceof ServiceConfiguration service) {
+            builder.setServiceConfiguration(encode(service));
+        } else if (value instanceof Member member) {
+            builder.setMember(MemberCodec.encode(member));
+        } else if (value instanceof RolloutProgress progress) {
+            builder.setRolloutProgress(encode(progress));
+        } else if (value instanceof Evidence evidence) {
+            builder.setEvidence(encode(evidence));
+        } else if (value instanceof QuarantinedRequest request) {
+            builder.setQuarantinedRequest(encode(request));
+        } else if (value instanceof Roster roster) {
+            builder.setRoster(encode(roster));
+        } else {
+            throw new IllegalArgumentException(
+                    "no wire form of " + value.getClass().getName());
+        }
+    }
+
+    private static EntryValue value(final EntryProto.Entry entry) {
+        return switch (entry.getValueCase()) {
+            case CONFIGURATION_HEAD -> decode(entry.getConfigurationHead());
+            case SERVICE_CONFIGURATION -> decode(entry.getServiceConfiguration());
+            case MEMBER -> MemberCodec.decode(entry.getMember());
+            case ROLLOUT_PROGRESS -> decode(entry.getRolloutProgress());
+            case EVIDENCE -> decode(entry.getEvidence());
+            case QUARANTINED_REQUEST -> decode(entry.getQuarantinedRequest());
+            case ROSTER -> decode(entry.getRoster());
+            default -> throw new IllegalArgumentException("entry without a known value");
+        };
+    }
+
+    private static EntryProto.ConfigurationHead encode(final ConfigurationHead head) {
+        EntryProto.ConfigurationHead.Builder builder = EntryProto.ConfigurationHead.newBuilder()
+                .setVersion(head.version())
+                .setCommitId(head.commitId());
+        head.parts()
+                .forEach((service, digest) -> builder.addParts(EntryProto.ConfigurationHead.Part.newBuilder()
+                        .setService(service)
+                        .setDigest(digest)));
+        head.groups()
+                .forEach((name, domains) -> builder.addGroups(EntryProto.ConfigurationHead.Group.newBuilder()
+                        .setName(name)
+                        .addAllFailureDomains(domains)));
+        return builder.build();
+    }
+
+    private static ConfigurationHead decode(final EntryProto.ConfigurationHead head) {
+        SortedMap<String, String> parts = new TreeMap<>();
+        head.getPartsList().forEach(part -> parts.put(part.getService(), part.getDigest()));
+        SortedMap<String, List<String>> groups = new TreeMap<>();
+        head.getGroupsList().forEach(group -> groups.put(group.getName(), strings(group.getFailureDomainsList())));
+        return new ConfigurationHead(head.getVersion(), head.getCommitId(), parts, groups);
+    }
+
+    private static EntryProto.ServiceConfiguration encode(final ServiceConfiguration service) {
+        EntryProto.ServiceConfiguration.Builder builder = EntryProto.ServiceConfiguration.newBuilder()
+                .setService(service.service())
+                .setVersion(service.version())
+                .addAllHomeGroups(service.homeGroups());
+        service.move().ifPresent(move -> builder.setMove(encode(move)));
+        service.routes().forEach(route -> builder.addRoutes(encode(route)));
+        return builder.build();
+    }
+
+    private static ServiceConfiguration decode(final EntryProto.ServiceConfiguration service) {
+        return new ServiceConfiguration(
+                service.getService(),
+                service.getVersion(),
+                service.hasMove() ? Optional.of(decode(service.getMove())) : Optional.empty(),
+                service.getRoutesList().stream().map(EntryCodec::decode).toList(),
+                strings(service.getHomeGroupsList()));
+    }
+
+    private static EntryProto.Move encode(final Move move) {
+        return EntryProto.Move.newBuilder()
+                .setFrom(move.from())
+                .setTo(move.to())
+                .setFinishByMs(move.finishByMs())
+                .build();
+    }
+
+    private static Move decode(final EntryProto.Move move) {
+        return new Move(move.getFrom(), move.getTo(), move.getFinishByMs());
+    }
+
+    private static EntryProto.Route encode(final Route route) {
+        return EntryProto.Route.newBuilder()
+                .setName(route.name())
+                .setPathPrefix(route.pathPrefix())
+                .addAllMethods(route.methods())
+                .setIdempotent(route.idempotent())
+                .setTimeoutMs(route.timeoutMs())
+                .build();
+    }
+
+    private static Route decode(final EntryProto.Route route) {
+        return new Route(
+                route.getName(),
+                route.getPathPrefix(),
+                Set.copyOf(route.getMethodsList()),
+                route.getIdempotent(),
+                route.getTimeoutMs());
+    }
+
+    private static EntryProto.RolloutProgress encode(final RolloutProgress progress) {
+        return EntryProto.RolloutProgress.newBuilder()
+                .setMove(progress.move())
+                .setService(progress.service())
+                .setStage(Enums.code(progress.stage()))
+                .setShareParts(progress.shareParts())
+                .setReason(progress.reason())
+                .build();
+    }
+
+    private static RolloutProgress decode(final EntryProto.RolloutProgress progress) {
+        return new RolloutProgress(
+                progress.getMove(),
+                progress.getService(),
+                Enums.decode(Stage.values(), progress.getStage()),
+                progress.getShareParts(),
+                progress.getReason());
+    }
+
+    private static EntryProto.Evidence encode(final Evidence evidence) {
+        return EntryProto.Evidence.newBuilder()
+                .setNode(evidence.node())
+                .setService(evidence.service())
+                .setTargetVersion(evidence.targetVersion())
+                .setRoute(evidence.route())
+                .setRequests(evidence.requests())
+                .setFailures(evidence.failures())
+                .addAllLatencyBuckets(evidence.latencyBuckets())
+                .build();
+    }
+
+    private static Evidence decode(final EntryProto.Evidence evidence) {
+        return new Evidence(
+                evidence.getNode(),
+                evidence.getService(),
+                evidence.getTargetVersion(),
+                evidence.getRoute(),
+                evidence.getRequests(),
+                evidence.getFailures(),
+                new ArrayList<>(evidence.getLatencyBucketsList()));
+    }
+
+    private static EntryProto.QuarantinedRequest encode(final QuarantinedRequest request) {
+        return EntryProto.QuarantinedRequest.newBuilder()
+                .setFingerprint(request.fingerprint())
+                .setCrashes(request.crashes())
+                .setExpiresMs(request.expiresMs())
+                .build();
+    }
+
+    private static QuarantinedRequest decode(final EntryProto.QuarantinedRequest request) {
+        return new QuarantinedRequest(request.getFingerprint(), request.getCrashes(), request.getExpiresMs());
+    }
+
+    private static EntryProto.Roster encode(final Roster roster) {
+        return EntryProto.Roster.newBuilder()
+                .setGroup(roster.group())
+                .setEpoch(roster.epoch())
+                .addAllGuards(roster.guards())
+                .build();
+    }
+
+    private static Roster decode(final EntryProto.Roster roster) {
+        return new Roster(roster.getGroup(), roster.getEpoch(), strings(roster.getGuardsList()));
+    }
+
+    private static List<String> strings(final List<String> list) {
+        return List.copyOf(list);
+    }
+}
--- /dev/null
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/FrameDecoder.java
@@ -0,0 +1,43 @@
+package org.sequoiashunt.link;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.MessageToMessageDecoder;
+import java.util.List;
+import org.sequoiashunt.link.LinkCounters.Count;
+import org.sequoiashunt.link.wire.FrameProto.Frame;
+import org.sequoiashunt.time.Clock;
+
+/** Parses whole frames and counts their bytes. Confined to the thread of its connection. */
+final class FrameDecoder extends MessageToMessageDecoder<ByteBuf> {
+
+    private final LinkCounters counters;
+    private final InboundProgress progress;
+    private final Clock clock;
+
+    FrameDecoder(final LinkCounters counters, final InboundProgress progress, final Clock clock) {
+        super(ByteBuf.class);
+        this.counters = counters;
+        this.progress = progress;
+        this.clock = clock;
+    }
+
+    @Override
+    protected void decode(final ChannelHandlerContext context, final ByteBuf bytes, final List<Object> out)
+            throws LinkProtocolException {
+        int length = Frames.LENGTH_BYTES + bytes.readableBytes();
+        progress.frameRead(length, clock.nowMs());
+        Frame frame = parse(bytes);
+        counters.add(Frames.isCall(frame) ? Count.CALL_BYTES_IN : Count.CONTROL_BYTES_IN, length);
+        out.add(frame);
+    }
+
+    private static Frame parse(final ByteBuf bytes) throws LinkProtocolException {
+        try {
+            return Frame.parseFrom(bytes.nioBuffer());
+        } catch (InvalidProtocolBufferException exception) {
+            throw new LinkProtocolException(Refusal.MALFORMED, "not a frame", exception);
+        }
+    }
+}
--- /dev/null
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/InFlightCall.java
@@ -0,0 +1,78 @@
+package org.sequoiashunt.link;
+
+import java.util.concurrent.CompletableFuture;
+import org.sequoiashunt.call.CallRequest;
+import org.sequoiashunt.call.CallResult;
+
+/**
+ * One call on the sending side. The fields that change are guarded by the lock of the {@link InFlightCalls} that holds
+ * the call.
+ */
+final class InFlightCall {
+
+    private static final long NEVER = -1;
+
+    private final long number;
+    private final CallRequest request;
+    private final CompletableFuture<CallResult> future;
+    private final long addedMs;
+    private LinkIdentity sentTo;
+    private long lostMs = NEVER;
+
+    InFlightCall(
+            final long number,
+            final CallRequest request,
+            final CompletableFuture<CallResult> future,
+            final long addedMs) {
+        this.number = number;
+        this.request = request;
+        this.future = future;
+        this.addedMs = addedMs;
+    }
+
+    long number() {
+        return number;
+    }
+
+    CallRequest request() {
+        return request;
+    }
+
+    CompletableFuture<CallResult> future() {
+        return future;
+    }
+
+    boolean isSent() {
+        return sentTo != null;
+    }
+
+    boolean isLost() {
+        return lostMs != NEVER;
+    }
+
+    LinkIdentity sentTo() {
+        return sentTo;
+    }
+
+    void markSent(final LinkIdentity peer) {
+        sentTo = peer;
+    }
+
+    void markLost(final long nowMs) {
+        if (isSent() && !isLost()) {
+            lostMs = nowMs;
+        }
+    }
+
+    void markFound() {
+        lostMs = NEVER;
+    }
+
+    boolean isUnsentFor(final long limitMs, final long nowMs) {
+        return !isSent() && nowMs - addedMs >= limitMs;
+    }
+
+    boolean isLostFor(final long limitMs, final long nowMs) {
+        return isLost() && nowMs - lostMs >= limitMs;
+    }
+}
--- /dev/null
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/InFlightCalls.java
@@ -0,0 +1,242 @@
+package org.sequoiashunt.link;
+
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Function;
+import org.sequoiashunt.call.CallRequest;
+import org.sequoiashunt.call.CallResult;
+import org.sequoiashunt.call.Outcome;
+import org.sequoiashunt.call.Reason;
+
+/**
+ * Calls of one link that have not ended, on the side that sends them.
+ *
+ * <p>A call waits until the link is open, is sent once, and ends when its answer comes, its deadline passes, or its
+ * link stays lost for too long. When the link is lost, sent calls are asked after on the next connection to the same
+ * process. Each method that ends calls completes their futures after the lock has been left.
+ *
+ * <p>Thread-safe; all state stands under the lock of this object. Invariants: a call is sent at most once; it ends
+ * exactly once; it ends as {@link Outcome#NOT_RUN} only if it was never marked as sent or the gate said so.
+ */
+final class InFlightCalls {
+
+    private static final AtomicLong NUMBERS = new AtomicLong();
+
+    private final long unsentLimitMs;
+    private final long askLimitMs;
+    private final Map<Long, InFlightCall> calls = new LinkedHashMap<>();
+    private boolean retired;
+
+    InFlightCalls(final LinkLimits limits) {
+        this.unsentLimitMs = limits.unsentLimitMs();
+        this.askLimitMs = limits.askLimitMs();
+    }
+
+    /**
+     * Adds a call.
+     *
+     * @param request the call.
+     * @param future completed when the call ends.
+     * @param nowMs the time.
+     * @return the call, or empty if this link takes no more calls because it was retired.
+     */
+    synchronized Optional<InFlightCall> add(
+            final CallRequest request, final CompletableFuture<CallResult> future, final long nowMs) {
+        if (retired) {
+            return Optional.empty();
+        }
+        InFlightCall call = new InFlightCall(NUMBERS.incrementAndGet(), request, future, nowMs);
+        calls.put(call.number(), call);
+        return Optional.of(call);
+    }
+
+    /**
+     * Stops taking calls if none is in flight.
+     *
+     * @return true if no call can be added any more.
+     */
+    synchronized boolean retireIfEmpty() {
+        retired = retired || calls.isEmpty();
+        return retired;
+    }
+
+    synchronized boolean isRetired() {
+        return retired;
+    }
+
+    synchronized boolean isEmpty() {
+        return calls.isEmpty();
+    }
+
+    synchronized int size() {
+        return calls.size();
+    }
+
+    /**
+     * Returns the calls that wait to be sent.
+     *
+     * @return the calls in the order in which they were added.
+     */
+    synchronized List<InFlightCall> waiting() {
+        return calls.values().stream().filter(call -> !call.isSent()).toList();
+    }
+
+    /**
+     * Notes that a call is about to be handed to the connection.
+     *
+     * @param call the call.
+     * @param peer the process at the other end.
+     * @return true if the call is to be sent now, false if it has ended or was sent before.
+     */
+    synchronized boolean markSent(final InFlightCall call, final LinkIdentity peer) {
+        if (!calls.containsKey(call.number()) || call.isSent()) {
+            return false;
+        }
+        call.markSent(peer);
+        return true;
+    }
+
+    synchronized void connectionLost(final long nowMs) {
+        calls.values().forEach(call -> call.markLost(nowMs));
+    }
+
+    /**
+     * Picks the calls to ask after when a new connection is open. Calls that were sent to another process end as
+     * unknown.
+     *
+     * @param peer the process at the other end of the new connection.
+     * @return the calls to ask after.
+     */
+    List<InFlightCall> connectionOpened(final LinkIdentity peer) {
+        end(call -> call.isLost() && !call.sentTo().equals(peer)
+                ? Optional.of(CallResult.unknown(Reason.CONNECTION_FAILED))
+                : Optional.empty());
+        synchronized (this) {
+            return calls.values().stream().filter(InFlightCall::isLost).toList();
+        }
+    }
+
+    /**
+     * Notes that the gate runs a call that was asked after.
+     *
+     * @param number the number of the call.
+     * @param callId the identity of the call.
+     * @return true if the call is in flight.
+     * @throws LinkProtocolException if the number is that of another call.
+     */
+    synchronized boolean found(final long number, final String callId) throws LinkProtocolException {
+        InFlightCall call = find(number, callId);
+        if (call != null) {
+            call.markFound();
+        }
+        return call != null;
+    }
+
+    /**
+     * Ends a call with the result that the gate gave.
+     *
+     * @param number the number that the answer carries.
+     * @param callId the identity that the answer carries.
+     * @param result the result.
+     * @return true if the call was in flight.
+     * @throws LinkProtocolException if the number is that of another call.
+     */
+    boolean end(final long number, final String callId, final CallResult result) throws LinkProtocolException {
+        InFlightCall call;
+        synchronized (this) {
+            call = find(number, callId);
+            calls.remove(number);
+        }
+        return call != null && call.future().complete(result);
+    }
+
+    /**
+     * Ends every call whose deadline has passed or whose link was missing for too long.
+     *
+     * @param nowMs the time.
+     * @return the calls that were sent and for which the gate's work is of no more use.
+     */
+    List<InFlightCall> expire(final long nowMs) {
+        return end(call -> expiry(call, nowMs)).stream()
+                .filter(InFlightCall::isSent)
+                .toList();
+    }
+
+    /**
+     * Ends the calls that were not sent.
+     *
+     * @param reason the reason.
+     */
+    void refuseWaiting(final Reason reason) {
+        end(call -> call.isSent() ? Optional.empty() : Optional.of(CallResult.notRun(reason)));
+    }
+
+    /** Ends all calls and takes no more. */
+    void close() {
+        synchronized (this) {
+            retired = true;
+        }
+        end(call -> Optional.of(
+                call.isSent()
+                        ? CallResult.unknown(Reason.CONNECTION_FAILED)
+                        : CallResult.notRun(Reason.CONNECTION_FAILED)));
+    }
+
+    /**
+     * Removes a call whose sender has given up.
+     *
+     * @param call the call.
+     * @return true if the gate is to be told.
+     */
+    synchronized boolean remove(final InFlightCall call) {
+        return calls.remove(call.number()) != null && call.isSent();
+    }
+
+    private Optional<CallResult> expiry(final InFlightCall call, final long nowMs) {
+        if (call.request().deadlineMs() <= nowMs) {
+            return Optional.of(
+                    call.isSent() ? CallResult.unknown(Reason.DEADLINE) : CallResult.notRun(Reason.DEADLINE));
+        }
+        if (call.isUnsentFor(unsentLimitMs, nowMs)) {
+            return Optional.of(CallResult.notRun(Reason.CONNECTION_FAILED));
+        }
+        return call.isLostFor(askLimitMs, nowMs)
+                ? Optional.of(CallResult.unknown(Reason.CONNECTION_FAILED))
+                : Optional.empty();
+    }
+
+    private List<InFlightCall> end(final Function<InFlightCall, Optional<CallResult>> decision) {
+        List<InFlightCall> ended = new ArrayList<>();
+        List<CallResult> results = new ArrayList<>();
+        synchronized (this) {
+            Iterator<InFlightCall> iterator = calls.values().iterator();
+            while (iterator.hasNext()) {
+                InFlightCall call = iterator.next();
+                Optional<CallResult> result = decision.apply(call);
+                if (result.isPresent()) {
+                    iterator.remove();
+                    ended.add(call);
+                    results.add(result.get());
+                }
+            }
+        }
+        for (int index = 0; index < ended.size(); index++) {
+            ended.get(index).future().complete(results.get(index));
+        }
+        return ended;
+    }
+
+    private InFlightCall find(final long number, final String callId) throws LinkProtocolException {
+        InFlightCall call = calls.get(number);
+        if (call != null && !call.request().callId().equals(callId)) {
+            throw new LinkProtocolException(Refusal.WRONG_NUMBER, "answer to " + callId + " has number " + number);
+        }
+        return call;
+    }
+}
--- /dev/null
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/InboundMeter.java
@@ -0,0 +1,29 @@
+package org.sequoiashunt.link;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import org.sequoiashunt.time.Clock;
+
+/** Notes every arrival of bytes, whole frames or not. Confined to the thread of its connection. */
+final class InboundMeter extends ChannelInboundHandlerAdapter {
+
+    private final InboundProgress progress;
+    private final Clock clock;
+    private final Runnable afterRead;
+
+    InboundMeter(final InboundProgress progress, final Clock clock, final Runnable afterRead) {
+        this.progress = progress;
+        this.clock = clock;
+        this.afterRead = afterRead;
+    }
+
+    @Override
+    public void channelRead(final ChannelHandlerContext context, final Object message) {
+        if (message instanceof ByteBuf bytes) {
+            progress.bytesRead(bytes.readableBytes(), clock.nowMs());
+        }
+        context.fireChannelRead(message);
+        afterRead.run();
+    }
+}
--- /dev/null
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/InboundProgress.java
@@ -0,0 +1,49 @@
+package org.sequoiashunt.link;
+
+/**
+ * Follows the bytes that arrive on one connection, to find a frame that never ends.
+ *
+ * <p>Confined to the thread of the connection.
+ */
+final class InboundProgress {
+
+    private final long frameTimeLimitMs;
+    private long pendingBytes;
+    private long pendingSinceMs;
+    private long lastReadMs;
+
+    InboundProgress(final long frameTimeLimitMs, final long nowMs) {
+        this.frameTimeLimitMs = frameTimeLimitMs;
+        this.lastReadMs = nowMs;
+    }
+
+    void bytesRead(final int count, final long nowMs) {
+        if (pendingBytes == 0) {
+            pendingSinceMs = nowMs;
+        }
+        pendingBytes += count;
+        lastReadMs = nowMs;
+    }
+
+    void frameRead(final int count, final long nowMs) {
+        pendingBytes -= count;
+        pendingSinceMs = nowMs;
+    }
+
+    /**
+     * Returns how many bytes belong to a frame that has not arrived whole.
+     *
+     * @return the number of bytes.
+     */
+    long pendingBytes() {
+        return pendingBytes;
+    }
+
+    long lastReadMs() {
+        return lastReadMs;
+    }
+
+    boolean isStalled(final long nowMs) {
+        return pendingBytes > 0 && nowMs - pendingSinceMs > frameTimeLimitMs;
+    }
+}
--- /dev/null
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/LinkClient.java
@@ -0,0 +1,125 @@
+package org.sequoiashunt.link;
+
+import io.netty.util.concurrent.Future;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.sequoiashunt.call.CallRequest;
+import org.sequoiashunt.call.CallResult;
+import org.sequoiashunt.call.GateCaller;
+import org.sequoiashunt.call.Reason;
+import org.sequoiashunt.link.LinkCounters.Count;
+import org.sequoiashunt.link.wire.FrameProto.Frame;
+import org.sequoiashunt.peer.ControlMessage;
+import org.sequoiashunt.peer.NodeAddress;
+import org.sequoiashunt.peer.PeerSender;
+
+/**
+ * Sends control messages and calls to other nodes, over one link per peer.
+ *
+ * <p>Open one per node with {@link #open}. Links open when first used and close when idle.
+ *
+ * <p>Thread-safe; never blocks. The links are confined to the opening thread of {@link LinkThreads}.
+ */
+public final class LinkClient implements PeerSender, GateCaller, AutoCloseable {
+
+    private static final long TICK_INTERVAL_MS = 25;
+
+    private final LinkContext context;
+    private final RandomGenerator random;
+    private final Map<NodeAddress, Link> links = new ConcurrentHashMap<>();
+    private Future<?> ticking;
+
+    private LinkClient(final LinkContext context, final RandomGenerator random) {
+        this.context = context;
+        this.random = Objects.requireNonNull(random, "random");
+    }
+
+    /**
+     * Creates a client.
+     *
+     * @param context what the client shares with the server of the node, not null.
+     * @param random source of chance for delays between attempts, used by one thread, not null.
+     * @return the client, never null.
+     */
+    public static LinkClient open(final LinkContext context, final RandomGenerator random) {
+        LinkClient client = new LinkClient(context, random);
+        client.ticking = context.threads()
+                .opening()
+                .scheduleWithFixedDelay(client::tick, TICK_INTERVAL_MS, TICK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        return client;
+    }
+
+    @Override
+    public void send(final NodeAddress receiver, final ControlMessage message) {
+        Objects.requireNonNull(receiver, "receiver");
+        Frame frame = Frames.of(context.codec().encode(message));
+        Optional<Link> link = link(receiver);
+        if (link.isEmpty() || frame.getSerializedSize() > context.limits().maximumFrameBytes()) {
+            context.counters().increment(Count.CONTROL_MESSAGES_DROPPED);
+            return;
+        }
+        context.threads().opening().execute(() -> link.get().sendControl(frame));
+    }
+
+    @Override
+    public CompletableFuture<CallResult> call(final NodeAddress gate, final CallRequest request) {
+        Objects.requireNonNull(gate, "gate");
+        Objects.requireNonNull(request, "request");
+        long nowMs = context.clock().nowMs();
+        if (request.deadlineMs() <= nowMs) {
+            return CompletableFuture.completedFuture(CallResult.notRun(Reason.DEADLINE));
+        }
+        CompletableFuture<CallResult> future = new CompletableFuture<>();
+        Optional<Link> link = link(gate);
+        while (link.isPresent()) {
+            Optional<InFlightCall> call = link.get().calls().add(request, future, nowMs);
+            if (call.isPresent()) {
+                start(link.get(), call.get());
+                return future;
+            }
+            links.remove(gate, link.get());
+            link = link(gate);
+        }
+        return CompletableFuture.completedFuture(CallResult.notRun(Reason.CONNECTION_FAILED));
+    }
+
+    /** Ends all calls and closes all links. */
+    @Override
+    public void close() {
+        ticking.cancel(false);
+        for (Link link : links.values()) {
+            context.threads().opening().execute(link::close);
+        }
+        links.clear();
+    }
+
+    private void start(final Link link, final InFlightCall call) {
+        call.future().whenComplete((result, failure) -> {
+            if (failure != null) {
+                context.threads().opening().execute(() -> link.cancel(call));
+            }
+        });
+        context.threads().opening().execute(link::pump);
+    }
+
+    private Optional<Link> link(final NodeAddress address) {
+        Link known = links.get(address);
+        if (known == null && links.size() < context.limits().maximumConnections()) {
+            known = links.computeIfAbsent(address, key -> new Link(key, context, new ReconnectDelay(random)));
+        }
+        return Optional.ofNullable(known);
+    }
+
+    private void tick() {
+        for (Link link : links.values()) {
+            if (link.tick()) {
+                links.remove(link.address(), link);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/LinkConnection.java
@@ -0,0 +1,143 @@
+package org.sequoiashunt.link;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.SimpleChannelInboundHandler;
+import org.sequoiashunt.link.wire.FrameProto.Frame;
+import org.sequoiashunt.link.wire.FrameProto.Freshness;
+
+/**
+ * One TCP connection of a link, on the side that opened it.
+ *
+ * <p>Confined to the thread of its link. Invariant: after {@link #abandon()} no frame of it reaches the link.
+ */
+final class LinkConnection extends SimpleChannelInboundHandler<Frame> {
+
+    private final LinkContext context;
+    private final Link link;
+    private final LinkHealth health;
+    private Channel channel;
+    private LinkIdentity peer;
+    private long stampMs;
+    private long stampReceivedMs;
+    private boolean abandoned;
+
+    LinkConnection(final LinkContext context, final Link link) {
+        super(Frame.class);
+        this.context = context;
+        this.link = link;
+        this.health = new LinkHealth(context.limits(), context.clock().nowMs());
+    }
+
+    void received() {
+        health.received(context.clock().nowMs());
+    }
+
+    void write(final Frame frame) {
+        health.sent();
+        channel.writeAndFlush(frame);
+    }
+
+    boolean isOpen() {
+        return peer != null && !abandoned;
+    }
+
+    boolean isWritable() {
+        return isOpen() && channel.isWritable();
+    }
+
+    LinkIdentity peer() {
+        return peer;
+    }
+
+    LinkHealth health() {
+        return health;
+    }
+
+    Freshness freshness(final long deadlineMs) {
+        long nowMs = context.clock().nowMs();
+        return Freshness.newBuilder()
+                .setStamp(stampMs)
+                .setStampAgeMs(nowMs - stampReceivedMs)
+                .setRemainingMs(Math.max(0, deadlineMs - nowMs))
+                .build();
+    }
+
+    /** Closes the connection without waiting for what was written to it to be sent. */
+    void abandon() {
+        abandoned = true;
+        if (channel != null) {
+            channel.config().setOption(ChannelOption.SO_LINGER, 0);
+            channel.close();
+        }
+    }
+
+    /** Closes the connection after what was written to it. */
+    void close() {
+        abandoned = true;
+        if (channel != null) {
+            channel.close();
+        }
+    }
+
+    @Override
+    public void channelRegistered(final ChannelHandlerContext handlerContext) {
+        channel = handlerContext.channel();
+        if (abandoned) {
+            channel.close();
+        }
+    }
+
+    @Override
+    public void channelActive(final ChannelHandlerContext handlerContext) {
+        channel.writeAndFlush(Frames.hello(context.identity(), 0));
+    }
+
+    @Override
+    public void channelInactive(final ChannelHandlerContext handlerContext) {
+        link.connectionClosed(this);
+    }
+
+    @Override
+    public void channelWritabilityChanged(final ChannelHandlerContext handlerContext) {
+        link.pump();
+    }
+
+    @Override
+    protected void channelRead0(final ChannelHandlerContext handlerContext, final Frame frame)
+            throws LinkProtocolException {
+        if (abandoned) {
+            return;
+        }
+        if (peer == null) {
+            introduce(frame);
+        } else if (frame.hasPong()) {
+            noteStamp(frame.getPong().getStamp());
+        } else {
+            link.receive(frame);
+        }
+    }
+
+    @Override
+    public void exceptionCaught(final ChannelHandlerContext handlerContext, final Throwable failure) {
+        if (!abandoned) {
+            Refusals.of(failure).ifPresent(context.counters()::refuse);
+        }
+        abandon();
+    }
+
+    private void introduce(final Frame frame) throws LinkProtocolException {
+        if (!frame.hasHello()) {
+            throw new LinkProtocolException(Refusal.UNEXPECTED, "frame before introduction");
+        }
+        peer = Frames.identity(frame.getHello());
+        noteStamp(frame.getHello().getStamp());
+        link.connectionOpened(this);
+    }
+
+    private void noteStamp(final long newStampMs) {
+        stampMs = newStampMs;
+        stampReceivedMs = context.clock().nowMs();
+    }
+}
--- /dev/null
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/LinkLimits.java
@@ -0,0 +1,87 @@
+package org.sequoiashunt.link;
+
+/**
+ * Bounds of the protocol in time, bytes and numbers. Start from {@link #standard()}.
+ *
+ * <p>Immutable and thread-safe. Invariant: every bound is positive.
+ *
+ * @param pingIntervalMs how long a link on which something is awaited may be quiet before it is probed.
+ * @param silenceLimitMs how long such a link may be quiet before it is replaced.
+ * @param openTimeoutMs the longest time for connecting and for the exchange of introductions.
+ * @param unsentLimitMs how long a call waits for a link before it ends as not run.
+ * @param askLimitMs how long a call whose link was lost is asked after before it ends as unknown.
+ * @param idleLimitMs how long an unused link stays open.
+ * @param frameAgeLimitMs the greatest age of a call when it reaches the gate.
+ * @param frameTimeLimitMs how long a frame may take to arrive whole.
+ * @param maximumFrameBytes the greatest length of a frame.
+ * @param maximumConnections the greatest number of accepted connections, and of links.
+ * @param pendingBytes the memory for frames that have not arrived whole, over all accepted connections.
+ * @param retainedBytes the memory for answers retained until their receiver has acknowledged them.
+ * @param retainedCalls the greatest number of calls remembered on the side that runs them.
+ */
+public record LinkLimits(
+        long pingIntervalMs,
+        long silenceLimitMs,
+        long openTimeoutMs,
+        long unsentLimitMs,
+        long askLimitMs,
+        long idleLimitMs,
+        long frameAgeLimitMs,
+        long frameTimeLimitMs,
+        int maximumFrameBytes,
+        int maximumConnections,
+        long pendingBytes,
+        long retainedBytes,
+        int retainedCalls) {
+
+    private static final int MEGABYTE = 1 << 20;
+
+    /**
+     * Checks the components.
+     *
+     * @throws IllegalArgumentException if a bound is not positive.
+     */
+    public LinkLimits {
+        requirePositive("pingIntervalMs", pingIntervalMs);
+        requirePositive("silenceLimitMs", silenceLimitMs);
+        requirePositive("openTimeoutMs", openTimeoutMs);
+        requirePositive("unsentLimitMs", unsentLimitMs);
+        requirePositive("askLimitMs", askLimitMs);
+        requirePositive("idleLimitMs", idleLimitMs);
+        requirePositive("frameAgeLimitMs", frameAgeLimitMs);
+        requirePositive("frameTimeLimitMs", frameTimeLimitMs);
+        requirePositive("maximumFrameBytes", maximumFrameBytes);
+        requirePositive("maximumConnections", maximumConnections);
+        requirePositive("pendingBytes", pendingBytes);
+        requirePositive("retainedBytes", retainedBytes);
+        requirePositive("retainedCalls", retainedCalls);
+    }
+
+    /**
+     * Returns the bounds for a node with 128 MB of memory: links replaced within a second, bodies of one megabyte.
+     *
+     * @return the bounds, never null.
+     */
+    public static LinkLimits standard() {
+        return new LinkLimits(
+                250,
+                750,
+                750,
+                1_000,
+                3_000,
+                30_000,
+                1_500,
+                10_000,
+                MEGABYTE + MEGABYTE / 4,
+                4_096,
+                8L * MEGABYTE,
+                4L * MEGABYTE,
+                16_384);
+    }
+
+    private static void requirePositive(final String name, final long value) {
+        if (value < 1) {
+            throw new IllegalArgumentException(name + " must be positive: " + value);
+        }
+    }
+}
--- /dev/null
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/LinkServer.java
@@ -0,0 +1,161 @@
+package org.sequoiashunt.link;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.util.concurrent.Future;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.sequoiashunt.call.CallHandler;
+import org.sequoiashunt.peer.NodeAddress;
+
+/**
+ * Accepts the links of other nodes, hands their control messages to a receiver and runs their calls.
+ *
+ * <p>Open one per node with {@link #open}. Closing it cuts the connections; wait before until {@link #runningCalls()}
+ * is zero.
+ *
+ * <p>Thread-safe. Invariant: a connection that breaks the protocol is closed and counted, and no other is affected.
+ */
+public final class LinkServer implements AutoCloseable {
+
+    private static final int BACKLOG = 1_024;
+    private static final long SWEEP_INTERVAL_MS = 1_000;
+    private static final long CLOSE_TIMEOUT_MS = 2_000;
+
+    private final LinkContext context;
+    private final ServedCalls calls;
+    private final ControlReceiver receiver;
+    private final PendingBudget budget;
+    private final Map<Channel, ServerConnection> connections = new ConcurrentHashMap<>();
+    private Channel listener;
+    private Future<?> sweeping;
+
+    private LinkServer(final LinkContext context, final CallHandler handler, final ControlReceiver receiver) {
+        this.context = context;
+        this.calls = new ServedCalls(handler, context.limits(), context.clock(), context.counters());
+        this.receiver = Objects.requireNonNull(receiver, "receiver");
+        this.budget = new PendingBudget(context.limits().pendingBytes());
+    }
+
+    /**
+     * Binds an address and starts to accept links.
+     *
+     * @param context what the server shares with the client of the node, not null.
+     * @param address the IP number and port; port zero binds any free one.
+     * @param handler runs calls, not null.
+     * @param receiver takes control messages, not null.
+     * @return the server, never null.
+     * @throws IOException if the address cannot be bound.
+     */
+    public static LinkServer open(
+            final LinkContext context,
+            final InetSocketAddress address,
+            final CallHandler handler,
+            final ControlReceiver receiver)
+            throws IOException {
+        LinkServer server = new LinkServer(context, handler, receiver);
+        server.bind(address);
+        return server;
+    }
+
+    /**
+     * Returns the address that is bound.
+     *
+     * @return the address, never null.
+     */
+    public NodeAddress address() {
+        InetSocketAddress bound = (InetSocketAddress) listener.localAddress();
+        return new NodeAddress(bound.getAddress().getHostAddress(), bound.getPort());
+    }
+
+    /**
+     * Returns how many calls of other nodes are running.
+     *
+     * @return the number of calls.
+     */
+    public int runningCalls() {
+        return calls.running();
+    }
+
+    /** Stops accepting and cuts all connections. */
+    @Override
+    public void close() {
+        sweeping.cancel(false);
+        listener.close().awaitUninterruptibly(CLOSE_TIMEOUT_MS);
+        connections.keySet().forEach(Channel::close);
+    }
+
+    private void bind(final InetSocketAddress address) throws IOException {
+        ServerBootstrap bootstrap = new ServerBootstrap()
+                .group(context.threads().accepting())
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.ALLOCATOR, context.threads().allocator())
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, waterMark(context.limits()))
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(final SocketChannel channel) {
+                        accept(channel);
+                    }
+                });
+        ChannelFuture bound = bootstrap.bind(address).awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            throw new IOException("cannot bind " + address, bound.cause());
+        }
+        listener = bound.channel();
+        sweeping = context.threads()
+                .accepting()
+                .scheduleWithFixedDelay(this::sweep, SWEEP_INTERVAL_MS, SWEEP_INTERVAL_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void accept(final SocketChannel channel) {
+        if (connections.size() >= context.limits().maximumConnections()) {
+            context.counters().refuse(Refusal.TOO_MANY_CONNECTIONS);
+            channel.close();
+            return;
+        }
+        InboundProgress progress = new InboundProgress(
+                context.limits().frameTimeLimitMs(), context.clock().nowMs());
+        ServerConnection connection = new ServerConnection(context, calls, receiver, progress, budget);
+        connections.put(channel, connection);
+        channel.closeFuture().addListener(closed -> connections.remove(channel));
+        addHandlers(channel, context, progress, connection::afterRead);
+        channel.pipeline().addLast(connection);
+    }
+
+    private void sweep() {
+        calls.expire();
+        connections.values().forEach(ServerConnection::sweep);
+    }
+
+    static void addHandlers(
+            final Channel channel,
+            final LinkContext context,
+            final InboundProgress progress,
+            final Runnable afterRead) {
+        int maximumBytes = context.limits().maximumFrameBytes();
+        channel.pipeline()
+                .addLast(new InboundMeter(progress, context.clock(), afterRead))
+                .addLast(new LengthFieldBasedFrameDecoder(
+                        maximumBytes + Frames.LENGTH_BYTES, 0, Frames.LENGTH_BYTES, 0, Frames.LENGTH_BYTES))
+                .addLast(new FrameDecoder(context.counters(), progress, context.clock()))
+                .addLast(new FrameEncoder(context.counters()));
+    }
+
+    static WriteBufferWaterMark waterMark(final LinkLimits limits) {
+        return new WriteBufferWaterMark(limits.maximumFrameBytes() / 2, limits.maximumFrameBytes());
+    }
+}
--- /dev/null
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/LinkThreads.java
@@ -0,0 +1,64 @@
+package org.sequoiashunt.link;
+
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.PooledByteBufAllocator;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The two threads of the links of a node, one for what it accepts and one for what it opens, with their buffers.
+ *
+ * <p>Close it after the server and the client that use it. Thread-safe.
+ */
+public final class LinkThreads implements AutoCloseable {
+
+    private static final int THREADS = 2;
+    private static final int PAGE_BYTES = 8_192;
+    private static final int CHUNK_ORDER = 5; // 256 KB a chunk: the buffers of an idle node take less than 1 MB.
+    private static final long CLOSE_TIMEOUT_MS = 2_000;
+
+    private final EventLoopGroup group;
+    private final EventLoop accepting;
+    private final EventLoop opening;
+    private final ByteBufAllocator allocator;
+
+    private LinkThreads(final EventLoopGroup group) {
+        this.group = group;
+        this.accepting = group.next();
+        this.opening = group.next();
+        this.allocator = new PooledByteBufAllocator(true, 0, THREADS, PAGE_BYTES, CHUNK_ORDER);
+    }
+
+    /**
+     * Starts the threads.
+     *
+     * @return the threads, never null.
+     */
+    public static LinkThreads start() {
+        DefaultThreadFactory factory = new DefaultThreadFactory("link", true);
+        return new LinkThreads(new MultiThreadIoEventLoopGroup(THREADS, factory, NioIoHandler.newFactory()));
+    }
+
+    EventLoop accepting() {
+        return accepting;
+    }
+
+    EventLoop opening() {
+        return opening;
+    }
+
+    ByteBufAllocator allocator() {
+        return allocator;
+    }
+
+    /** Stops the threads and waits for their end for a bounded time. */
+    @Override
+    public void close() {
+        group.shutdownGracefully(0, CLOSE_TIMEOUT_MS, TimeUnit.MILLISECONDS)
+                .awaitUninterruptibly(CLOSE_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/ServedCalls.java
@@ -0,0 +1,157 @@
+package org.sequoiashunt.link;
+
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.sequoiashunt.call.CallHandler;
+import org.sequoiashunt.call.CallRequest;
+import org.sequoiashunt.call.CallResult;
+import org.sequoiashunt.call.Reason;
+import org.sequoiashunt.link.CallLedger.Admission;
+import org.sequoiashunt.link.CallLedger.ResultReceiver;
+import org.sequoiashunt.link.CallLedger.Standing;
+import org.sequoiashunt.link.wire.FrameProto.CallAcknowledge;
+import org.sequoiashunt.link.wire.FrameProto.CallCancel;
+import org.sequoiashunt.link.wire.FrameProto.CallQuery;
+import org.sequoiashunt.link.wire.FrameProto.CallStart;
+import org.sequoiashunt.link.wire.FrameProto.CallState;
+import org.sequoiashunt.time.Clock;
+
+/**
+ * Runs the calls that peers send to this node, each at most once.
+ *
+ * <p>Thread-safe: all state is that of the {@link CallLedger}. Invariant: no call is run that is older than the age
+ * limit, whose deadline has passed, or whose sender was told that it is not run.
+ */
+final class ServedCalls {
+
+    private final CallLedger ledger;
+    private final CallHandler handler;
+    private final LinkLimits limits;
+    private final Clock clock;
+    private final LinkCounters counters;
+
+    ServedCalls(final CallHandler handler, final LinkLimits limits, final Clock clock, final LinkCounters counters) {
+        this.ledger = new CallLedger(limits.retainedBytes(), limits.retainedCalls());
+        this.handler = Objects.requireNonNull(handler, "handler");
+        this.limits = limits;
+        this.clock = clock;
+        this.counters = counters;
+    }
+
+    /**
+     * Runs a call that arrived.
+     *
+     * @param start the call.
+     * @param receiver where to send the result.
+     * @throws LinkProtocolException if the call is too old or cut; it is then never run.
+     */
+    void start(final CallStart start, final ResultReceiver receiver) throws LinkProtocolException {
+        long nowMs = clock.nowMs();
+        long remainingMs = start.getFreshness().getRemainingMs();
+        FrameAge age = FrameAge.of(
+                nowMs, start.getFreshness().getStamp(), start.getFreshness().getStampAgeMs());
+        if (age.exceeds(limits.frameAgeLimitMs())) {
+            throw new LinkProtocolException(Refusal.STALE, "call is up to " + age.upperBoundMs() + " ms old");
+        }
+        CallRequest request = CallCodec.decode(start, age.deadlineMs(nowMs, remainingMs));
+        if (request.deadlineMs() <= nowMs) {
+            receiver.callEnded(start.getNumber(), request.callId(), CallResult.notRun(Reason.DEADLINE));
+            return;
+        }
+        Admission admission = ledger.admit(request.callId(), start.getNumber(), nowMs + remainingMs, receiver);
+        if (admission == Admission.RUN) {
+            run(request);
+        } else {
+            refuse(admission, start.getNumber(), request.callId(), receiver);
+        }
+    }
+
+    /**
+     * Answers a question about a call.
+     *
+     * @param query the question.
+     * @param receiver where to send the result, now or when the call ends.
+     * @return the state to report, or empty if the result was sent.
+     */
+    Optional<CallState> query(final CallQuery query, final ResultReceiver receiver) {
+        Standing standing =
+                ledger.ask(query.getCallId(), query.getNumber(), clock.nowMs() + query.getRemainingMs(), receiver);
+        if (standing.result().isPresent()) {
+            receiver.callEnded(
+                    query.getNumber(), query.getCallId(), standing.result().get());
+            return Optional.empty();
+        }
+        return Optional.of(CallState.newBuilder()
+                .setNumber(query.getNumber())
+                .setCallId(query.getCallId())
+                .setState(wireState(standing.state()))
+                .build());
+    }
+
+    void cancel(final CallCancel cancel) {
+        ledger.cancel(cancel.getCallId(), clock.nowMs() + cancel.getRemainingMs())
+                .ifPresent(execution -> execution.cancel(true));
+    }
+
+    void acknowledge(final CallAcknowledge acknowledge) {
+        ledger.acknowledge(acknowledge.getCallIdsList());
+    }
+
+    void expire() {
+        ledger.expire(clock.nowMs());
+    }
+
+    int running() {
+        return ledger.running();
+    }
+
+    private void run(final CallRequest request) {
+        CompletableFuture<CallResult> execution = handle(request);
+        if (ledger.started(request.callId(), execution)) {
+            execution.cancel(true);
+        }
+        execution.whenComplete((result, failure) -> ended(request.callId(), result, failure));
+    }
+
+    private CompletableFuture<CallResult> handle(final CallRequest request) {
+        try {
+            return handler.handle(request);
+        } catch (RuntimeException exception) {
+            counters.refuse(Refusal.HANDLER_FAILED);
+            return CompletableFuture.failedFuture(exception);
+        }
+    }
+
+    private void ended(final String callId, final CallResult result, final Throwable failure) {
+        CallResult known = failure == null ? result : CallResult.unknown(Reason.CANCELLED);
+        ledger.end(callId, known).ifPresent(CallLedger.Delivery::deliver);
+    }
+
+    private void refuse(
+            final Admission admission, final long number, final String callId, final ResultReceiver receiver) {
+        switch (admission) {
+            case FULL:
+                counters.refuse(Refusal.LEDGER_FULL);
+                receiver.callEnded(number, callId, CallResult.notRun(Reason.QUEUE_FULL));
+                break;
+            case REVOKED:
+                counters.refuse(Refusal.REVOKED);
+                receiver.callEnded(number, callId, CallResult.notRun(Reason.CANCELLED));
+                break;
+            default:
+                ledger.ask(callId, number, clock.nowMs(), receiver)
+                        .result()
+                        .ifPresent(result -> receiver.callEnded(number, callId, result));
+                break;
+        }
+    }
+
+    private static CallState.State wireState(final Standing.State state) {
+        return switch (state) {
+            case NOT_RECEIVED -> CallState.State.NOT_RECEIVED;
+            case RUNNING -> CallState.State.RUNNING;
+            default -> CallState.State.LOST;
+        };
+    }
+}
--- /dev/null
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/ServerConnection.java
@@ -0,0 +1,193 @@
+package org.sequoiashunt.link;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.TimeUnit;
+import org.sequoiashunt.call.CallResult;
+import org.sequoiashunt.call.Reason;
+import org.sequoiashunt.link.CallLedger.ResultReceiver;
+import org.sequoiashunt.link.LinkCounters.Count;
+import org.sequoiashunt.link.wire.FrameProto.Frame;
+import org.sequoiashunt.link.wire.FrameProto.Hello;
+
+/**
+ * One accepted connection: hands control messages and calls on, and writes answers.
+ *
+ * <p>Confined to the thread of its channel, but for {@link #callEnded}, which may be called by any thread.
+ */
+final class ServerConnection extends SimpleChannelInboundHandler<Frame> implements ResultReceiver {
+
+    private static final int MAXIMUM_PARKED = 1_024;
+
+    private final LinkContext context;
+    private final ServedCalls calls;
+    private final ControlReceiver receiver;
+    private final InboundProgress progress;
+    private final PendingBudget budget;
+    private final Deque<Frame> parked = new ArrayDeque<>();
+    private Channel channel;
+    private LinkIdentity peer;
+    private boolean refused;
+    private long lastSignMs;
+
+    ServerConnection(
+            final LinkContext context,
+            final ServedCalls calls,
+            final ControlReceiver receiver,
+            final InboundProgress progress,
+            final PendingBudget budget) {
+        super(Frame.class);
+        this.context = context;
+        this.calls = calls;
+        this.receiver = receiver;
+        this.progress = progress;
+        this.budget = budget;
+    }
+
+    @Override
+    public void channelActive(final ChannelHandlerContext handlerContext) {
+        channel = handlerContext.channel();
+        context.counters().increment(Count.CONNECTIONS_ACCEPTED);
+        channel.eventLoop().schedule(this::requireHello, context.limits().openTimeoutMs(), TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void channelInactive(final ChannelHandlerContext handlerContext) {
+        context.counters().add(Count.CONNECTIONS_ACCEPTED, -1);
+        budget.release(progress);
+        parked.clear();
+    }
+
+    @Override
+    protected void channelRead0(final ChannelHandlerContext handlerContext, final Frame frame)
+            throws LinkProtocolException {
+        if (refused) {
+            return;
+        }
+        if (peer == null) {
+            introduce(frame);
+            return;
+        }
+        switch (frame.getContentCase()) {
+            case PING -> writeSign();
+            case CONTROL -> receiveControl(frame);
+            case CALL_START -> calls.start(frame.getCallStart(), this);
+            case CALL_QUERY ->
+                calls.query(frame.getCallQuery(), this).ifPresent(state -> writeOrPark(Frames.of(state)));
+            case CALL_CANCEL -> calls.cancel(frame.getCallCancel());
+            case CALL_ACKNOWLEDGE -> calls.acknowledge(frame.getCallAcknowledge());
+            default -> throw new LinkProtocolException(Refusal.UNEXPECTED, "frame " + frame.getContentCase());
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(final ChannelHandlerContext handlerContext) {
+        writeParked();
+    }
+
+    @Override
+    public void exceptionCaught(final ChannelHandlerContext handlerContext, final Throwable failure) {
+        if (!refused) {
+            Refusals.of(failure).ifPresent(context.counters()::refuse);
+        }
+        refused = true;
+        handlerContext.close();
+    }
+
+    @Override
+    public void callEnded(final long number, final String callId, final CallResult result) {
+        Frame frame = Frames.of(CallCodec.encode(number, callId, result));
+        if (frame.getSerializedSize() > context.limits().maximumFrameBytes()) {
+            CallResult tooLarge = CallResult.unknown(Reason.TOO_LARGE).withLoad(result.load());
+            frame = Frames.of(CallCodec.encode(number, callId, tooLarge));
+        }
+        Frame written = frame;
+        channel.eventLoop().execute(() -> writeOrPark(written));
+    }
+
+    /** Checks the bytes that arrived; a peer that sends a long frame gets a sign of life before its end. */
+    void afterRead() {
+        if (refused || peer == null) {
+            return;
+        }
+        long nowMs = context.clock().nowMs();
+        if (!budget.account(progress)) {
+            refuse(Refusal.TOO_MUCH_PENDING);
+        } else if (progress.pendingBytes() > 0
+                && nowMs - lastSignMs >= context.limits().pingIntervalMs()) {
+            writeSign();
+        }
+    }
+
+    /** Closes the connection if it is stalled or was not used for a long time. */
+    void sweep() {
+        long nowMs = context.clock().nowMs();
+        if (progress.isStalled(nowMs)) {
+            refuse(Refusal.INCOMPLETE);
+        } else if (nowMs - progress.lastReadMs() > 2 * context.limits().idleLimitMs()) {
+            refuse(Refusal.IDLE);
+        }
+    }
+
+    private void introduce(final Frame frame) throws LinkProtocolException {
+        if (!frame.hasHello()) {
+            throw new LinkProtocolException(Refusal.UNEXPECTED, "frame before introduction");
+        }
+        Hello hello = frame.getHello();
+        peer = Frames.identity(hello);
+        channel.writeAndFlush(Frames.hello(context.identity(), context.clock().nowMs()));
+    }
+
+    private void receiveControl(final Frame frame) {
+        context.counters().increment(Count.CONTROL_MESSAGES_IN);
+        try {
+            receiver.receive(peer.node(), context.codec().decode(frame.getControl()));
+        } catch (LinkProtocolException exception) {
+            context.counters().refuse(exception.refusal());
+        } catch (RuntimeException exception) {
+            context.counters().refuse(Refusal.HANDLER_FAILED);
+        }
+    }
+
+    private void writeSign() {
+        lastSignMs = context.clock().nowMs();
+        if (channel.isWritable()) {
+            channel.writeAndFlush(Frames.pong(lastSignMs));
+        }
+    }
+
+    private void writeOrPark(final Frame frame) {
+        if (!channel.isActive()) {
+            return;
+        }
+        parked.addLast(frame);
+        if (parked.size() > MAXIMUM_PARKED) {
+            refuse(Refusal.NOT_READ);
+        } else {
+            writeParked();
+        }
+    }
+
+    private void writeParked() {
+        while (!parked.isEmpty() && channel.isWritable()) {
+            channel.writeAndFlush(parked.removeFirst());
+        }
+    }
+
+    private void requireHello() {
+        if (peer == null && channel.isActive()) {
+            refuse(Refusal.NO_HELLO);
+        }
+    }
+
+    private void refuse(final Refusal refusal) {
+        if (!refused) {
+            context.counters().refuse(refusal);
+        }
+        refused = true;
+        channel.close();
+    }
+}
--- /dev/null
+++ b/sequoiashunt-link/src/test/java/org/sequoiashunt/link/LinkFixture.java
@@ -0,0 +1,131 @@
+package org.sequoiashunt.link;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.BooleanSupplier;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+import org.sequoiashunt.call.Body;
+import org.sequoiashunt.call.CallAnswer;
+import org.sequoiashunt.call.CallHandler;
+import org.sequoiashunt.call.CallRequest;
+import org.sequoiashunt.call.CallResult;
+import org.sequoiashunt.call.HeaderField;
+import org.sequoiashunt.lifecycle.Closer;
+import org.sequoiashunt.lifecycle.ResourceCloseException;
+import org.sequoiashunt.peer.ControlMessage;
+import org.sequoiashunt.peer.NodeAddress;
+import org.sequoiashunt.time.Clock;
+
+/** A server and a client on loopback, with a handler whose calls the test ends. */
+final class LinkFixture implements AutoCloseable {
+
+    static final long WAIT_MS = 5_000;
+    static final Clock CLOCK = () -> System.nanoTime() / 1_000_000;
+
+    final LinkCounters serverCounters = new LinkCounters();
+    final LinkCounters clientCounters = new LinkCounters();
+    final Queue<ControlMessage> received = new ConcurrentLinkedQueue<>();
+    final ManualHandler handler = new ManualHandler();
+    final LinkServer server;
+    final LinkClient client;
+    private final Closer closer = new Closer();
+    private final LinkThreads threads = closer.register(LinkThreads.start());
+
+    LinkFixture() throws IOException {
+        this(LinkLimits.standard());
+    }
+
+    LinkFixture(final LinkLimits limits) throws IOException {
+        server = openServer(limits, 1, 0);
+        client = closer.register(LinkClient.open(context(limits, "entry", 1, clientCounters), random()));
+    }
+
+    LinkServer openServer(final LinkLimits limits, final long incarnation, final int port) throws IOException {
+        InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+        LinkContext context = context(limits, "gate", incarnation, serverCounters);
+        return closer.register(LinkServer.open(context, address, handler, (sender, message) -> received.add(message)));
+    }
+
+    NodeAddress address() {
+        return server.address();
+    }
+
+    static CallRequest request(final String callId, final long timeoutMs) {
+        return request(callId, timeoutMs, Body.of(callId.getBytes()));
+    }
+
+    static CallRequest request(final String callId, final long timeoutMs, final Body body) {
+        return new CallRequest(
+                callId,
+                "registry-desk",
+                "lookup",
+                "v1",
+                "desk-1",
+                "POST",
+                "/plates?x=1",
+                List.of(new HeaderField("Content-Type", "text/plain")),
+                body,
+                false,
+                Optional.of("key-" + callId),
+                CLOCK.nowMs() + timeoutMs);
+    }
+
+    static CallResult answer(final Body body) {
+        return CallResult.complete(new CallAnswer(200, List.of(new HeaderField("A", "b")), body));
+    }
+
+    static CallResult await(final CompletableFuture<CallResult> call)
+            throws InterruptedException, ExecutionException, TimeoutException {
+        return call.get(WAIT_MS, TimeUnit.MILLISECONDS);
+    }
+
+    static void await(final BooleanSupplier condition) throws InterruptedException, TimeoutException {
+        long endMs = CLOCK.nowMs() + WAIT_MS;
+        while (!condition.getAsBoolean()) {
+            if (CLOCK.nowMs() > endMs) {
+                throw new TimeoutException("condition not met within " + WAIT_MS + " ms");
+            }
+            TimeUnit.MILLISECONDS.sleep(2);
+        }
+    }
+
+    @Override
+    public void close() throws ResourceCloseException {
+        closer.close();
+    }
+
+    private LinkContext context(
+            final LinkLimits limits, final String node, final long incarnation, final LinkCounters counters) {
+        MessageCodec codec = MessageCodec.of(List.of(new TextMessage.Codec()));
+        return new LinkContext(threads, new LinkIdentity(node, incarnation), limits, CLOCK, codec, counters);
+    }
+
+    private static RandomGenerator random() {
+        return RandomGeneratorFactory.of("L64X128MixRandom").create(1);
+    }
+
+    /** Handler that keeps every run until the test ends it. */
+    static final class ManualHandler implements CallHandler {
+
+        final Queue<CallRequest> requests = new ConcurrentLinkedQueue<>();
+        final Queue<CompletableFuture<CallResult>> runs = new ConcurrentLinkedQueue<>();
+
+        @Override
+        public CompletableFuture<CallResult> handle(final CallRequest request) {
+            CompletableFuture<CallResult> run = new CompletableFuture<>();
+            requests.add(request);
+            runs.add(run);
+            return run;
+        }
+    }
+}
