--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/configuration/Move.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/configuration/Move.java
@@ -14,6 +14,9 @@
  */
 public record Move(String from, String to, long finishByMs) {
 
+    /** Separates the parts of an identity; a character that names of services and versions cannot contain. */
+    private static final String SEPARATOR = "_";
+
     /**
      * Checks the components.
      *
@@ -32,9 +35,10 @@
      * Returns the identity of this move of a service.
      *
      * @param service the name of the service, not null.
-     * @return a name that differs whenever service, versions or time differ; fit for a key of the store.
+     * @return a name that differs whenever service, versions or time differ, on the condition that names consist of
+     *     letters, digits, dots and hyphens; fit for a key of the store.
      */
     public String identity(final String service) {
-        return service + "." + from + "." + to + "." + finishByMs;
+        return String.join(SEPARATOR, service, from, to, Long.toString(finishByMs));
     }
 }
