--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/blackboard/Section.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/blackboard/Section.java
@@ -21,7 +21,9 @@
     /** Fingerprints of requests that crash targets. */
     QUARANTINE(Scope.EVERYWHERE),
     /** Guards of one home group under an epoch. */
-    ROSTER(Scope.EVERYWHERE);
+    ROSTER(Scope.EVERYWHERE),
+    /** Members that are gone, as their own failure domain states it. */
+    DEPARTURE(Scope.EVERYWHERE);
 
     private final Scope scope;
 
--- /dev/null
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/replication/Offer.java
@@ -0,0 +1,27 @@
+package org.sequoiashunt.replication;
+
+import java.util.List;
+import java.util.Objects;
+import org.sequoiashunt.peer.ControlMessage;
+import org.sequoiashunt.peer.NodeAddress;
+
+/**
+ * Tells a peer which versions the sender has; the peer pulls what it lacks.
+ *
+ * <p>Immutable and thread-safe. Invariant: the list is unmodifiable.
+ *
+ * @param stamps the versions offered.
+ * @param replyTo the link address of the sender.
+ */
+public record Offer(List<EntryStamp> stamps, NodeAddress replyTo) implements ControlMessage {
+
+    /**
+     * Checks the components and copies the list.
+     *
+     * @throws NullPointerException if a component is null.
+     */
+    public Offer {
+        stamps = List.copyOf(stamps);
+        Objects.requireNonNull(replyTo, "replyTo");
+    }
+}
