Deliveries name the sender's address

A receiver pulls the parts that a head names from the node that delivered the head, which has them all; it may not know that node's member entry yet.

--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/replication/HeadDelta.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/replication/HeadDelta.java
@@ -6,6 +6,7 @@
 import java.util.SortedMap;
 import java.util.TreeMap;
 import org.sequoiashunt.peer.ControlMessage;
+import org.sequoiashunt.peer.NodeAddress;
 
 /**
  * Brings the head of the configuration as a difference to one that the receiver has.
@@ -19,6 +20,7 @@
  * @param removedServices the services that the new head no longer has.
  * @param groups the failure domains of each home group of the new head, by group.
  * @param writer the writer of the entry.
+ * @param replyTo the link address of the sender, from which the receiver pulls the new parts.
  */
 public record HeadDelta(
         long baseVersion,
@@ -27,7 +29,8 @@
         SortedMap<String, String> changedParts,
         List<String> removedServices,
         SortedMap<String, List<String>> groups,
-        String writer)
+        String writer,
+        NodeAddress replyTo)
         implements ControlMessage {
 
     /**
@@ -39,6 +42,7 @@
     public HeadDelta {
         Objects.requireNonNull(commitId, "commitId");
         Objects.requireNonNull(writer, "writer");
+        Objects.requireNonNull(replyTo, "replyTo");
         removedServices = List.copyOf(removedServices);
         changedParts = Collections.unmodifiableSortedMap(new TreeMap<>(changedParts));
         groups = Collections.unmodifiableSortedMap(new TreeMap<>(groups));
