--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/dispatch/DispatchedCall.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/dispatch/DispatchedCall.java
@@ -101,9 +101,19 @@
             finish(CallResult.notRun(Reason.NO_TARGET));
             return;
         }
+        if (needsClaim() && !beginDispatch()) {
+            finish(CallResult.notRun(Reason.DEADLINE));
+            return;
+        }
         send(selected.get());
     }
 
+    private boolean beginDispatch() {
+        return collaborators
+                .claims()
+                .beginDispatch(match.service().service(), call.key().orElseThrow(), claimId);
+    }
+
     private Optional<Candidate> select() {
         String service = match.service().service();
         for (String version : versions) {
--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/dispatch/CallDispatcherTest.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/dispatch/CallDispatcherTest.java
@@ -36,6 +36,7 @@
     private final List<CompletableFuture<CallResult>> attempts = new ArrayList<>();
     private final List<CallResult> recorded = new ArrayList<>();
     private CompletableFuture<Optional<CallResult>> claim = CompletableFuture.completedFuture(Optional.empty());
+    private boolean lapsed;
     private RoutingTable table = RoutingTable.of(3, List.of(service()));
 
     private final CallDispatcher dispatcher = new CallDispatcher(new CallDispatcher.Collaborators(
@@ -142,6 +143,15 @@
         assertEquals(0, sent.size());
     }
 
+    @Test
+    void dispatchesNothingWhenTheClaimHasLapsed() {
+        lapsed = true;
+        assertEquals(
+                CallResult.notRun(Reason.DEADLINE),
+                dispatcher.dispatch(reserve("k")).join());
+        assertEquals(0, sent.size());
+    }
+
     @Test
     void tellsTheRecordedResultOfAnEarlierCallWithoutDispatch() {
         claim = CompletableFuture.completedFuture(Optional.of(ANSWER));
@@ -207,6 +217,11 @@
             return claim;
         }
 
+        @Override
+        public boolean beginDispatch(final String service, final String key, final String attempt) {
+            return !lapsed;
+        }
+
         @Override
         public void record(final String service, final String key, final String attempt, final CallResult result) {
             recorded.add(result);
