--- /dev/null
+++ b/sequoiashunt-platform/src/main/java/org/sequoiashunt/platform/HttpAnswer.java
@@ -0,0 +1,24 @@
+package org.sequoiashunt.platform;
+
+import io.undertow.client.ClientResponse;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.HttpString;
+import java.util.Optional;
+
+/**
+ * Whole answer of the store's HTTP server. Immutable and thread-safe, on the condition that the body is not changed.
+ *
+ * @param status the HTTP status.
+ * @param headers the headers.
+ * @param body the body.
+ */
+record HttpAnswer(int status, HeaderMap headers, byte[] body) {
+
+    static HttpAnswer of(final ClientResponse response, final byte[] body) {
+        return new HttpAnswer(response.getResponseCode(), response.getResponseHeaders(), body);
+    }
+
+    Optional<String> header(final HttpString name) {
+        return Optional.ofNullable(headers.getFirst(name));
+    }
+}
--- /dev/null
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/store/Admission.java
@@ -0,0 +1,66 @@
+package org.sequoiashunt.trial.store;
+
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.SameThreadExecutor;
+import io.undertow.util.StatusCodes;
+import java.util.concurrent.TimeUnit;
+import org.sequoiashunt.platform.StoreProtocol;
+import org.sequoiashunt.time.Clock;
+
+/**
+ * Counts each call, refuses it in an outage or beyond its rate, and delays it.
+ *
+ * <p>Thread-safe; calls run on the I/O thread of their connection.
+ */
+final class Admission {
+
+    private static final int RETRY_AFTER_SECONDS = 1;
+
+    private final StoreFaults faults;
+    private final StoreCounters counters;
+    private final TokenBucket reads;
+    private final TokenBucket writes;
+
+    Admission(final StoreFaults faults, final StoreCounters counters, final StoreRates rates, final Clock clock) {
+        this.faults = faults;
+        this.counters = counters;
+        this.reads = new TokenBucket(clock, rates.readsPerSecond());
+        this.writes = new TokenBucket(clock, rates.writesPerSecond());
+    }
+
+    void admit(final HttpServerExchange exchange, final CallKind kind, final Runnable call) {
+        counters.count(kind);
+        if (refuseInOutage(exchange)) {
+            return;
+        }
+        if (!(kind.countsAsWrite() ? writes : reads).tryTake()) {
+            counters.countRateRefusal();
+            exchange.getResponseHeaders().put(StoreProtocol.RETRY_AFTER, RETRY_AFTER_SECONDS);
+            exchange.setStatusCode(StatusCodes.TOO_MANY_REQUESTS).endExchange();
+            return;
+        }
+        int latencyMs = faults.latencyMs();
+        if (latencyMs == 0) {
+            call.run();
+        } else {
+            exchange.dispatch(
+                    SameThreadExecutor.INSTANCE,
+                    () -> exchange.getIoThread().executeAfter(call, latencyMs, TimeUnit.MILLISECONDS));
+        }
+    }
+
+    /** Ends the call if there is an outage now; in a silent one it stays open until its caller closes it. */
+    boolean refuseInOutage(final HttpServerExchange exchange) {
+        if (faults.isSilent()) {
+            counters.countOutageRefusal();
+            exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {});
+            return true;
+        }
+        if (faults.isDown()) {
+            counters.countOutageRefusal();
+            exchange.setStatusCode(StatusCodes.SERVICE_UNAVAILABLE).endExchange();
+            return true;
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/store/CallKind.java
@@ -0,0 +1,25 @@
+package org.sequoiashunt.trial.store;
+
+/**
+ * Kind of a call to the store, for counting and for the rates. Immutable and thread-safe.
+ */
+enum CallKind {
+    /** Read or list. */
+    READ(false),
+    /** Watch, waiting or not. */
+    WATCH(false),
+    /** Compare-and-swap. */
+    WRITE(true),
+    /** Lease acquired, renewed or released. */
+    LEASE(true);
+
+    private final boolean countsAsWrite;
+
+    CallKind(final boolean countsAsWrite) {
+        this.countsAsWrite = countsAsWrite;
+    }
+
+    boolean countsAsWrite() {
+        return countsAsWrite;
+    }
+}
--- /dev/null
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/store/StoreFaults.java
@@ -0,0 +1,78 @@
+package org.sequoiashunt.trial.store;
+
+import java.util.Objects;
+import org.sequoiashunt.store.MemoryStore;
+
+/**
+ * Switches for the faults of the store stand-in. All are off at first.
+ *
+ * <p>Thread-safe: each switch is read and written on its own.
+ */
+public final class StoreFaults {
+
+    private final MemoryStore store;
+    private volatile boolean down;
+    private volatile boolean silent;
+    private volatile int latencyMs;
+
+    StoreFaults(final MemoryStore store) {
+        this.store = Objects.requireNonNull(store, "store");
+    }
+
+    /**
+     * Switches an outage on or off in which every call is refused with status 503 and no effect.
+     *
+     * @param newDown true to start it.
+     */
+    public void setDown(final boolean newDown) {
+        down = newDown;
+    }
+
+    /**
+     * Switches an outage on or off in which calls are taken and never answered, without an effect.
+     *
+     * @param newSilent true to start it.
+     */
+    public void setSilent(final boolean newSilent) {
+        silent = newSilent;
+    }
+
+    /**
+     * Delays each call, before its effect.
+     *
+     * @param newLatencyMs the delay in milliseconds, zero for none.
+     * @throws IllegalArgumentException if the delay is negative.
+     */
+    public void setLatencyMs(final int newLatencyMs) {
+        if (newLatencyMs < 0) {
+            throw new IllegalArgumentException("latencyMs must not be negative: " + newLatencyMs);
+        }
+        latencyMs = newLatencyMs;
+    }
+
+    /**
+     * Lets the next writes and lease calls take effect and closes their connections without an answer.
+     *
+     * @param count how many, zero to stop.
+     */
+    public void loseAnswers(final int count) {
+        store.loseAnswers(count);
+    }
+
+    /** Ends all leases at once. */
+    public void expireLeases() {
+        store.expireLeases();
+    }
+
+    boolean isDown() {
+        return down;
+    }
+
+    boolean isSilent() {
+        return silent;
+    }
+
+    int latencyMs() {
+        return latencyMs;
+    }
+}
--- /dev/null
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/store/StoreStandIn.java
@@ -0,0 +1,120 @@
+package org.sequoiashunt.trial.store;
+
+import io.undertow.Handlers;
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.undertow.server.HttpHandler;
+import java.net.InetSocketAddress;
+import java.util.Objects;
+import org.sequoiashunt.peer.NodeAddress;
+import org.sequoiashunt.platform.StoreProtocol;
+import org.sequoiashunt.store.MemoryStore;
+import org.sequoiashunt.store.Store;
+import org.sequoiashunt.time.Clock;
+
+/**
+ * Stand-in of the platform's store for tests and the demonstration: the HTTP protocol of {@link StoreProtocol} over a
+ * store in memory, with the platform's rates and with switches for its faults.
+ *
+ * <p>{@code GET /counters} tells how many calls it got; {@code /faults} switches faults, see {@link StoreFaults}.
+ * Neither counts as a call. Thread-safe.
+ */
+public final class StoreStandIn implements AutoCloseable {
+
+    private static final int MAXIMUM_HEADER_BYTES = 16_384;
+
+    /** Connections that sent no whole request head after this time are closed. */
+    private static final int HEAD_TIMEOUT_MS = 10_000;
+
+    private final MemoryStore store;
+    private final StoreFaults faults;
+    private final StoreCounters counters = new StoreCounters();
+    private final Undertow server;
+
+    private StoreStandIn(final NodeAddress address, final int port, final StoreRates rates, final Clock clock) {
+        this.store = MemoryStore.of(clock);
+        this.faults = new StoreFaults(store);
+        Admission admission = new Admission(faults, counters, rates, clock);
+        this.server = Undertow.builder()
+                .addHttpListener(port, address.host(), handlers(admission))
+                .setIoThreads(2)
+                .setWorkerThreads(1)
+                .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, (long) Store.MAXIMUM_VALUE_BYTES)
+                .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAXIMUM_HEADER_BYTES)
+                .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, HEAD_TIMEOUT_MS)
+                .build();
+    }
+
+    /**
+     * Starts a stand-in on a given address.
+     *
+     * @param address where to listen, not null.
+     * @param rates the rates to enforce, not null.
+     * @param clock the clock of rates and leases, not null.
+     * @return the running stand-in, never null; the caller closes it.
+     * @throws RuntimeException if the address is in use.
+     */
+    public static StoreStandIn start(final NodeAddress address, final StoreRates rates, final Clock clock) {
+        Objects.requireNonNull(address, "address");
+        return started(new StoreStandIn(address, address.port(), rates, clock));
+    }
+
+    /**
+     * Starts a stand-in on a free port of the loopback address.
+     *
+     * @param rates the rates to enforce, not null.
+     * @param clock the clock of rates and leases, not null.
+     * @return the running stand-in, never null; the caller closes it.
+     */
+    public static StoreStandIn startOnLoopback(final StoreRates rates, final Clock clock) {
+        return started(new StoreStandIn(new NodeAddress("127.0.0.1", 1), 0, rates, clock));
+    }
+
+    private static StoreStandIn started(final StoreStandIn standIn) {
+        standIn.server.start();
+        return standIn;
+    }
+
+    /**
+     * Returns the address on which the stand-in listens.
+     *
+     * @return the address, never null.
+     */
+    public NodeAddress address() {
+        InetSocketAddress bound =
+                (InetSocketAddress) server.getListenerInfo().get(0).getAddress();
+        return new NodeAddress(bound.getAddress().getHostAddress(), bound.getPort());
+    }
+
+    /**
+     * Returns the switches for faults.
+     *
+     * @return the switches, never null.
+     */
+    public StoreFaults faults() {
+        return faults;
+    }
+
+    /**
+     * Returns how many calls came in.
+     *
+     * @return the counts since the start, never null.
+     */
+    public StoreCounts counts() {
+        return counters.counts();
+    }
+
+    @Override
+    public void close() {
+        server.stop();
+    }
+
+    private HttpHandler handlers(final Admission admission) {
+        return Handlers.path()
+                .addPrefixPath(StoreProtocol.VALUES, new ValueHandler(store, admission, counters))
+                .addPrefixPath(StoreProtocol.WATCH, new WatchHandler(store, admission))
+                .addPrefixPath(StoreProtocol.LEASES, new LeaseHandler(store, admission))
+                .addExactPath("/faults", new FaultHandler(faults))
+                .addExactPath("/counters", exchange -> Responses.sendDocument(exchange, counters.counts()));
+    }
+}
--- /dev/null
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/store/ValueHandler.java
@@ -0,0 +1,110 @@
+package org.sequoiashunt.trial.store;
+
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.Methods;
+import io.undertow.util.StatusCodes;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.sequoiashunt.platform.StoreProtocol;
+import org.sequoiashunt.store.MemoryStore;
+import org.sequoiashunt.store.Store;
+import org.sequoiashunt.store.StoreConflictException;
+import org.sequoiashunt.store.StoreException;
+import org.sequoiashunt.store.StoredValue;
+
+/**
+ * Serves reads, lists and compare-and-swaps of values. Thread-safe; runs on I/O threads and never blocks.
+ */
+final class ValueHandler implements HttpHandler {
+
+    private final MemoryStore store;
+    private final Admission admission;
+    private final StoreCounters counters;
+
+    ValueHandler(final MemoryStore store, final Admission admission, final StoreCounters counters) {
+        this.store = store;
+        this.admission = admission;
+        this.counters = counters;
+    }
+
+    @Override
+    public void handleRequest(final HttpServerExchange exchange) {
+        String key = Responses.rest(exchange);
+        if (exchange.getRequestMethod().equals(Methods.PUT) && !key.isEmpty()) {
+            receive(exchange, key);
+        } else if (!exchange.getRequestMethod().equals(Methods.GET)) {
+            Responses.sendStatus(exchange, StatusCodes.METHOD_NOT_ALLOWED);
+        } else if (key.isEmpty()) {
+            admission.admit(exchange, CallKind.READ, () -> list(exchange));
+        } else {
+            admission.admit(exchange, CallKind.READ, () -> read(exchange, key));
+        }
+    }
+
+    private void read(final HttpServerExchange exchange, final String key) {
+        try {
+            Optional<StoredValue> value = store.read(key);
+            value.ifPresentOrElse(
+                    present -> Responses.sendValue(exchange, present),
+                    () -> Responses.sendStatus(exchange, StatusCodes.NOT_FOUND));
+        } catch (StoreException exception) {
+            Responses.sendFailure(exchange, exception);
+        }
+    }
+
+    private void list(final HttpServerExchange exchange) {
+        try {
+            List<StoreProtocol.ListedValue> listed = new ArrayList<>();
+            for (StoredValue value :
+                    store.list(Responses.parameter(exchange, "prefix").orElse(""))) {
+                listed.add(new StoreProtocol.ListedValue(value.key(), value.revision(), value.bytes()));
+            }
+            Responses.sendDocument(exchange, new StoreProtocol.ListedValues(listed));
+        } catch (StoreException exception) {
+            Responses.sendFailure(exchange, exception);
+        }
+    }
+
+    private void receive(final HttpServerExchange exchange, final String key) {
+        Optional<Long> expected = Optional.ofNullable(
+                        exchange.getRequestHeaders().getFirst(StoreProtocol.EXPECTED_REVISION))
+                .flatMap(Responses::parseNumber);
+        if (expected.isEmpty()) {
+            Responses.sendBadRequest(exchange, "Expected-Revision must be a number, 0 for a key that must not exist");
+            return;
+        }
+        if (exchange.getRequestContentLength() > Store.MAXIMUM_VALUE_BYTES) {
+            refuseOversized(exchange);
+            return;
+        }
+        exchange.getRequestReceiver()
+                .receiveFullBytes(
+                        (received, value) -> admission.admit(
+                                received, CallKind.WRITE, () -> swap(received, key, expected.get(), value)),
+                        (received, exception) -> refuseOversized(received));
+    }
+
+    private static void refuseOversized(final HttpServerExchange exchange) {
+        exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
+        exchange.setPersistent(false);
+        Responses.sendStatus(exchange, StatusCodes.REQUEST_ENTITY_TOO_LARGE);
+    }
+
+    private void swap(
+            final HttpServerExchange exchange, final String key, final long expectedRevision, final byte[] value) {
+        try {
+            long revision = store.compareAndSwap(key, expectedRevision, value);
+            exchange.getResponseHeaders().put(StoreProtocol.REVISION, revision);
+            Responses.sendStatus(exchange, StatusCodes.OK);
+        } catch (StoreConflictException conflict) {
+            counters.countConflict();
+            exchange.getResponseHeaders().put(StoreProtocol.REVISION, conflict.currentRevision());
+            Responses.sendStatus(exchange, StatusCodes.CONFLICT);
+        } catch (StoreException exception) {
+            Responses.sendFailure(exchange, exception);
+        }
+    }
+}
