--- /dev/null
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/process/Conditions.java
@@ -0,0 +1,55 @@
+package org.sequoiashunt.trial.process;
+
+import java.util.concurrent.Callable;
+
+/**
+ * Waits for conditions of running processes. Not instantiable; thread-safe.
+ */
+public final class Conditions {
+
+    private static final long PAUSE_MS = 20;
+    private static final long NANOS_PER_MS = 1_000_000;
+
+    private Conditions() {}
+
+    /**
+     * Waits until a condition holds.
+     *
+     * @param what names the condition, not null.
+     * @param boundMs the longest wait in milliseconds.
+     * @param condition the condition; an exception counts as not holding.
+     * @return how long it took, in milliseconds.
+     * @throws InterruptedException if the thread is interrupted.
+     * @throws ConditionException if the condition does not hold in time.
+     */
+    public static long await(final String what, final long boundMs, final Callable<Boolean> condition)
+            throws InterruptedException, ConditionException {
+        long startNanos = System.nanoTime();
+        String last = "";
+        while (true) {
+            try {
+                if (condition.call()) {
+                    return (System.nanoTime() - startNanos) / NANOS_PER_MS;
+                }
+            } catch (InterruptedException exception) {
+                throw exception;
+            } catch (Exception exception) {
+                last = ": " + exception;
+            }
+            if ((System.nanoTime() - startNanos) / NANOS_PER_MS > boundMs) {
+                throw new ConditionException(what + " not within " + boundMs + " ms" + last);
+            }
+            Thread.sleep(PAUSE_MS);
+        }
+    }
+
+    /** Reports a condition that did not hold in time. */
+    public static final class ConditionException extends Exception {
+
+        private static final long serialVersionUID = 1L;
+
+        ConditionException(final String message) {
+            super(message);
+        }
+    }
+}
