--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/HomeGroups.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/HomeGroups.java
@@ -7,23 +7,25 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
+import org.sequoiashunt.execution.HomeGroupSource.Lists;
 import org.sequoiashunt.time.Clock;
 
 /**
  * Finds the home group of a key, and its former ones while claims made there are still retained.
  *
  * <p>A key of the form {@code <group>:<rest>} names its group if the service lists that group. Any other key has the
- * group that a rendezvous hash over the listed groups gives.
+ * group that a rendezvous hash over the listed groups gives. Former groups are those that the configuration names, and
+ * those that this node itself saw in force within the retention window; the second kind alone is not enough, since a
+ * node that has just started saw none.
  *
- * <p>Call {@link #refresh()} several times a second, so that no list in force is missed. Thread-safe: one lock.
- * Invariant: a list that was in force within the retention window is still asked.
+ * <p>Call {@link #refresh()} several times a second. Thread-safe: one lock.
  */
 public final class HomeGroups {
 
     private final HomeGroupSource source;
     private final Clock clock;
     private final long retentionMs;
-    private final Set<ClaimRule> rules;
+    private final boolean asksFormer;
     private final Map<String, List<ListInForce>> histories = new HashMap<>();
 
     /**
@@ -39,21 +41,13 @@
         this.source = Objects.requireNonNull(source, "source");
         this.clock = Objects.requireNonNull(clock, "clock");
         this.retentionMs = timing.retentionMs();
-        this.rules = Set.copyOf(rules);
+        this.asksFormer = rules.contains(ClaimRule.BOTH_HOMES);
     }
 
     /** Notes the lists that are in force now. */
     public synchronized void refresh() {
-        Map<String, List<String>> present = source.homeGroups();
         long nowMs = clock.nowMs();
-        present.forEach((service, groups) -> note(service, groups, nowMs));
-        histories.keySet().stream()
-                .filter(service -> !present.containsKey(service))
-                .toList()
-                .forEach(service -> note(service, List.of(), nowMs));
-        histories
-                .values()
-                .removeIf(history -> history.size() == 1 && last(history).groups.isEmpty());
+        source.homeGroups().forEach((service, lists) -> note(service, lists.current(), nowMs));
     }
 
     /**
@@ -64,36 +58,32 @@
      * @return the home group, followed by former ones; empty if the service lists none.
      */
     public synchronized List<String> find(final String service, final String key) {
-        refresh();
-        List<ListInForce> history = histories.getOrDefault(service, List.of());
-        if (history.isEmpty() || last(history).groups.isEmpty()) {
+        Lists lists = source.homeGroups().get(service);
+        if (lists == null || lists.current().isEmpty()) {
             return List.of();
         }
         Set<String> homes = new LinkedHashSet<>();
-        for (int index = history.size() - 1; index >= 0; index--) {
-            List<String> groups = history.get(index).groups;
-            if (!groups.isEmpty()) {
-                homes.add(home(groups, service, key));
-            }
+        homes.add(home(lists.current(), service, key));
+        if (asksFormer) {
+            List<List<String>> former = new ArrayList<>(List.of(lists.former()));
+            histories.getOrDefault(service, List.of()).forEach(past -> former.add(past.groups));
+            former.stream()
+                    .filter(groups -> !groups.isEmpty())
+                    .forEach(groups -> homes.add(home(groups, service, key)));
         }
         return List.copyOf(homes);
     }
 
     private void note(final String service, final List<String> groups, final long nowMs) {
         List<ListInForce> history = histories.computeIfAbsent(service, name -> new ArrayList<>());
-        if (history.isEmpty() || !last(history).groups.equals(groups)) {
-            history.add(new ListInForce(List.copyOf(groups), nowMs));
+        if (history.isEmpty() || !history.get(history.size() - 1).groups.equals(groups)) {
+            history.add(new ListInForce(groups, nowMs));
         }
-        long oldestMs = rules.contains(ClaimRule.BOTH_HOMES) ? nowMs - retentionMs : nowMs;
-        while (history.size() > 1 && history.get(1).sinceMs <= oldestMs) {
+        while (history.size() > 1 && nowMs - history.get(1).sinceMs >= retentionMs) {
             history.remove(0);
         }
     }
 
-    private static ListInForce last(final List<ListInForce> history) {
-        return history.get(history.size() - 1);
-    }
-
     private static String home(final List<String> groups, final String service, final String key) {
         int colon = key.indexOf(':');
         if (colon > 0 && groups.contains(key.substring(0, colon))) {
--- /dev/null
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/RequestFingerprint.java
@@ -0,0 +1,45 @@
+package org.sequoiashunt.execution;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.util.HexFormat;
+import org.sequoiashunt.call.CallRequest;
+
+/**
+ * Names a request so that a resend has the same name: by the caller's key if there is one, else by what it contains.
+ * Not instantiable; thread-safe.
+ */
+final class RequestFingerprint {
+
+    private static final int BYTES = 16;
+
+    private RequestFingerprint() {}
+
+    /**
+     * Returns the fingerprint of a request.
+     *
+     * @param request the request, not null.
+     * @return 32 hexadecimal digits.
+     */
+    static String of(final CallRequest request) {
+        MessageDigest digest = ClaimKey.sha256();
+        update(digest, request.service());
+        if (request.key().isPresent()) {
+            update(digest, "key");
+            update(digest, request.key().get());
+        } else {
+            update(digest, "content");
+            update(digest, request.method());
+            update(digest, request.uri());
+            digest.update(request.body().bytes());
+        }
+        return HexFormat.of().formatHex(digest.digest(), 0, BYTES);
+    }
+
+    /** Adds a text with its length in front, so that neighbouring texts cannot be confused. */
+    private static void update(final MessageDigest digest, final String text) {
+        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        digest.update((bytes.length + "/").getBytes(StandardCharsets.UTF_8));
+        digest.update(bytes);
+    }
+}
--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/execution/ModelWorld.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/execution/ModelWorld.java
@@ -12,6 +12,7 @@
 import org.sequoiashunt.execution.ClaimCapacity;
 import org.sequoiashunt.execution.ClaimRule;
 import org.sequoiashunt.execution.ClaimTiming;
+import org.sequoiashunt.execution.HomeGroupSource.Lists;
 import org.sequoiashunt.peer.ControlMessage;
 
 /**
@@ -61,7 +62,7 @@
         this.store = new ModelStore(random);
         this.rosterSize = 3 + random.nextInt(3);
         this.capacity = ModelNode.capacity(random.nextInt(4) == 0 ? 32 : 5_000);
-        this.homeChangeMs = random.nextInt(3) == 0 ? WARM_UP_MS + random.nextInt((int) endMs / 2) : Long.MAX_VALUE;
+        this.homeChangeMs = random.nextInt(3) == 0 ? WARM_UP_MS + random.nextInt((int) endMs / 2) : Integer.MAX_VALUE;
         addNodes("east", EAST_NODES);
         addNodes("west", WEST_NODES);
     }
@@ -118,10 +119,14 @@
         plan.add(new Planned(nowMs + delayMs, planned++, action));
     }
 
-    /** Returns the home groups that a node has in force; nodes adopt a change with some lag. */
-    Map<String, List<String>> homeGroups(final String node) {
-        boolean changed = homeChangeMs != Long.MAX_VALUE && nowMs >= homeChangeMs + adoptionLagMs.get(node);
-        return Map.of("ledger", changed ? List.of("west") : List.of("east"));
+    /** Returns the home groups that a node has in force; nodes adopt each change with a lag of their own. */
+    Map<String, Lists> homeGroups(final String node) {
+        long sinceMs = nowMs - homeChangeMs - adoptionLagMs.get(node);
+        if (sinceMs < 0) {
+            return Map.of("ledger", new Lists(List.of("east"), List.of()));
+        }
+        boolean formerDropped = sinceMs >= TIMING.retentionMs() + ADOPTION_LAG_MS;
+        return Map.of("ledger", new Lists(List.of("west"), formerDropped ? List.of() : List.of("east")));
     }
 
     /** Returns the nodes of a node's group that it can reach. */
