--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/CallLedger.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/CallLedger.java
@@ -171,9 +171,14 @@
         ended.removeIf(known -> known.phase != Phase.DONE);
     }
 
-    synchronized int running() {
+    /**
+     * Counts the calls that run or whose result is retained for its receiver.
+     *
+     * @return the number of calls.
+     */
+    synchronized int outstanding() {
         return (int) records.values().stream()
-                .filter(known -> known.phase == Phase.RUNNING)
+                .filter(known -> known.phase == Phase.RUNNING || known.phase == Phase.DONE)
                 .count();
     }
 
--- /dev/null
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/FramePipeline.java
@@ -0,0 +1,28 @@
+package org.sequoiashunt.link;
+
+import io.netty.channel.Channel;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+
+/** Handlers that both sides of a connection share. Stateless and thread-safe. */
+final class FramePipeline {
+
+    private FramePipeline() {}
+
+    static void addHandlers(
+            final Channel channel,
+            final LinkContext context,
+            final InboundProgress progress,
+            final Runnable afterRead) {
+        int maximumBytes = Frames.LENGTH_BYTES + context.limits().maximumFrameBytes();
+        channel.pipeline()
+                .addLast(new InboundMeter(progress, context.clock(), afterRead))
+                .addLast(new LengthFieldBasedFrameDecoder(maximumBytes, 0, Frames.LENGTH_BYTES, 0, Frames.LENGTH_BYTES))
+                .addLast(new FrameDecoder(context.counters(), progress, context.clock()))
+                .addLast(new FrameEncoder(context.counters()));
+    }
+
+    static WriteBufferWaterMark waterMark(final LinkLimits limits) {
+        return new WriteBufferWaterMark(limits.maximumFrameBytes() / 2, limits.maximumFrameBytes());
+    }
+}
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/InFlightCalls.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/InFlightCalls.java
@@ -1,6 +1,8 @@
 package org.sequoiashunt.link;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -26,11 +28,15 @@
  */
 final class InFlightCalls {
 
+    /** Bounds the memory that a link to a slow peer takes up. */
+    private static final int MAXIMUM_CALLS = 1_024;
+
     private static final AtomicLong NUMBERS = new AtomicLong();
 
     private final long unsentLimitMs;
     private final long askLimitMs;
     private final Map<Long, InFlightCall> calls = new LinkedHashMap<>();
+    private final Deque<InFlightCall> waiting = new ArrayDeque<>();
     private boolean retired;
 
     InFlightCalls(final LinkLimits limits) {
@@ -53,6 +59,7 @@
         }
         InFlightCall call = new InFlightCall(NUMBERS.incrementAndGet(), request, future, nowMs);
         calls.put(call.number(), call);
+        waiting.addLast(call);
         return Optional.of(call);
     }
 
@@ -74,17 +81,25 @@
         return calls.isEmpty();
     }
 
+    synchronized boolean isFull() {
+        return calls.size() >= MAXIMUM_CALLS;
+    }
+
     synchronized int size() {
         return calls.size();
     }
 
     /**
-     * Returns the calls that wait to be sent.
+     * Takes the next call that waits to be sent; it is not returned again.
      *
-     * @return the calls in the order in which they were added.
+     * @return the call added first, or empty if none waits.
      */
-    synchronized List<InFlightCall> waiting() {
-        return calls.values().stream().filter(call -> !call.isSent()).toList();
+    synchronized Optional<InFlightCall> nextWaiting() {
+        InFlightCall call = waiting.pollFirst();
+        while (call != null && !calls.containsKey(call.number())) {
+            call = waiting.pollFirst();
+        }
+        return Optional.ofNullable(call);
     }
 
     /**
@@ -195,6 +210,7 @@
      * @return true if the gate is to be told.
      */
     synchronized boolean remove(final InFlightCall call) {
+        waiting.remove(call);
         return calls.remove(call.number()) != null && call.isSent();
     }
 
@@ -221,6 +237,7 @@
                 Optional<CallResult> result = decision.apply(call);
                 if (result.isPresent()) {
                     iterator.remove();
+                    waiting.remove(call);
                     ended.add(call);
                     results.add(result.get());
                 }
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/Link.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/Link.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.Optional;
 import org.sequoiashunt.call.CallResult;
 import org.sequoiashunt.call.Reason;
 import org.sequoiashunt.link.LinkCounters.Count;
@@ -25,7 +26,9 @@
  */
 final class Link {
 
-    private static final int MAXIMUM_QUEUED = 64;
+    private static final long MAXIMUM_QUEUED_BYTES = 262_144;
+    private static final long STABLE_MS = 1_000; // A connection that lasted less is replaced with a delay only.
+    private static final long STAMP_AGE_LIMIT_MS = 5_000; // 1,000 ppm of clock drift then shift an age by 5 ms.
     private static final int ACKNOWLEDGE_BATCH = 64;
 
     private final NodeAddress address;
@@ -34,6 +37,7 @@
     private final ReconnectDelay reconnectDelay;
     private final Deque<Frame> queued = new ArrayDeque<>();
     private final List<String> unacknowledged = new ArrayList<>();
+    private long queuedBytes;
     private LinkConnection connection;
     private long connectingSinceMs;
     private long nextAttemptMs;
@@ -67,13 +71,14 @@
     }
 
     void sendControl(final Frame frame) {
-        boolean full = isOpen() ? !connection.isWritable() : queued.size() >= MAXIMUM_QUEUED;
+        boolean full = isOpen() ? !connection.isWritable() : queuedBytes >= MAXIMUM_QUEUED_BYTES;
         if (full || calls.isRetired()) {
             context.counters().increment(Count.CONTROL_MESSAGES_DROPPED);
             return;
         }
         lastUsedMs = context.clock().nowMs();
         queued.addLast(frame);
+        queuedBytes += frame.getSerializedSize();
         pump();
     }
 
@@ -112,7 +117,6 @@
 
     void connectionOpened(final LinkConnection opened) {
         context.counters().increment(Count.LINKS_OPENED);
-        reconnectDelay.reset();
         for (InFlightCall call : calls.connectionOpened(opened.peer())) {
             context.counters().increment(Count.CALLS_ASKED);
             opened.write(Frames.query(call.number(), call.request().callId(), remainingMs(call)));
@@ -128,12 +132,13 @@
         connection = null;
         calls.connectionLost(nowMs);
         if (closed.peer() == null) {
-            context.counters().increment(Count.LINKS_FAILED);
-            context.counters().add(Count.CONTROL_MESSAGES_DROPPED, queued.size());
-            queued.clear();
-            nextAttemptMs = nowMs + reconnectDelay.nextMs();
-        } else {
+            openingFailed();
+        }
+        if (closed.peer() != null && nowMs - connectingSinceMs >= STABLE_MS) {
+            reconnectDelay.reset();
             pump();
+        } else {
+            nextAttemptMs = nowMs + reconnectDelay.nextMs();
         }
     }
 
@@ -145,6 +150,14 @@
         }
     }
 
+    private void openingFailed() {
+        context.counters().increment(Count.LINKS_FAILED);
+        context.counters().add(Count.CONTROL_MESSAGES_DROPPED, queued.size());
+        queued.clear();
+        queuedBytes = 0;
+        calls.refuseWaiting(Reason.CONNECTION_FAILED);
+    }
+
     private void receiveEnd(final CallEnd end) throws LinkProtocolException {
         calls.end(end.getNumber(), end.getCallId(), CallCodec.decode(end));
         unacknowledged.add(end.getCallId());
@@ -174,11 +187,19 @@
             case SILENT -> replace();
             default -> closeIfIdle(nowMs);
         }
+        refreshStamp(nowMs);
         if (isOpen() && nowMs - lastAcknowledgedMs >= context.limits().pingIntervalMs()) {
             writeAcknowledge(nowMs);
         }
     }
 
+    private void refreshStamp(final long nowMs) {
+        boolean inUse = nowMs - lastUsedMs < STAMP_AGE_LIMIT_MS;
+        if (inUse && isOpen() && connection.isStampDue(STAMP_AGE_LIMIT_MS)) {
+            connection.write(Frames.ping());
+        }
+    }
+
     private void replace() {
         context.counters().increment(Count.LINKS_REPLACED);
         LinkConnection silent = connection;
@@ -211,17 +232,18 @@
 
     private void writeQueued() {
         while (!queued.isEmpty() && connection.isWritable()) {
-            connection.write(queued.removeFirst());
+            Frame frame = queued.removeFirst();
+            queuedBytes -= frame.getSerializedSize();
+            connection.write(frame);
             context.counters().increment(Count.CONTROL_MESSAGES_OUT);
         }
     }
 
     private void writeWaiting() {
-        for (InFlightCall call : calls.waiting()) {
-            if (!connection.isWritable()) {
-                return;
-            }
-            writeStart(call);
+        Optional<InFlightCall> call = connection.isWritable() ? calls.nextWaiting() : Optional.empty();
+        while (call.isPresent()) {
+            writeStart(call.get());
+            call = connection.isWritable() ? calls.nextWaiting() : Optional.empty();
         }
     }
 
@@ -270,7 +292,7 @@
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int)
                         context.limits().openTimeoutMs())
                 .option(ChannelOption.ALLOCATOR, context.threads().allocator())
-                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, LinkServer.waterMark(context.limits()))
+                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, FramePipeline.waterMark(context.limits()))
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(final SocketChannel channel) {
@@ -287,7 +309,7 @@
     private void addHandlers(final SocketChannel channel, final LinkConnection opening) {
         InboundProgress progress = new InboundProgress(
                 context.limits().frameTimeLimitMs(), context.clock().nowMs());
-        LinkServer.addHandlers(channel, context, progress, opening::received);
+        FramePipeline.addHandlers(channel, context, progress, opening::received);
         channel.pipeline().addLast(opening);
     }
 }
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/LinkClient.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/LinkClient.java
@@ -33,6 +33,7 @@
     private final RandomGenerator random;
     private final Map<NodeAddress, Link> links = new ConcurrentHashMap<>();
     private Future<?> ticking;
+    private volatile boolean closed;
 
     private LinkClient(final LinkContext context, final RandomGenerator random) {
         this.context = context;
@@ -77,6 +78,9 @@
         CompletableFuture<CallResult> future = new CompletableFuture<>();
         Optional<Link> link = link(gate);
         while (link.isPresent()) {
+            if (link.get().calls().isFull()) {
+                return CompletableFuture.completedFuture(CallResult.notRun(Reason.QUEUE_FULL));
+            }
             Optional<InFlightCall> call = link.get().calls().add(request, future, nowMs);
             if (call.isPresent()) {
                 start(link.get(), call.get());
@@ -88,11 +92,22 @@
         return CompletableFuture.completedFuture(CallResult.notRun(Reason.CONNECTION_FAILED));
     }
 
-    /** Ends all calls and closes all links. */
+    /**
+     * Returns how many calls to other nodes have not ended.
+     *
+     * @return the number of calls.
+     */
+    public int callsInFlight() {
+        return links.values().stream().mapToInt(link -> link.calls().size()).sum();
+    }
+
+    /** Ends all calls and closes all links; later calls end as not run. */
     @Override
     public void close() {
+        closed = true;
         ticking.cancel(false);
         for (Link link : links.values()) {
+            link.calls().close();
             context.threads().opening().execute(link::close);
         }
         links.clear();
@@ -105,10 +120,16 @@
             }
         });
         context.threads().opening().execute(link::pump);
+        if (closed) {
+            link.calls().close();
+        }
     }
 
     private Optional<Link> link(final NodeAddress address) {
         Link known = links.get(address);
+        if (closed) {
+            return Optional.empty();
+        }
         if (known == null && links.size() < context.limits().maximumConnections()) {
             known = links.computeIfAbsent(address, key -> new Link(key, context, new ReconnectDelay(random)));
         }
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/LinkConnection.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/LinkConnection.java
@@ -21,6 +21,7 @@
     private LinkIdentity peer;
     private long stampMs;
     private long stampReceivedMs;
+    private long stampAskedMs;
     private boolean abandoned;
 
     LinkConnection(final LinkContext context, final Link link) {
@@ -64,6 +65,21 @@
                 .build();
     }
 
+    /**
+     * Tells whether a new stamp is to be asked for, at most once per age limit.
+     *
+     * @param ageLimitMs the age at which a stamp is replaced.
+     * @return true if the caller is to send a ping.
+     */
+    boolean isStampDue(final long ageLimitMs) {
+        long nowMs = context.clock().nowMs();
+        if (nowMs - Math.max(stampReceivedMs, stampAskedMs) < ageLimitMs) {
+            return false;
+        }
+        stampAskedMs = nowMs;
+        return true;
+    }
+
     /** Closes the connection without waiting for what was written to it to be sent. */
     void abandon() {
         abandoned = true;
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/LinkServer.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/LinkServer.java
@@ -5,10 +5,8 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -22,8 +20,8 @@
 /**
  * Accepts the links of other nodes, hands their control messages to a receiver and runs their calls.
  *
- * <p>Open one per node with {@link #open}. Closing it cuts the connections; wait before until {@link #runningCalls()}
- * is zero.
+ * <p>Open one per node with {@link #open}. Closing it cuts the connections; wait before until
+ * {@link #outstandingCalls()} is zero.
  *
  * <p>Thread-safe. Invariant: a connection that breaks the protocol is closed and counted, and no other is affected.
  */
@@ -80,12 +78,13 @@
     }
 
     /**
-     * Returns how many calls of other nodes are running.
+     * Returns how many calls of other nodes are running, or have an answer that its receiver has not acknowledged and
+     * may still want.
      *
      * @return the number of calls.
      */
-    public int runningCalls() {
-        return calls.running();
+    public int outstandingCalls() {
+        return calls.outstanding();
     }
 
     /** Stops accepting and cuts all connections. */
@@ -104,7 +103,7 @@
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.ALLOCATOR, context.threads().allocator())
-                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, waterMark(context.limits()))
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, FramePipeline.waterMark(context.limits()))
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(final SocketChannel channel) {
@@ -132,7 +131,7 @@
         ServerConnection connection = new ServerConnection(context, calls, receiver, progress, budget);
         connections.put(channel, connection);
         channel.closeFuture().addListener(closed -> connections.remove(channel));
-        addHandlers(channel, context, progress, connection::afterRead);
+        FramePipeline.addHandlers(channel, context, progress, connection::afterRead);
         channel.pipeline().addLast(connection);
     }
 
@@ -140,22 +139,4 @@
         calls.expire();
         connections.values().forEach(ServerConnection::sweep);
     }
-
-    static void addHandlers(
-            final Channel channel,
-            final LinkContext context,
-            final InboundProgress progress,
-            final Runnable afterRead) {
-        int maximumBytes = context.limits().maximumFrameBytes();
-        channel.pipeline()
-                .addLast(new InboundMeter(progress, context.clock(), afterRead))
-                .addLast(new LengthFieldBasedFrameDecoder(
-                        maximumBytes + Frames.LENGTH_BYTES, 0, Frames.LENGTH_BYTES, 0, Frames.LENGTH_BYTES))
-                .addLast(new FrameDecoder(context.counters(), progress, context.clock()))
-                .addLast(new FrameEncoder(context.counters()));
-    }
-
-    static WriteBufferWaterMark waterMark(final LinkLimits limits) {
-        return new WriteBufferWaterMark(limits.maximumFrameBytes() / 2, limits.maximumFrameBytes());
-    }
 }
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/ServedCalls.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/ServedCalls.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 import java.util.Optional;
+import java.util.concurrent.CancellationException;
 import java.util.concurrent.CompletableFuture;
 import org.sequoiashunt.call.CallHandler;
 import org.sequoiashunt.call.CallRequest;
@@ -25,6 +26,9 @@
  */
 final class ServedCalls {
 
+    /** No call is remembered for longer, whatever its sender asks for. */
+    private static final long LONGEST_CALL_MS = 3_600_000;
+
     private final CallLedger ledger;
     private final CallHandler handler;
     private final LinkLimits limits;
@@ -48,7 +52,7 @@
      */
     void start(final CallStart start, final ResultReceiver receiver) throws LinkProtocolException {
         long nowMs = clock.nowMs();
-        long remainingMs = start.getFreshness().getRemainingMs();
+        long remainingMs = remainingMs(start.getFreshness().getRemainingMs());
         FrameAge age = FrameAge.of(
                 nowMs, start.getFreshness().getStamp(), start.getFreshness().getStampAgeMs());
         if (age.exceeds(limits.frameAgeLimitMs())) {
@@ -75,8 +79,8 @@
      * @return the state to report, or empty if the result was sent.
      */
     Optional<CallState> query(final CallQuery query, final ResultReceiver receiver) {
-        Standing standing =
-                ledger.ask(query.getCallId(), query.getNumber(), clock.nowMs() + query.getRemainingMs(), receiver);
+        Standing standing = ledger.ask(
+                query.getCallId(), query.getNumber(), clock.nowMs() + remainingMs(query.getRemainingMs()), receiver);
         if (standing.result().isPresent()) {
             receiver.callEnded(
                     query.getNumber(), query.getCallId(), standing.result().get());
@@ -90,7 +94,7 @@
     }
 
     void cancel(final CallCancel cancel) {
-        ledger.cancel(cancel.getCallId(), clock.nowMs() + cancel.getRemainingMs())
+        ledger.cancel(cancel.getCallId(), clock.nowMs() + remainingMs(cancel.getRemainingMs()))
                 .ifPresent(execution -> execution.cancel(true));
     }
 
@@ -102,8 +106,8 @@
         ledger.expire(clock.nowMs());
     }
 
-    int running() {
-        return ledger.running();
+    int outstanding() {
+        return ledger.outstanding();
     }
 
     private void run(final CallRequest request) {
@@ -116,7 +120,7 @@
 
     private CompletableFuture<CallResult> handle(final CallRequest request) {
         try {
-            return handler.handle(request);
+            return Objects.requireNonNull(handler.handle(request), "execution");
         } catch (RuntimeException exception) {
             counters.refuse(Refusal.HANDLER_FAILED);
             return CompletableFuture.failedFuture(exception);
@@ -124,10 +128,14 @@
     }
 
     private void ended(final String callId, final CallResult result, final Throwable failure) {
-        CallResult known = failure == null ? result : CallResult.unknown(Reason.CANCELLED);
+        CallResult known = result != null ? result : CallResult.unknown(unknownReason(failure));
         ledger.end(callId, known).ifPresent(CallLedger.Delivery::deliver);
     }
 
+    private static Reason unknownReason(final Throwable failure) {
+        return failure instanceof CancellationException ? Reason.CANCELLED : Reason.BAD_ANSWER;
+    }
+
     private void refuse(
             final Admission admission, final long number, final String callId, final ResultReceiver receiver) {
         switch (admission) {
@@ -147,6 +155,10 @@
         }
     }
 
+    private static long remainingMs(final long announcedMs) {
+        return Math.max(0, Math.min(announcedMs, LONGEST_CALL_MS));
+    }
+
     private static CallState.State wireState(final Standing.State state) {
         return switch (state) {
             case NOT_RECEIVED -> CallState.State.NOT_RECEIVED;
--- /dev/null
+++ b/sequoiashunt-link/src/test/java/org/sequoiashunt/link/CallLedgerTest.java
@@ -0,0 +1,116 @@
+package org.sequoiashunt.link;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+import org.sequoiashunt.call.Body;
+import org.sequoiashunt.call.CallResult;
+import org.sequoiashunt.link.CallLedger.Admission;
+import org.sequoiashunt.link.CallLedger.ResultReceiver;
+import org.sequoiashunt.link.CallLedger.Standing;
+
+class CallLedgerTest {
+
+    private static final long DEADLINE_MS = 2_000;
+    private static final CallResult RESULT = LinkFixture.answer(Body.of(new byte[1_000]));
+
+    private final CallLedger ledger = new CallLedger(4_000, 10);
+    private final List<String> delivered = new ArrayList<>();
+
+    @Test
+    void aCallIsAdmittedOnce() {
+        assertEquals(Admission.RUN, admit("a"));
+        assertEquals(Admission.KNOWN, admit("a"));
+        ledger.end("a", RESULT);
+        assertEquals(Admission.KNOWN, admit("a"));
+    }
+
+    @Test
+    void askingRevokesACallThatWasNotReceivedUntilItsDeadline() {
+        assertEquals(Standing.State.NOT_RECEIVED, ask("a").state());
+        ledger.expire(DEADLINE_MS);
+        assertEquals(Admission.REVOKED, admit("a"));
+        assertEquals(Standing.State.NOT_RECEIVED, ask("a").state());
+        ledger.expire(DEADLINE_MS + 1);
+        assertEquals(0, ledger.size());
+    }
+
+    @Test
+    void aRunningCallAnswersWhereItWasAskedAfterLast() {
+        admit("a");
+        Standing standing = ledger.ask("a", 8, DEADLINE_MS, receiver("second"));
+        assertEquals(Standing.State.RUNNING, standing.state());
+        ledger.end("a", RESULT).orElseThrow().deliver();
+        assertEquals(List.of("second/8/a"), delivered);
+    }
+
+    @Test
+    void aResultIsRetainedUntilAcknowledged() {
+        admit("a");
+        ledger.end("a", RESULT);
+        assertEquals(Optional.of(RESULT), ask("a").result());
+        assertEquals(1, ledger.outstanding());
+        ledger.acknowledge(List.of("a"));
+        assertEquals(0, ledger.outstanding());
+        assertEquals(0, ledger.retainedBytes());
+    }
+
+    @Test
+    void retainedBytesAreBoundedAndALostResultIsNeverCalledNotReceived() {
+        for (String callId : List.of("a", "b", "c", "d")) {
+            admit(callId);
+            ledger.end(callId, RESULT);
+        }
+        assertTrue(ledger.retainedBytes() <= 4_000);
+        assertEquals(Standing.State.LOST, ask("a").state());
+        assertEquals(Standing.State.DONE, ask("d").state());
+        assertEquals(Admission.KNOWN, admit("a"));
+    }
+
+    @Test
+    void aFullLedgerNeitherAdmitsNorPromisesNotToRun() {
+        for (int index = 0; index < 10; index++) {
+            admit("call-" + index);
+        }
+        assertEquals(Admission.FULL, admit("late"));
+        assertEquals(Standing.State.LOST, ask("late").state());
+    }
+
+    @Test
+    void aRunningCallOutlivesItsDeadline() {
+        admit("a");
+        ledger.expire(DEADLINE_MS * 10);
+        assertEquals(Standing.State.RUNNING, ask("a").state());
+    }
+
+    @Test
+    void cancellingReachesAnExecutionThatStartsLater() {
+        admit("a");
+        assertTrue(ledger.cancel("a", DEADLINE_MS).isEmpty());
+        assertTrue(ledger.started("a", new CompletableFuture<>()));
+        admit("b");
+        CompletableFuture<CallResult> execution = new CompletableFuture<>();
+        assertFalse(ledger.started("b", execution));
+        assertEquals(Optional.of(execution), ledger.cancel("b", DEADLINE_MS));
+        ledger.cancel("c", DEADLINE_MS);
+        assertEquals(Admission.REVOKED, admit("c"));
+    }
+
+    private Admission admit(final String callId) {
+        return ledger.admit(callId, 7, DEADLINE_MS, receiver("first"));
+    }
+
+    private Standing ask(final String callId) {
+        return ledger.ask(callId, 7, DEADLINE_MS, receiver("first"));
+    }
+
+    private ResultReceiver receiver(final String name) {
+        return (number, callId, result) -> delivered.add(name + "/" + number + "/" + callId);
+    }
+}
--- /dev/null
+++ b/sequoiashunt-link/src/test/java/org/sequoiashunt/link/LinkHealthTest.java
@@ -0,0 +1,68 @@
+package org.sequoiashunt.link;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.function.LongPredicate;
+import org.junit.jupiter.api.Test;
+import org.sequoiashunt.link.LinkHealth.Verdict;
+import org.sequoiashunt.time.SteppedClock;
+
+class LinkHealthTest {
+
+    private static final long TICK_MS = 25;
+
+    private final SteppedClock clock = SteppedClock.of(1_000_000);
+    private final LinkHealth health = new LinkHealth(LinkLimits.standard(), clock.nowMs());
+    private int pings;
+
+    @Test
+    void findsASilentPeerWithinASecondOfTheCall() {
+        run(60_000, true, now -> false);
+        clock.advance(TICK_MS);
+        assertEquals(Verdict.HEALTHY, health.decide(clock.nowMs(), false));
+        long startMs = clock.nowMs();
+        assertEquals(Verdict.SILENT, run(2_000, false, now -> false));
+        assertTrue(clock.nowMs() - startMs <= 800);
+        assertTrue(pings >= 2);
+    }
+
+    @Test
+    void anyBytesKeepTheLink() {
+        assertEquals(Verdict.HEALTHY, run(60_000, false, now -> now % 700 == 0));
+    }
+
+    @Test
+    void anIdleLinkIsNeitherPingedNorSilent() {
+        assertEquals(Verdict.HEALTHY, run(600_000, true, now -> false));
+        assertEquals(0, pings);
+    }
+
+    @Test
+    void aMessageWithoutASignOfLifeIsWatched() {
+        health.sent();
+        assertEquals(Verdict.SILENT, run(2_000, true, now -> false));
+    }
+
+    @Test
+    void ownPauseIsNotThePeersSilence() {
+        run(500, false, now -> false);
+        clock.advance(5_000);
+        assertEquals(Verdict.HEALTHY, health.decide(clock.nowMs(), true));
+        assertEquals(Verdict.SILENT, run(1_000, false, now -> false));
+    }
+
+    private Verdict run(final long durationMs, final boolean idle, final LongPredicate receives) {
+        long endMs = clock.nowMs() + durationMs;
+        Verdict verdict = Verdict.HEALTHY;
+        while (verdict != Verdict.SILENT && clock.nowMs() < endMs) {
+            long nowMs = clock.advance(TICK_MS);
+            if (receives.test(nowMs)) {
+                health.received(nowMs);
+            }
+            verdict = health.decide(nowMs, !idle);
+            pings += verdict == Verdict.PING ? 1 : 0;
+        }
+        return verdict == Verdict.SILENT ? verdict : Verdict.HEALTHY;
+    }
+}
--- /dev/null
+++ b/sequoiashunt-link/src/test/java/org/sequoiashunt/link/ServedCallsTest.java
@@ -0,0 +1,109 @@
+package org.sequoiashunt.link;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.sequoiashunt.call.CallResult;
+import org.sequoiashunt.call.Reason;
+import org.sequoiashunt.link.wire.FrameProto.CallQuery;
+import org.sequoiashunt.link.wire.FrameProto.CallStart;
+import org.sequoiashunt.link.wire.FrameProto.CallState;
+import org.sequoiashunt.link.wire.FrameProto.Freshness;
+import org.sequoiashunt.time.SteppedClock;
+
+class ServedCallsTest {
+
+    private static final long TIMEOUT_MS = 10_000;
+
+    private final SteppedClock clock = SteppedClock.of(1_000_000);
+    private final LinkFixture.ManualHandler handler = new LinkFixture.ManualHandler();
+    private final ServedCalls served = new ServedCalls(handler, LinkLimits.standard(), clock, new LinkCounters());
+    private final List<CallResult> results = new ArrayList<>();
+
+    @Test
+    void theDeadlineIsNeverLaterThanTheSenders() throws LinkProtocolException {
+        CallStart start = start(clock.nowMs(), 5);
+        clock.advance(35);
+        served.start(start, this::receive);
+        assertEquals(1_000_005 + TIMEOUT_MS, handler.requests.remove().deadlineMs());
+    }
+
+    @Test
+    void aCallThatWaitedWhileThisProcessWasFrozenIsNotRun() {
+        CallStart start = start(clock.nowMs(), 0);
+        clock.advance(LinkLimits.standard().frameAgeLimitMs() + 1);
+        LinkProtocolException refused =
+                assertThrows(LinkProtocolException.class, () -> served.start(start, this::receive));
+        assertEquals(Refusal.STALE, refused.refusal());
+        assertEquals(0, handler.runs.size());
+    }
+
+    @Test
+    void timeForWhichTheSenderHeldTheStampIsNotAge() throws LinkProtocolException {
+        CallStart start = start(clock.nowMs(), 20_000);
+        clock.advance(20_001);
+        served.start(start, this::receive);
+        assertEquals(1, handler.runs.size());
+    }
+
+    @Test
+    void aCallPastItsDeadlineIsNotRun() throws LinkProtocolException {
+        CallStart start = start(clock.nowMs(), 0).toBuilder()
+                .setFreshness(Freshness.newBuilder().setStamp(clock.nowMs()).setRemainingMs(10))
+                .build();
+        clock.advance(10);
+        served.start(start, this::receive);
+        assertEquals(List.of(CallResult.notRun(Reason.DEADLINE)), results);
+        assertEquals(0, handler.runs.size());
+    }
+
+    @Test
+    void aCallThatArrivesAfterItsSenderWasToldNotReceivedIsNotRun() throws LinkProtocolException {
+        CallStart start = start(clock.nowMs(), 0);
+        clock.advance(1_000);
+        CallQuery query = CallQuery.newBuilder()
+                .setNumber(1)
+                .setCallId("call")
+                .setRemainingMs(TIMEOUT_MS - 1_000)
+                .build();
+        assertEquals(
+                CallState.State.NOT_RECEIVED,
+                served.query(query, this::receive).orElseThrow().getState());
+        served.expire();
+        served.start(start, this::receive);
+        assertEquals(0, handler.runs.size());
+        assertEquals(List.of(CallResult.notRun(Reason.CANCELLED)), results);
+    }
+
+    @Test
+    void aCallThatArrivesTwiceIsRunOnce() throws LinkProtocolException {
+        served.start(start(clock.nowMs(), 0), this::receive);
+        served.start(start(clock.nowMs(), 0), this::receive);
+        assertEquals(1, handler.runs.size());
+        handler.runs.remove().complete(CallResult.notRun(Reason.SHED));
+        assertEquals(List.of(CallResult.notRun(Reason.SHED)), results);
+    }
+
+    @Test
+    void aCutBodyIsNotRun() {
+        CallStart cut = start(clock.nowMs(), 0).toBuilder().setBodyLength(1).build();
+        assertThrows(LinkProtocolException.class, () -> served.start(cut, this::receive));
+        assertEquals(0, handler.runs.size());
+    }
+
+    private void receive(final long number, final String callId, final CallResult result) {
+        results.add(result);
+    }
+
+    private static CallStart start(final long stampMs, final long stampAgeMs) {
+        Freshness freshness = Freshness.newBuilder()
+                .setStamp(stampMs)
+                .setStampAgeMs(stampAgeMs)
+                .setRemainingMs(TIMEOUT_MS)
+                .build();
+        return CallCodec.encode(1, LinkFixture.request("call", TIMEOUT_MS), freshness);
+    }
+}
