--- a/sequoiashunt-platform/src/main/java/org/sequoiashunt/platform/HttpCall.java
+++ b/sequoiashunt-platform/src/main/java/org/sequoiashunt/platform/HttpCall.java
@@ -84,7 +84,6 @@
             IoUtils.safeClose(opened);
             return;
         }
-        opened.getCloseSetter().set(closed -> fail(new IOException("the connection was closed before the answer")));
         sent = true;
         opened.sendRequest(request, callback(this::sendBody));
     }
--- /dev/null
+++ b/sequoiashunt-trial/src/test/java/org/sequoiashunt/trial/store/StoreStandInTest.java
@@ -0,0 +1,195 @@
+package org.sequoiashunt.trial.store;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.sequoiashunt.lifecycle.Closer;
+import org.sequoiashunt.platform.HttpStore;
+import org.sequoiashunt.store.Store;
+import org.sequoiashunt.store.StoreConflictException;
+import org.sequoiashunt.store.StoreException;
+import org.sequoiashunt.store.StoredLease;
+import org.sequoiashunt.store.StoredValue;
+import org.sequoiashunt.time.SteppedClock;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/** Drives the stand-in through the adapter that nodes use. */
+@Timeout(value = 60, unit = TimeUnit.SECONDS)
+final class StoreStandInTest {
+
+    private static final long CALL_TIMEOUT_MS = 20_000;
+    private static final long SHORT_TIMEOUT_MS = 200;
+    private static final StoreRates RATES = new StoreRates(6, 5);
+    private static final byte[] VALUE = "value".getBytes(StandardCharsets.UTF_8);
+
+    private final SteppedClock clock = SteppedClock.of(1_000_000);
+    private final Closer closer = new Closer();
+    private StoreStandIn standIn;
+    private HttpStore store;
+
+    @BeforeEach
+    void start() throws Exception {
+        standIn = closer.register(StoreStandIn.startOnLoopback(RATES, clock));
+        store = HttpStore.open(standIn.address(), CALL_TIMEOUT_MS, closer);
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        closer.close();
+    }
+
+    @Test
+    void swapsReadsAndListsValues() throws StoreException {
+        assertTrue(store.read("p/a").isEmpty());
+        long first = store.compareAndSwap("p/a", Store.ABSENT, VALUE);
+        StoreConflictException conflict =
+                assertThrows(StoreConflictException.class, () -> store.compareAndSwap("p/a", Store.ABSENT, VALUE));
+        assertEquals(first, conflict.currentRevision());
+        long second = store.compareAndSwap("p/a", first, new byte[0]);
+        assertEquals(
+                StoredValue.of("p/a", second, new byte[0]), store.read("p/a").orElseThrow());
+        assertEquals(List.of(StoredValue.of("p/a", second, new byte[0])), store.list("p/"));
+        assertEquals(new StoreCounts(3, 0, 3, 0, 1, 0, 0), standIn.counts());
+    }
+
+    @Test
+    void largestValueArrivesWhole() throws StoreException {
+        byte[] largest = new byte[Store.MAXIMUM_VALUE_BYTES];
+        new SplittableRandom(7).nextBytes(largest);
+        store.compareAndSwap("large", Store.ABSENT, largest);
+        assertArrayEquals(largest, store.read("large").orElseThrow().bytes());
+    }
+
+    @Test
+    void leasesPassOnWhenTheyEnd() throws StoreException {
+        StoredLease lease = store.acquireLease("leads/ha-noi-a", "node 1", 500);
+        assertEquals(new StoredLease("leads/ha-noi-a", "node 1", 1, 500), lease);
+        assertEquals(
+                "node 1", store.acquireLease("leads/ha-noi-a", "node-2", 500).holder());
+        store.releaseLease("leads/ha-noi-a", "node 1");
+        assertEquals(2, store.acquireLease("leads/ha-noi-a", "node-2", 500).term());
+        standIn.faults().expireLeases();
+        assertEquals(
+                "node-3", store.acquireLease("leads/ha-noi-a", "node-3", 500).holder());
+    }
+
+    @Test
+    void watchEndsWithTheChangeAndCountsAsOneCall() throws Exception {
+        CompletableFuture<Optional<StoredValue>> watch =
+                CompletableFuture.supplyAsync(() -> watchUnchecked("a", CALL_TIMEOUT_MS));
+        while (standIn.counts().watches() == 0) {
+            Thread.onSpinWait();
+        }
+        long revision = store.compareAndSwap("a", Store.ABSENT, VALUE);
+        assertEquals(Optional.of(StoredValue.of("a", revision, VALUE)), watch.get());
+        assertTrue(store.watch("a", revision, 1).isEmpty());
+        assertEquals(2, standIn.counts().watches());
+        assertEquals(0, standIn.counts().reads());
+    }
+
+    @Test
+    void ratesAreEnforcedAndRefill() throws StoreException {
+        for (int call = 0; call < RATES.readsPerSecond(); call++) {
+            store.read("a");
+        }
+        StoreException refused = assertThrows(StoreException.class, () -> store.read("a"));
+        assertTrue(refused.getMessage().contains("429, retry after 1 s"), refused.getMessage());
+        store.compareAndSwap("a", Store.ABSENT, VALUE);
+        clock.advance(1_000);
+        assertTrue(store.read("a").isPresent());
+        assertEquals(1, standIn.counts().rateRefusals());
+    }
+
+    @Test
+    void outageRefusesWithoutEffect() throws StoreException {
+        standIn.faults().setDown(true);
+        assertFalse(failedWrite(store).mayHaveTakenEffect());
+        standIn.faults().setDown(false);
+        assertTrue(store.read("a").isEmpty());
+    }
+
+    @Test
+    void lostAnswerLeavesTheEffect() throws StoreException {
+        standIn.faults().loseAnswers(1);
+        assertTrue(failedWrite(store).mayHaveTakenEffect());
+        assertTrue(store.read("a").isPresent());
+    }
+
+    @Test
+    void silentStoreTimesOut() {
+        standIn.faults().setSilent(true);
+        HttpStore impatient = HttpStore.of(standIn.address(), worker(), SHORT_TIMEOUT_MS);
+        assertTrue(failedWrite(impatient).mayHaveTakenEffect());
+        assertThrows(StoreException.class, () -> impatient.read("a"));
+    }
+
+    @Test
+    void slowStoreMayTakeEffectAfterTheTimeout() throws Exception {
+        standIn.faults().setLatencyMs((int) SHORT_TIMEOUT_MS * 2);
+        assertTrue(failedWrite(HttpStore.of(standIn.address(), worker(), SHORT_TIMEOUT_MS))
+                .mayHaveTakenEffect());
+        standIn.faults().setLatencyMs(0);
+        assertTrue(store.watch("a", Store.ABSENT, CALL_TIMEOUT_MS).isPresent());
+    }
+
+    @Test
+    void closedPortIsReportedWithoutEffect() {
+        HttpStore late = HttpStore.of(standIn.address(), worker(), CALL_TIMEOUT_MS);
+        standIn.close();
+        assertFalse(failedWrite(late).mayHaveTakenEffect());
+    }
+
+    @Test
+    void faultsSwitchOverHttp() throws Exception {
+        assertTrue(post("/faults?down=true&latencyMs=3").contains("\"down\":true,\"latencyMs\":3"));
+        assertThrows(StoreException.class, () -> store.read("a"));
+        post("/faults?down=false&loseAnswers=1");
+        assertTrue(failedWrite(store).mayHaveTakenEffect());
+        assertTrue(post("/counters").contains("\"outageRefusals\":1"));
+    }
+
+    private static StoreException failedWrite(final Store store) {
+        return assertThrows(StoreException.class, () -> store.compareAndSwap("a", Store.ABSENT, VALUE));
+    }
+
+    private XnioWorker worker() {
+        XnioWorker worker = Xnio.getInstance().createWorkerBuilder().build();
+        closer.register(worker::shutdownNow);
+        return worker;
+    }
+
+    private Optional<StoredValue> watchUnchecked(final String key, final long waitMs) {
+        try {
+            return store.watch(key, Store.ABSENT, waitMs);
+        } catch (StoreException exception) {
+            throw new IllegalStateException(exception);
+        }
+    }
+
+    private String post(final String path) throws Exception {
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + standIn.address() + path))
+                .POST(HttpRequest.BodyPublishers.noBody())
+                .build();
+        return HttpClient.newHttpClient()
+                .send(request, HttpResponse.BodyHandlers.ofString())
+                .body();
+    }
+}
