Membership, replication, lead and configuration controllers

First whole form: probing with suspicion and refutation, offers and anti-entropy, replication between failure domains through their leads, the lease of the lead, the watch of the configuration and the decision when a node that starts may serve.

--- /dev/null
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/lead/LeadLease.java
@@ -0,0 +1,149 @@
+package org.sequoiashunt.lead;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import org.sequoiashunt.membership.Member;
+import org.sequoiashunt.membership.MembershipView;
+import org.sequoiashunt.membership.NodeIdentity;
+import org.sequoiashunt.store.Store;
+import org.sequoiashunt.store.StoreException;
+import org.sequoiashunt.store.StoreKeys;
+import org.sequoiashunt.store.StoredLease;
+import org.sequoiashunt.time.Clock;
+
+/**
+ * The lease of a failure domain's lead. Only the first few members in the order of leads ask for it, so that the calls
+ * to the store do not grow with the failure domain.
+ *
+ * <p>The time held counts from before the request was sent, less a margin for clock drift: the store's own count starts
+ * later, so this node stops before another one can start, unless it is paused while it acts. Nothing that a lead does
+ * may therefore depend on there being one.
+ *
+ * <p>{@link #step()} is confined to one thread; {@link #isHeld()} is thread-safe.
+ */
+public final class LeadLease implements BlockingTask {
+
+    private static final long DURATION_MS = 5_000;
+    private static final long DRIFT_MARGIN_MS = 500;
+    private static final long RENEWAL_MS = DURATION_MS / 3;
+    private static final int CANDIDATES = 3;
+    private static final long IDLE_MS = 500;
+    private static final long CANDIDATE_PERIOD_MS = 10_000;
+
+    private final NodeIdentity identity;
+    private final Store store;
+    private final Clock clock;
+    private final Supplier<MembershipView> views;
+    private final RandomGenerator random;
+    private final Backoff backoff;
+    private volatile long heldUntilMs = Long.MIN_VALUE;
+    private long nextTryMs;
+    private boolean nextTryKnown;
+
+    /**
+     * Creates a lease that is not held.
+     *
+     * @param identity the node, not null.
+     * @param store the platform's store, not null.
+     * @param clock the clock, not null.
+     * @param views gives the present view of the members, not null.
+     * @param random the source of chance, not null; used by this object's thread alone.
+     */
+    public LeadLease(
+            final NodeIdentity identity,
+            final Store store,
+            final Clock clock,
+            final Supplier<MembershipView> views,
+            final RandomGenerator random) {
+        this.identity = Objects.requireNonNull(identity, "identity");
+        this.store = Objects.requireNonNull(store, "store");
+        this.clock = Objects.requireNonNull(clock, "clock");
+        this.views = Objects.requireNonNull(views, "views");
+        this.random = Objects.requireNonNull(random, "random");
+        this.backoff = new Backoff(DURATION_MS / 2, 2 * DURATION_MS, random);
+    }
+
+    /**
+     * Tells whether this node may act as the lead now.
+     *
+     * @return true if the lease is held on this node's own clock.
+     */
+    public boolean isHeld() {
+        return clock.nowMs() < heldUntilMs;
+    }
+
+    @Override
+    public long step() {
+        int rank = rank();
+        if (!isHeld() && rank >= CANDIDATES) {
+            nextTryKnown = false;
+            return IDLE_MS;
+        }
+        long nowMs = clock.nowMs();
+        if (!nextTryKnown) {
+            nextTryKnown = true;
+            nextTryMs = nowMs + firstPauseMs(rank);
+        }
+        if (nowMs >= nextTryMs) {
+            nextTryMs = clock.nowMs() + ask(rank);
+        }
+        return Math.min(IDLE_MS, Math.max(1, nextTryMs - clock.nowMs()));
+    }
+
+    /** Gives the lease back, so that another node need not wait for its end. */
+    public void release() {
+        boolean held = isHeld();
+        heldUntilMs = Long.MIN_VALUE;
+        if (!held) {
+            return;
+        }
+        try {
+            store.releaseLease(StoreKeys.leadLease(identity.failureDomain()), identity.node());
+        } catch (StoreException exception) {
+            // The lease ends by itself.
+            nextTryKnown = false;
+        }
+    }
+
+    private long ask(final int rank) {
+        long sentMs = clock.nowMs();
+        try {
+            String name = StoreKeys.leadLease(identity.failureDomain());
+            StoredLease lease = store.acquireLease(name, identity.node(), DURATION_MS);
+            backoff.reset();
+            if (lease.holder().equals(identity.node())) {
+                heldUntilMs = sentMs + DURATION_MS - DRIFT_MARGIN_MS;
+                return RENEWAL_MS;
+            }
+            heldUntilMs = Long.MIN_VALUE;
+            return pauseAfterRefusal(rank, lease);
+        } catch (StoreException exception) {
+            return Math.min(backoff.next(), isHeld() ? RENEWAL_MS : Long.MAX_VALUE);
+        }
+    }
+
+    private long pauseAfterRefusal(final int rank, final StoredLease lease) {
+        long endMs = Math.max(1, lease.remainingMs());
+        return rank == 0 ? endMs + random.nextLong(IDLE_MS) : CANDIDATE_PERIOD_MS * rank;
+    }
+
+    private long firstPauseMs(final int rank) {
+        boolean alone = views.get().ranked(identity.failureDomain()).size() < 2;
+        if (alone) {
+            return random.nextLong(DURATION_MS);
+        }
+        return rank == 0 ? 0 : CANDIDATE_PERIOD_MS * rank;
+    }
+
+    private int rank() {
+        List<Member> ranked = views.get().ranked(identity.failureDomain());
+        for (int index = 0; index < Math.min(CANDIDATES, ranked.size()); index++) {
+            if (ranked.get(index).node().equals(identity.node())) {
+                return index;
+            }
+        }
+        return CANDIDATES;
+    }
+}
--- /dev/null
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/membership/DepartureKeeper.java
@@ -0,0 +1,113 @@
+package org.sequoiashunt.membership;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.sequoiashunt.blackboard.Blackboard;
+import org.sequoiashunt.blackboard.Entry;
+import org.sequoiashunt.blackboard.EntryKey;
+import org.sequoiashunt.blackboard.EntryVersion;
+import org.sequoiashunt.blackboard.Section;
+
+/**
+ * Writes the departures of a failure domain when this node is its lead, and forgets expired ones.
+ *
+ * <p>A lead that sees less than half of its failure domain is likely to be the one that is cut off; it waits before it
+ * writes, since every departure that is wrong costs a refutation on all nodes.
+ *
+ * <p>Confined to one thread, but {@link #admits} is thread-safe. Invariant: a member that was forgotten is not taken
+ * back in the version that departed while peers may still have it.
+ */
+final class DepartureKeeper {
+
+    // Peers forget at their own clock; the margin covers drift and the time until they look.
+    private static final long FORGOTTEN_MS = 600_000;
+
+    private final NodeIdentity identity;
+    private final Blackboard blackboard;
+    private final MembershipSettings settings;
+    private final Map<String, Forgotten> forgotten = new HashMap<>();
+    private long minoritySinceMs = Long.MAX_VALUE;
+
+    DepartureKeeper(final NodeIdentity identity, final Blackboard blackboard, final MembershipSettings settings) {
+        this.identity = identity;
+        this.blackboard = blackboard;
+        this.settings = settings;
+    }
+
+    void write(final MembershipView view, final long nowMs) {
+        Optional<Member> lead = view.first(identity.failureDomain());
+        boolean leads = lead.isPresent() && lead.get().node().equals(identity.node());
+        if (!leads || !mayJudge(view, nowMs)) {
+            return;
+        }
+        for (Standing standing : view.all()) {
+            if (isUnrecorded(standing)) {
+                Departure departure = new Departure(standing.member().node(), nowMs);
+                blackboard.merge(Entry.of(departure.member(), identity.node(), standing.version(), departure));
+            }
+        }
+    }
+
+    void forgetExpired(final long nowMs) {
+        for (Entry entry : blackboard.entries(Section.DEPARTURE)) {
+            Departure departure = (Departure) entry.value();
+            if (nowMs - departure.atMs() >= settings.retentionMs()) {
+                forget(entry, nowMs);
+            }
+        }
+        synchronized (forgotten) {
+            forgotten.values().removeIf(former -> former.untilMs() <= nowMs);
+        }
+    }
+
+    /** Tells whether an entry that a peer sent may be merged. */
+    boolean admits(final Entry entry, final long nowMs) {
+        if (entry.value() instanceof Departure departure && nowMs - departure.atMs() >= settings.retentionMs()) {
+            return false;
+        }
+        if (entry.key().section() != Section.MEMBER) {
+            return true;
+        }
+        synchronized (forgotten) {
+            Forgotten former = forgotten.get(entry.key().name());
+            return former == null || entry.version().isNewerThan(former.version());
+        }
+    }
+
+    private boolean mayJudge(final MembershipView view, final long nowMs) {
+        long unrecorded = view.all().stream().filter(this::isUnrecorded).count();
+        long present = view.ranked(identity.failureDomain()).size();
+        if (unrecorded <= present) {
+            minoritySinceMs = Long.MAX_VALUE;
+            return unrecorded > 0;
+        }
+        minoritySinceMs = Math.min(minoritySinceMs, nowMs);
+        return nowMs - minoritySinceMs >= settings.minorityDelayMs();
+    }
+
+    private boolean isUnrecorded(final Standing standing) {
+        Member member = standing.member();
+        if (standing.presence().isPresent() || !member.failureDomain().equals(identity.failureDomain())) {
+            return false;
+        }
+        Optional<Entry> departure = blackboard.find(EntryKey.of(Section.DEPARTURE, member.node()));
+        return departure.isEmpty()
+                || standing.version().isNewerThan(departure.get().version());
+    }
+
+    private void forget(final Entry departure, final long nowMs) {
+        String member = departure.key().name();
+        synchronized (forgotten) {
+            forgotten.put(member, new Forgotten(departure.version(), nowMs + FORGOTTEN_MS));
+        }
+        Optional<Entry> entry = blackboard.find(EntryKey.of(Section.MEMBER, member));
+        if (entry.isPresent() && !entry.get().version().isNewerThan(departure.version())) {
+            blackboard.remove(entry.get().key(), entry.get().version());
+        }
+        blackboard.remove(departure.key(), departure.version());
+    }
+
+    /** Version of a member that is not taken back. Immutable and thread-safe. */
+    private record Forgotten(EntryVersion version, long untilMs) {}
+}
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/membership/Member.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/membership/Member.java
@@ -43,6 +43,36 @@
         targets = List.copyOf(targets);
     }
 
+    /**
+     * Returns this member in another state.
+     *
+     * @param changed the state, not null.
+     * @return the changed member, never null.
+     */
+    public Member withState(final MemberState changed) {
+        return new Member(node, failureDomain, region, address, changed, targets, configurationVersion);
+    }
+
+    /**
+     * Returns this member with other targets.
+     *
+     * @param changed the targets, not null.
+     * @return the changed member, never null.
+     */
+    public Member withTargets(final List<ServedTarget> changed) {
+        return new Member(node, failureDomain, region, address, state, changed, configurationVersion);
+    }
+
+    /**
+     * Returns this member with another configuration version in force.
+     *
+     * @param changed the version, zero for none.
+     * @return the changed member, never null.
+     */
+    public Member withConfigurationVersion(final long changed) {
+        return new Member(node, failureDomain, region, address, state, targets, changed);
+    }
+
     @Override
     public Section section() {
         return Section.MEMBER;
--- /dev/null
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/membership/OwnMember.java
@@ -0,0 +1,148 @@
+package org.sequoiashunt.membership;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.function.UnaryOperator;
+import org.sequoiashunt.blackboard.Blackboard;
+import org.sequoiashunt.blackboard.Entry;
+import org.sequoiashunt.blackboard.EntryKey;
+import org.sequoiashunt.blackboard.EntryVersion;
+import org.sequoiashunt.blackboard.Section;
+import org.sequoiashunt.time.Clock;
+
+/**
+ * This node's own entry. The incarnation is the time of the start, the sequence grows with each change.
+ *
+ * <p>Thread-safe: guarded by its own monitor. Invariant: the version on the blackboard never decreases, and what stands
+ * there under the node's name is what this object states, as soon as {@link #defend()} has run.
+ */
+public final class OwnMember {
+
+    private final Blackboard blackboard;
+    private Member member;
+    private Member published;
+    private EntryVersion version;
+
+    private OwnMember(final Blackboard blackboard, final Member member, final EntryVersion version) {
+        this.blackboard = blackboard;
+        this.member = member;
+        this.published = member;
+        this.version = version;
+    }
+
+    /**
+     * Creates the entry of a node that joins, and puts it on the blackboard.
+     *
+     * @param identity the node, not null.
+     * @param blackboard the node's blackboard, not null.
+     * @param clock the clock, not null.
+     * @return the entry, never null.
+     */
+    public static OwnMember of(final NodeIdentity identity, final Blackboard blackboard, final Clock clock) {
+        Objects.requireNonNull(blackboard, "blackboard");
+        Member member = new Member(
+                identity.node(),
+                identity.failureDomain(),
+                identity.region(),
+                identity.address(),
+                MemberState.JOINING,
+                List.of(),
+                0);
+        OwnMember own = new OwnMember(blackboard, member, EntryVersion.of(clock.nowMs(), 0));
+        own.publish();
+        return own;
+    }
+
+    /**
+     * Changes the entry. Does nothing if the change leaves it equal.
+     *
+     * @param change makes the new entry from the present one, not null.
+     */
+    public synchronized void update(final UnaryOperator<Member> change) {
+        Member changed = change.apply(member);
+        if (changed.equals(member)) {
+            return;
+        }
+        member = changed;
+        outrank(version);
+    }
+
+    /**
+     * Changes what the next version of the entry will state, without a new version now. For what is not worth a message
+     * to every node.
+     *
+     * @param change makes the new entry from the present one, not null.
+     */
+    public synchronized void note(final UnaryOperator<Member> change) {
+        member = change.apply(member);
+    }
+
+    /** Raises the version, so that every suspicion raised until now is refuted. */
+    public synchronized void renew() {
+        outrank(version);
+    }
+
+    /**
+     * Takes a version above everything that others state about this node: an entry that an earlier process left under
+     * its name, a suspicion, or a departure.
+     *
+     * @return true if there was something to outrank.
+     */
+    public synchronized boolean defend() {
+        EntryVersion before = version;
+        blackboard.find(key(Section.MEMBER)).ifPresent(this::outrankForeign);
+        blackboard.find(key(Section.SUSPICION)).ifPresent(this::outrankStatement);
+        if (member.state() != MemberState.LEFT) {
+            blackboard.find(key(Section.DEPARTURE)).ifPresent(this::outrankStatement);
+        }
+        return !before.equals(version);
+    }
+
+    /**
+     * Returns what the node states about itself.
+     *
+     * @return the member, never null.
+     */
+    public synchronized Member member() {
+        return member;
+    }
+
+    /**
+     * Returns the version of the entry.
+     *
+     * @return the version, never null.
+     */
+    public synchronized EntryVersion version() {
+        return version;
+    }
+
+    private void outrankForeign(final Entry entry) {
+        if (entry.version().isNewerThan(version) || !entry.value().equals(published)) {
+            outrank(entry.version());
+        }
+    }
+
+    private void outrankStatement(final Entry entry) {
+        if (!version.isNewerThan(entry.version())) {
+            outrank(entry.version());
+        }
+    }
+
+    private void outrank(final EntryVersion seen) {
+        if (seen.major() > version.major()) {
+            version = EntryVersion.of(seen.major() + 1, 0);
+        } else {
+            version = EntryVersion.of(version.major(), Math.max(seen.minor(), version.minor()) + 1);
+        }
+        publish();
+    }
+
+    private void publish() {
+        published = member;
+        blackboard.merge(Entry.of(member.node(), member.node(), version, member));
+    }
+
+    private EntryKey key(final Section section) {
+        return EntryKey.of(section, member.node());
+    }
+}
--- /dev/null
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/membership/Prober.java
@@ -0,0 +1,178 @@
+package org.sequoiashunt.membership;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.random.RandomGenerator;
+import org.sequoiashunt.peer.NodeAddress;
+import org.sequoiashunt.peer.PeerSender;
+
+/**
+ * Probes the members of a failure domain in turn, one per period, in a random order. A member that does not answer is
+ * probed through others before it is reported as unreachable.
+ *
+ * <p>Confined to one thread.
+ */
+final class Prober {
+
+    private static final int INDIRECT_PROBES = 3;
+    private static final int ISOLATION_FAILURES = 3;
+
+    private final NodeIdentity identity;
+    private final PeerSender sender;
+    private final RandomGenerator random;
+    private final MembershipSettings settings;
+    private final Deque<String> queue = new ArrayDeque<>();
+    private final Map<Long, Relayed> relayed = new HashMap<>();
+    private Pending pending;
+    private long nextNumber;
+    private long nextPeriodMs;
+    private int failuresInSequence;
+
+    Prober(
+            final NodeIdentity identity,
+            final PeerSender sender,
+            final RandomGenerator random,
+            final MembershipSettings settings) {
+        this.identity = identity;
+        this.sender = sender;
+        this.random = random;
+        this.settings = settings;
+        this.nextNumber = random.nextInt();
+    }
+
+    /**
+     * Continues the present probe or starts the next one. Returns the member whose probe has just failed.
+     */
+    Optional<String> advance(final MembershipView view, final long nowMs) {
+        if (nowMs >= nextPeriodMs) {
+            Optional<String> failed = closePeriod();
+            nextPeriodMs = nowMs + settings.probePeriodMs();
+            relayed.values().removeIf(relay -> relay.expiresMs() <= nowMs);
+            start(view, nowMs);
+            return failed;
+        }
+        if (pending != null && !pending.indirect && nowMs - pending.startedMs >= settings.probeTimeoutMs()) {
+            askOthers(view);
+        }
+        return Optional.empty();
+    }
+
+    /** Drops the present probe without a judgement. */
+    void reset(final long nowMs) {
+        pending = null;
+        failuresInSequence = 0;
+        nextPeriodMs = nowMs;
+    }
+
+    /** Tells whether the fault is more likely with this node than with the members that it cannot reach. */
+    boolean isIsolated() {
+        return failuresInSequence >= ISOLATION_FAILURES;
+    }
+
+    void answer(final Probe probe) {
+        sender.send(probe.replyTo(), new ProbeAnswer(probe.number(), identity.node()));
+    }
+
+    void relay(final IndirectProbe probe, final long nowMs) {
+        long number = nextNumber++;
+        long expiresMs = nowMs + settings.probePeriodMs();
+        relayed.put(number, new Relayed(probe.replyTo(), probe.number(), probe.member(), expiresMs));
+        sender.send(probe.address(), new Probe(number, identity.address()));
+    }
+
+    void accept(final ProbeAnswer answer) {
+        if (pending != null
+                && pending.number == answer.number()
+                && pending.member.node().equals(answer.member())) {
+            pending = null;
+            failuresInSequence = 0;
+        }
+        Relayed relay = relayed.get(answer.number());
+        if (relay != null && relay.member().equals(answer.member())) {
+            relayed.remove(answer.number());
+            sender.send(relay.origin(), new ProbeAnswer(relay.originNumber(), answer.member()));
+        }
+    }
+
+    private Optional<String> closePeriod() {
+        if (pending == null) {
+            return Optional.empty();
+        }
+        String member = pending.member.node();
+        pending = null;
+        failuresInSequence++;
+        return Optional.of(member);
+    }
+
+    private void start(final MembershipView view, final long nowMs) {
+        Optional<Member> next = next(view);
+        if (next.isPresent()) {
+            pending = new Pending(nextNumber++, next.get(), nowMs);
+            sender.send(next.get().address(), new Probe(pending.number, identity.address()));
+        }
+    }
+
+    private Optional<Member> next(final MembershipView view) {
+        if (queue.isEmpty()) {
+            refill(view);
+        }
+        while (!queue.isEmpty()) {
+            Optional<Standing> standing = view.find(queue.poll());
+            if (standing.isPresent() && standing.get().presence().isPresent()) {
+                return Optional.of(standing.get().member());
+            }
+        }
+        return Optional.empty();
+    }
+
+    private void refill(final MembershipView view) {
+        List<String> names = new ArrayList<>();
+        others(view).forEach(member -> names.add(member.node()));
+        Collections.shuffle(names, new Random(random.nextLong()));
+        queue.addAll(names);
+    }
+
+    private void askOthers(final MembershipView view) {
+        pending.indirect = true;
+        List<Member> helpers = new ArrayList<>(others(view));
+        helpers.removeIf(member -> member.node().equals(pending.member.node()));
+        Collections.shuffle(helpers, new Random(random.nextLong()));
+        for (Member helper : helpers.subList(0, Math.min(INDIRECT_PROBES, helpers.size()))) {
+            Member member = pending.member;
+            sender.send(
+                    helper.address(),
+                    new IndirectProbe(pending.number, member.node(), member.address(), identity.address()));
+        }
+    }
+
+    private List<Member> others(final MembershipView view) {
+        return view.ranked(identity.failureDomain()).stream()
+                .filter(member -> !member.node().equals(identity.node()))
+                .toList();
+    }
+
+    /** Probe that waits for its answer. Confined to the thread of its prober. */
+    private static final class Pending {
+
+        private final long number;
+        private final Member member;
+        private final long startedMs;
+        private boolean indirect;
+
+        private Pending(final long number, final Member member, final long startedMs) {
+            this.number = number;
+            this.member = member;
+            this.startedMs = startedMs;
+        }
+    }
+
+    /** Probe made for another member. Immutable and thread-safe. */
+    private record Relayed(NodeAddress origin, long originNumber, String member, long expiresMs) {}
+}
--- /dev/null
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/membership/ViewBuilder.java
@@ -0,0 +1,64 @@
+package org.sequoiashunt.membership;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.sequoiashunt.blackboard.Blackboard;
+import org.sequoiashunt.blackboard.Entry;
+import org.sequoiashunt.blackboard.EntryVersion;
+import org.sequoiashunt.blackboard.Section;
+
+/**
+ * Derives the {@link MembershipView} from the blackboard, but only when something changed.
+ *
+ * <p>Confined to one thread.
+ */
+final class ViewBuilder {
+
+    private final Blackboard blackboard;
+    private final SuspicionTimers timers;
+    private long builtChanges = -1;
+
+    ViewBuilder(final Blackboard blackboard, final SuspicionTimers timers) {
+        this.blackboard = blackboard;
+        this.timers = timers;
+    }
+
+    boolean isOutdated() {
+        return builtChanges != changes();
+    }
+
+    MembershipView build() {
+        builtChanges = changes();
+        Map<String, EntryVersion> departed = new HashMap<>();
+        blackboard
+                .entries(Section.DEPARTURE)
+                .forEach(entry -> departed.put(entry.key().name(), entry.version()));
+        List<Standing> standings = new ArrayList<>();
+        for (Entry entry : blackboard.entries(Section.MEMBER)) {
+            EntryVersion departure = departed.get(entry.key().name());
+            standings.add(standing(entry, departure));
+        }
+        return MembershipView.of(standings);
+    }
+
+    private Standing standing(final Entry entry, final EntryVersion departure) {
+        Member member = (Member) entry.value();
+        return new Standing(member, entry.version(), presence(member, entry.version(), departure));
+    }
+
+    private Standing.Presence presence(final Member member, final EntryVersion version, final EntryVersion departure) {
+        boolean departed = departure != null && !version.isNewerThan(departure);
+        if (departed || member.state() == MemberState.LEFT || timers.isExpired(member.node())) {
+            return Standing.Presence.GONE;
+        }
+        return timers.isSuspected(member.node()) ? Standing.Presence.SUSPECTED : Standing.Presence.ALIVE;
+    }
+
+    private long changes() {
+        return blackboard.changeCount(Section.MEMBER)
+                + blackboard.changeCount(Section.SUSPICION)
+                + blackboard.changeCount(Section.DEPARTURE);
+    }
+}
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/replication/EntryStamp.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/replication/EntryStamp.java
@@ -44,7 +44,17 @@
      * @return true if this stamp is the newer one.
      */
     public boolean isNewerThan(final Entry other) {
-        int order = version.compareTo(other.version());
-        return order > 0 || order == 0 && writer.compareTo(other.writer()) > 0;
+        return isNewerThan(of(other));
+    }
+
+    /**
+     * Tells whether the entry of this stamp would replace that of another stamp of the same key.
+     *
+     * @param other the stamp to compare with, not null.
+     * @return true if this stamp is the newer one.
+     */
+    public boolean isNewerThan(final EntryStamp other) {
+        int order = version.compareTo(other.version);
+        return order > 0 || order == 0 && writer.compareTo(other.writer) > 0;
     }
 }
--- /dev/null
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/replication/HeadAssembler.java
@@ -0,0 +1,163 @@
+package org.sequoiashunt.replication;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.sequoiashunt.blackboard.Blackboard;
+import org.sequoiashunt.blackboard.Entry;
+import org.sequoiashunt.blackboard.EntryKey;
+import org.sequoiashunt.blackboard.Section;
+import org.sequoiashunt.configuration.ConfigurationHead;
+import org.sequoiashunt.peer.NodeAddress;
+import org.sequoiashunt.peer.PeerSender;
+
+/**
+ * Holds back a new head of the configuration until all its parts are on the blackboard, and pulls those that are
+ * missing: first from the node that delivered the head, which has them all, then from random peers.
+ *
+ * <p>Confined to one thread. Invariant: a head that came from a peer is merged after all its parts.
+ */
+final class HeadAssembler {
+
+    private static final long PULL_RETRY_MS = 400;
+    private static final long UNREFERENCED_MS = 60_000;
+    private static final EntryKey HEAD = EntryKey.of(Section.CONFIGURATION_HEAD, ConfigurationHead.NAME);
+
+    private final Blackboard blackboard;
+    private final PeerSender sender;
+    private final NodeAddress ownAddress;
+    private final Peers peers;
+    private Entry pending;
+    private Origin pendingOrigin;
+    private NodeAddress source;
+    private int pulls;
+    private long nextPullMs;
+    private long checkedChanges = -1;
+    private Set<String> unreferenced = Set.of();
+    private long nextCollectionMs;
+
+    HeadAssembler(
+            final Blackboard blackboard, final PeerSender sender, final NodeAddress ownAddress, final Peers peers) {
+        this.blackboard = blackboard;
+        this.sender = sender;
+        this.ownAddress = ownAddress;
+        this.peers = peers;
+    }
+
+    /** Takes a head that a peer delivered, if it is newer than the present and the pending one. */
+    void offer(final Entry head, final NodeAddress deliveredFrom, final Origin origin) {
+        if (!lacks(EntryStamp.of(head))) {
+            return;
+        }
+        pending = head;
+        pendingOrigin = origin;
+        source = deliveredFrom;
+        pulls = 0;
+        nextPullMs = 0;
+    }
+
+    /** Tells whether a head is newer than the present and the pending one. */
+    boolean lacks(final EntryStamp stamp) {
+        Optional<Entry> present = blackboard.find(HEAD);
+        boolean newerThanPresent = present.isEmpty() || stamp.isNewerThan(present.get());
+        return newerThanPresent && (pending == null || stamp.isNewerThan(pending));
+    }
+
+    /** Tells whether the present or the pending head names a part. */
+    boolean names(final String digest) {
+        return names(pending, digest) || names(blackboard.find(HEAD).orElse(null), digest);
+    }
+
+    /** Merges the pending head if it is complete, or pulls what is missing. Returns the head that was merged. */
+    Optional<Merged> advance(final long nowMs) {
+        dropOvertaken();
+        Entry wanted = pending != null ? pending : presentIfChanged();
+        if (wanted == null) {
+            return Optional.empty();
+        }
+        List<EntryKey> missing = missing(wanted);
+        if (missing.isEmpty()) {
+            return complete(wanted);
+        }
+        if (nowMs >= nextPullMs) {
+            pull(missing, nowMs);
+        }
+        return Optional.empty();
+    }
+
+    /** Removes the parts that no head has named for a while. */
+    void collect(final long nowMs) {
+        if (nowMs < nextCollectionMs) {
+            return;
+        }
+        nextCollectionMs = nowMs + UNREFERENCED_MS;
+        Set<String> found = new HashSet<>();
+        for (Entry part : blackboard.entries(Section.CONFIGURATION_PART)) {
+            String digest = part.key().name();
+            if (!names(digest) && unreferenced.contains(digest)) {
+                blackboard.remove(part.key(), part.version());
+            } else if (!names(digest)) {
+                found.add(digest);
+            }
+        }
+        unreferenced = found;
+    }
+
+    private void dropOvertaken() {
+        Optional<Entry> present = blackboard.find(HEAD);
+        boolean overtaken = pending != null
+                && present.isPresent()
+                && !EntryStamp.of(pending).isNewerThan(present.get());
+        if (overtaken) {
+            pending = null;
+        }
+    }
+
+    private Entry presentIfChanged() {
+        long changes = changes();
+        return changes == checkedChanges ? null : blackboard.find(HEAD).orElse(null);
+    }
+
+    private long changes() {
+        return blackboard.changeCount(Section.CONFIGURATION_HEAD) + blackboard.changeCount(Section.CONFIGURATION_PART);
+    }
+
+    private Optional<Merged> complete(final Entry head) {
+        if (pending == null) {
+            checkedChanges = changes();
+            return Optional.empty();
+        }
+        Origin origin = pendingOrigin;
+        pending = null;
+        return blackboard.merge(head) ? Optional.of(new Merged(head, origin)) : Optional.empty();
+    }
+
+    private void pull(final List<EntryKey> missing, final long nowMs) {
+        nextPullMs = nowMs + PULL_RETRY_MS;
+        boolean fromSource = source != null && pulls % 2 == 0;
+        pulls++;
+        Optional<NodeAddress> from =
+                fromSource ? Optional.of(source) : peers.inDomain(1).stream().findFirst();
+        from.ifPresent(address -> sender.send(address, new Pull(missing, 0, ownAddress)));
+    }
+
+    private List<EntryKey> missing(final Entry head) {
+        List<EntryKey> missing = new ArrayList<>();
+        for (String digest : ((ConfigurationHead) head.value()).parts().values()) {
+            EntryKey key = EntryKey.of(Section.CONFIGURATION_PART, digest);
+            if (blackboard.find(key).isEmpty()) {
+                missing.add(key);
+            }
+        }
+        return missing;
+    }
+
+    private static boolean names(final Entry head, final String digest) {
+        return head != null && ((ConfigurationHead) head.value()).parts().containsValue(digest);
+    }
+
+    /** Head that was merged, with where it came from. Immutable and thread-safe. */
+    record Merged(Entry head, Origin origin) {}
+}
--- /dev/null
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/replication/ReplicationController.java
@@ -0,0 +1,242 @@
+package org.sequoiashunt.replication;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.Predicate;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import org.sequoiashunt.blackboard.Blackboard;
+import org.sequoiashunt.blackboard.Controller;
+import org.sequoiashunt.blackboard.Entry;
+import org.sequoiashunt.blackboard.EntryKey;
+import org.sequoiashunt.blackboard.Section;
+import org.sequoiashunt.configuration.ConfigurationHead;
+import org.sequoiashunt.membership.MembershipView;
+import org.sequoiashunt.membership.NodeIdentity;
+import org.sequoiashunt.peer.ControlMessage;
+import org.sequoiashunt.peer.NodeAddress;
+import org.sequoiashunt.peer.PeerSender;
+import org.sequoiashunt.time.Clock;
+
+/**
+ * Replicates the blackboard: offers each accepted change to random peers, who pull what they lack, and compares itself
+ * with one random peer a second, so that what was lost on the way arrives as well.
+ *
+ * <p>A node's cost does not grow with its failure domain. The first member in the order of leads replicates with the
+ * other failure domains.
+ *
+ * <p>{@link #tick()} and {@link #receive} are confined to one thread. Entries may be merged into the blackboard on any
+ * thread. Invariant: a head of the configuration that came from a peer stands on the blackboard only after all its
+ * parts.
+ */
+public final class ReplicationController implements Controller {
+
+    private static final int OFFER_PEERS = 3;
+    private static final int SERVICE_PEERS_NEAR = 2;
+    private static final int SERVICE_PEERS_FAR = 1;
+    private static final int SERVICE_ROUNDS = 1;
+    private static final long COMPARE_PERIOD_MS = 1_000;
+    private static final EntryKey HEAD = EntryKey.of(Section.CONFIGURATION_HEAD, ConfigurationHead.NAME);
+
+    private final NodeIdentity identity;
+    private final Blackboard blackboard;
+    private final Clock clock;
+    private final PeerSender sender;
+    private final Predicate<Entry> admission;
+    private final Peers peers;
+    private final HotChanges hotChanges = new HotChanges();
+    private final PendingPulls pendingPulls = new PendingPulls();
+    private final HeadHistory history = new HeadHistory();
+    private final AntiEntropy antiEntropy;
+    private final Deliveries deliveries;
+    private final HeadAssembler assembler;
+    private final RegionRelay relay;
+    private long nextCompareMs;
+
+    /**
+     * Creates a controller that listens to the blackboard from now on, and offers what stands there already.
+     *
+     * @param identity the node, not null.
+     * @param blackboard the node's blackboard, not null.
+     * @param clock the clock, not null.
+     * @param random the source of chance, not null.
+     * @param sender sends to other nodes, not null.
+     * @param views gives the present view of the members, not null.
+     * @param admission tells whether an entry that a peer sent may be merged, not null.
+     * @param contacts addresses to turn to before any member is known, not null.
+     */
+    public ReplicationController(
+            final NodeIdentity identity,
+            final Blackboard blackboard,
+            final Clock clock,
+            final RandomGenerator random,
+            final PeerSender sender,
+            final Supplier<MembershipView> views,
+            final Predicate<Entry> admission,
+            final Contacts contacts) {
+        this.identity = Objects.requireNonNull(identity, "identity");
+        this.blackboard = Objects.requireNonNull(blackboard, "blackboard");
+        this.clock = Objects.requireNonNull(clock, "clock");
+        this.sender = Objects.requireNonNull(sender, "sender");
+        this.admission = Objects.requireNonNull(admission, "admission");
+        this.peers = new Peers(identity, views, contacts, random);
+        this.antiEntropy = new AntiEntropy(identity, blackboard, sender, peers);
+        this.deliveries = new Deliveries(blackboard, history, sender, identity.address());
+        this.assembler = new HeadAssembler(blackboard, sender, identity.address(), peers);
+        this.relay = new RegionRelay(identity, sender, peers, antiEntropy, random);
+        this.nextCompareMs = clock.nowMs();
+        blackboard.addListener(history);
+        blackboard.addListener(hotChanges);
+        for (Section section : Section.values()) {
+            blackboard.entries(section).forEach(hotChanges::entryAccepted);
+        }
+    }
+
+    @Override
+    public void tick() {
+        long nowMs = clock.nowMs();
+        pendingPulls.expire(nowMs);
+        assemble(nowMs);
+        offerDue(nowMs);
+        relay.advance(nowMs);
+        if (nowMs >= nextCompareMs) {
+            compare(nowMs);
+        }
+        assembler.collect(nowMs);
+    }
+
+    @Override
+    public boolean receive(final String senderName, final ControlMessage message) {
+        if (message instanceof Offer offer) {
+            pull(offer.stamps(), offer.replyTo());
+        } else if (message instanceof Pull pull) {
+            deliveries.answer(pull, clock.nowMs());
+        } else if (message instanceof Deliver deliver) {
+            accept(deliver.entries(), deliver.replyTo(), peers.origin(senderName));
+        } else if (message instanceof HeadDelta delta) {
+            accept(delta, peers.origin(senderName));
+        } else if (message instanceof RangeDigests digests) {
+            antiEntropy.answer(digests);
+        } else if (message instanceof BucketDigests digests) {
+            antiEntropy.answer(digests);
+        } else if (message instanceof BucketStamps stamps) {
+            deliveries.send(antiEntropy.lackedBySender(stamps), stamps.replyTo(), clock.nowMs());
+            pull(stamps.stamps(), stamps.replyTo());
+        } else {
+            return false;
+        }
+        return true;
+    }
+
+    private void pull(final List<EntryStamp> stamps, final NodeAddress peer) {
+        long nowMs = clock.nowMs();
+        List<EntryKey> wanted = new ArrayList<>();
+        for (EntryStamp stamp : stamps) {
+            if (lacks(stamp) && pendingPulls.begin(stamp, nowMs)) {
+                wanted.add(stamp.key());
+            }
+        }
+        for (List<EntryKey> chunk : Chunks.split(wanted)) {
+            sender.send(peer, new Pull(chunk, headVersion(), identity.address()));
+        }
+    }
+
+    private boolean lacks(final EntryStamp stamp) {
+        EntryKey key = stamp.key();
+        if (key.section() == Section.CONFIGURATION_HEAD) {
+            return assembler.lacks(stamp);
+        }
+        if (!isHeld(key)) {
+            return false;
+        }
+        Optional<Entry> present = blackboard.find(key);
+        return present.isEmpty() || stamp.isNewerThan(present.get());
+    }
+
+    private boolean isHeld(final EntryKey key) {
+        if (key.section() == Section.CONFIGURATION_PART) {
+            return assembler.names(key.name());
+        }
+        return key.section().scope() != Section.Scope.SAME_SERVICE
+                || peers.holds(RangeIndex.service(key.section(), key.name()));
+    }
+
+    private void accept(final List<Entry> entries, final NodeAddress source, final Origin origin) {
+        for (Entry entry : entries) {
+            if (entry.key().section() == Section.CONFIGURATION_HEAD) {
+                assembler.offer(entry, source, origin);
+            } else if (isHeld(entry.key()) && admission.test(entry) && blackboard.merge(entry)) {
+                hotChanges.learnedFrom(EntryStamp.of(entry), origin);
+            }
+        }
+        assemble(clock.nowMs());
+    }
+
+    private void accept(final HeadDelta delta, final Origin origin) {
+        Optional<Entry> head = history.apply(delta);
+        if (head.isPresent()) {
+            assembler.offer(head.get(), delta.replyTo(), origin);
+            assemble(clock.nowMs());
+        } else {
+            sender.send(delta.replyTo(), new Pull(List.of(HEAD), 0, identity.address()));
+        }
+    }
+
+    private void assemble(final long nowMs) {
+        assembler
+                .advance(nowMs)
+                .ifPresent(merged -> hotChanges.learnedFrom(EntryStamp.of(merged.head()), merged.origin()));
+    }
+
+    private long headVersion() {
+        return blackboard.find(HEAD).map(head -> head.version().major()).orElse(0L);
+    }
+
+    private void offerDue(final long nowMs) {
+        List<EntryStamp> common = new ArrayList<>();
+        for (HotChanges.Due due : hotChanges.due(nowMs, rounds())) {
+            EntryKey key = due.stamp().key();
+            if (due.round() == 0) {
+                relay.enqueue(due.stamp(), due.origin(), nowMs);
+            }
+            if (key.section().scope() != Section.Scope.SAME_SERVICE) {
+                common.add(due.stamp());
+            } else if (due.round() < SERVICE_ROUNDS) {
+                String service = RangeIndex.service(key.section(), key.name());
+                offer(List.of(due.stamp()), peers.ofService(service, SERVICE_PEERS_NEAR, SERVICE_PEERS_FAR));
+            }
+        }
+        if (!common.isEmpty()) {
+            offer(common, peers.inDomain(OFFER_PEERS));
+        }
+    }
+
+    private void offer(final List<EntryStamp> stamps, final List<NodeAddress> receivers) {
+        for (List<EntryStamp> chunk : Chunks.split(stamps)) {
+            receivers.forEach(receiver -> sender.send(receiver, new Offer(chunk, identity.address())));
+        }
+    }
+
+    private int rounds() {
+        int bits = Integer.SIZE - Integer.numberOfLeadingZeros(peers.domainSize());
+        return 1 + bits / OFFER_PEERS;
+    }
+
+    private void compare(final long nowMs) {
+        nextCompareMs = nowMs + COMPARE_PERIOD_MS;
+        peers.forAntiEntropy().ifPresent(peer -> antiEntropy.compareSections(peer, true));
+        for (String service : heldServices()) {
+            peers.ofService(service, 1, 0).forEach(peer -> antiEntropy.compareService(peer, Section.EVIDENCE, service));
+        }
+    }
+
+    private List<String> heldServices() {
+        return blackboard.entries(Section.EVIDENCE).stream()
+                .map(entry -> RangeIndex.service(Section.EVIDENCE, entry.key().name()))
+                .distinct()
+                .filter(peers::holds)
+                .toList();
+    }
+}
