--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/dispatch/CallDispatcher.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/dispatch/CallDispatcher.java
@@ -78,6 +78,7 @@
      * @param gates sends calls to gates.
      * @param claims decides about keys.
      * @param callIds makes identities of attempts.
+     * @param observer told of each attempt.
      */
     public record Collaborators(
             Clock clock,
@@ -87,7 +88,8 @@
             TargetSelector selector,
             GateCaller gates,
             Claims claims,
-            CallIdSource callIds) {
+            CallIdSource callIds,
+            AttemptObserver observer) {
 
         /**
          * Checks the components.
@@ -103,6 +105,7 @@
             Objects.requireNonNull(gates, "gates");
             Objects.requireNonNull(claims, "claims");
             Objects.requireNonNull(callIds, "callIds");
+            Objects.requireNonNull(observer, "observer");
         }
     }
 }
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/dispatch/DispatchedCall.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/dispatch/DispatchedCall.java
@@ -7,9 +7,11 @@
 import java.util.concurrent.CompletableFuture;
 import org.sequoiashunt.call.CallRequest;
 import org.sequoiashunt.call.CallResult;
+import org.sequoiashunt.call.HeaderField;
 import org.sequoiashunt.call.Outcome;
 import org.sequoiashunt.call.Reason;
 import org.sequoiashunt.dispatch.CallDispatcher.Collaborators;
+import org.sequoiashunt.execution.CrashTracker;
 import org.sequoiashunt.limit.RetryBudget;
 import org.sequoiashunt.routing.Candidate;
 import org.sequoiashunt.routing.RoutingTable.RouteMatch;
@@ -38,6 +40,7 @@
     private CompletableFuture<?> underWay = CompletableFuture.completedFuture(null);
     private Outcome worst = Outcome.NOT_RUN;
     private int attempts;
+    private volatile List<HeaderField> headers;
 
     DispatchedCall(
             final Collaborators collaborators,
@@ -51,6 +54,7 @@
         this.match = match;
         this.deadlineMs = deadlineMs;
         this.versions = collaborators.versions().choose(match.service());
+        this.headers = call.headers();
         this.claimId = collaborators.callIds().next();
     }
 
@@ -127,8 +131,10 @@
     }
 
     private void send(final Candidate candidate) {
+        CallRequest request = request(candidate);
+        long startedMs = collaborators.clock().nowMs();
         collaborators.selector().started(candidate);
-        CompletableFuture<CallResult> sent = collaborators.gates().call(candidate.gate(), request(candidate));
+        CompletableFuture<CallResult> sent = collaborators.gates().call(candidate.gate(), request);
         synchronized (this) {
             attempts++;
             underWay = sent;
@@ -138,8 +144,10 @@
         }
         sent.whenComplete((ended, failure) -> {
             CallResult known = failure == null ? ended : CallResult.unknown(Reason.CANCELLED);
+            long durationMs = Math.max(0, collaborators.clock().nowMs() - startedMs);
             collaborators.selector().ended(candidate, known);
-            attemptEnded(candidate, known);
+            collaborators.observer().attemptEnded(candidate, request, known, durationMs);
+            attemptEnded(candidate, request, known);
         });
     }
 
@@ -152,21 +160,23 @@
                 candidate.target(),
                 call.method(),
                 call.uri(),
-                call.headers(),
+                headers,
                 call.body(),
                 match.route().idempotent(),
                 call.key(),
                 deadlineMs);
     }
 
-    private void attemptEnded(final Candidate candidate, final CallResult ended) {
+    private void attemptEnded(final Candidate candidate, final CallRequest request, final CallResult ended) {
+        Optional<List<HeaderField>> nextHeaders = CrashTracker.retryOf(request, ended);
         synchronized (this) {
             excluded.add(candidate.identity());
             if (ended.outcome() == Outcome.UNKNOWN) {
                 worst = Outcome.UNKNOWN;
             }
         }
-        if (mayRetry(ended)) {
+        if (nextHeaders.isPresent() && mayRetry(ended)) {
+            headers = nextHeaders.get();
             attempt();
         } else {
             finish(ended);
--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/dispatch/CallDispatcherTest.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/dispatch/CallDispatcherTest.java
@@ -21,6 +21,7 @@
 import org.sequoiashunt.configuration.Route;
 import org.sequoiashunt.configuration.ServiceConfiguration;
 import org.sequoiashunt.execution.Claims;
+import org.sequoiashunt.execution.CrashTracker;
 import org.sequoiashunt.peer.NodeAddress;
 import org.sequoiashunt.routing.Candidate;
 import org.sequoiashunt.routing.RoutingTable;
@@ -52,7 +53,8 @@
                 return attempt;
             },
             new FakeClaims(),
-            new CallIdSource("node", 1)));
+            new CallIdSource("node", 1),
+            (candidate, request, result, durationMs) -> {}));
 
     @Test
     void refusesBeforeAConfigurationIsInForce() {
@@ -96,6 +98,16 @@
         assertEquals(Outcome.COMPLETE, result.join().outcome());
     }
 
+    @Test
+    void triesACrashVictimOnlyOnceMoreAndMarksIt() {
+        CompletableFuture<CallResult> result = dispatcher.dispatch(lookup());
+        attempts.get(0).complete(CallResult.unknown(Reason.CONNECTION_FAILED));
+        attempts.get(1).complete(CallResult.unknown(Reason.CONNECTION_FAILED));
+        assertEquals(Outcome.UNKNOWN, result.join().outcome());
+        assertEquals(2, sent.size());
+        assertEquals(CrashTracker.SUSPECT_HEADER, sent.get(1).headers().get(0).name());
+    }
+
     @Test
     void laterRefusalDoesNotHideThatAnEarlierAttemptMayHaveRun() {
         CompletableFuture<CallResult> result = dispatcher.dispatch(lookup());
