--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/ClaimRule.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/ClaimRule.java
@@ -12,10 +12,12 @@
 public enum ClaimRule {
     /** A call is dispatched only after a majority of the key's guards granted it; without it, after one of them. */
     MAJORITY,
-    /** A guard's grant counts only when the guard has run for the retention window, or since before the first epoch. */
-    COMPLETE_AFTER_START,
-    /** A guard's grant counts only when it was a guard of the key in each epoch within the retention window. */
-    COMPLETE_AFTER_ENTRY,
+    /** A guard's grant counts only when its history of the key is complete over the retention window. */
+    COMPLETE_HISTORY,
+    /** A history is complete only for keys of which the node was a guard in each epoch within the window. */
+    KEY_HISTORY,
+    /** The first epoch begins with complete histories only at guards that saw the store without a roster. */
+    FIRST_EPOCH_WITNESSED,
     /** A guard grants only while a majority of its roster answers its heartbeats at its own epoch. */
     FENCE,
     /** A guard grants only claims of its own epoch, and only when it is in the roster of that epoch. */
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/CrashTracker.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/CrashTracker.java
@@ -33,7 +33,7 @@
  */
 public final class CrashTracker implements Controller {
 
-    /** Header by which an entry tells the gate that a request may have crashed a target; entries drop it from callers. */
+    /** Header by which an entry tells the gate that a request may have crashed a target; callers must not set it. */
     public static final String SUSPECT_HEADER = "Sequoiashunt-Suspect";
 
     /** How long a suspect is remembered. */
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/GuardStanding.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/GuardStanding.java
@@ -30,6 +30,7 @@
     private final ClaimTiming timing;
     private final Set<ClaimRule> rules;
     private final long startMs;
+
     /** Consecutive epochs adopted, the newest first. */
     private final Deque<AdoptedRoster> adopted = new ArrayDeque<>();
     /** When the heartbeat that each guard answered last at the current epoch was sent. */
@@ -209,13 +210,20 @@
      * @return true if this node's grant counts.
      */
     public synchronized boolean isComplete(final ClaimKey key) {
+        if (!rules.contains(ClaimRule.COMPLETE_HISTORY)) {
+            return true;
+        }
         long nowMs = clock.nowMs();
         updateActivity(nowMs);
-        boolean first = isFirstEpochWitnessed();
-        if (rules.contains(ClaimRule.COMPLETE_AFTER_START) && !first && !isPast(startMs, nowMs)) {
-            return false;
+        for (AdoptedRoster epoch : adopted) {
+            if (!hadPart(epoch.roster, key)) {
+                return false;
+            }
+            if (epoch.activeMs != NEVER_MS && isPast(epoch.activeMs, nowMs)) {
+                return true;
+            }
         }
-        return !rules.contains(ClaimRule.COMPLETE_AFTER_ENTRY) || isCompleteByEpochs(key, nowMs, first);
+        return isFirstEpochWitnessed();
     }
 
     @Override
@@ -235,23 +243,15 @@
         return RendezvousHash.first(key, roster.guards(), GUARDS_PER_KEY);
     }
 
-    private boolean isCompleteByEpochs(final ClaimKey key, final long nowMs, final boolean first) {
-        Iterator<AdoptedRoster> epochs = adopted.iterator();
-        while (epochs.hasNext()) {
-            AdoptedRoster epoch = epochs.next();
-            if (!guardsOf(epoch.roster, key).contains(node)) {
-                return false;
-            }
-            if (epoch.activeMs != NEVER_MS && isPast(epoch.activeMs, nowMs)) {
-                return true;
-            }
-        }
-        return first;
+    private boolean hadPart(final Roster roster, final ClaimKey key) {
+        boolean byKey = rules.contains(ClaimRule.KEY_HISTORY);
+        return (byKey ? guardsOf(roster, key) : roster.guards()).contains(node);
     }
 
     /** The oldest epoch adopted is the first one, and this process runs since before it: nothing can precede it. */
     private boolean isFirstEpochWitnessed() {
-        return storeWasEmpty && !adopted.isEmpty() && adopted.peekLast().roster.epoch() == 1;
+        boolean witnessed = storeWasEmpty || !rules.contains(ClaimRule.FIRST_EPOCH_WITNESSED);
+        return witnessed && !adopted.isEmpty() && adopted.peekLast().roster.epoch() == 1;
     }
 
     private boolean isPast(final long sinceMs, final long nowMs) {
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/RendezvousHash.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/RendezvousHash.java
@@ -1,7 +1,6 @@
 package org.sequoiashunt.execution;
 
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.List;
 
 /**
@@ -28,9 +27,10 @@
      */
     static List<String> first(final ClaimKey key, final Collection<String> names, final int count) {
         return names.stream()
-                .sorted(Comparator.comparingLong((String name) -> weight(key, name))
-                        .thenComparing(Comparator.naturalOrder()))
+                .map(name -> new Ranked(weight(key, name), name))
+                .sorted()
                 .limit(count)
+                .map(Ranked::name)
                 .toList();
     }
 
@@ -47,4 +47,14 @@
         mixed = (mixed ^ mixed >>> SHIFT) * SECOND_FACTOR;
         return mixed ^ mixed >>> SHIFT;
     }
+
+    /** Name with its weight. Immutable. */
+    private record Ranked(long weight, String name) implements Comparable<Ranked> {
+
+        @Override
+        public int compareTo(final Ranked other) {
+            int order = Long.compare(weight, other.weight);
+            return order != 0 ? order : name.compareTo(other.name);
+        }
+    }
 }
--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/execution/ModelNode.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/execution/ModelNode.java
@@ -134,16 +134,6 @@
 
     void deliver(final ModelNetwork.Delivery delivery) {
         run(() -> {
-            String t = System.getProperty("trace", "zzz");
-            String text = delivery.toString();
-            for (String part : t.split(",")) {
-                if (text.contains("attempt=" + part + ",") || text.contains("attempt=" + part + "]")) {
-                    System.out.println(world.nowMs() + " " + name + " got " + text);
-                }
-            }
-            if (t.contains("roster") && text.contains("RosterNotice")) {
-                System.out.println(world.nowMs() + " " + name + " got " + text);
-            }
             if (!coordinator.receive(delivery.from(), delivery.message())) {
                 guard.receive(delivery.from(), delivery.message());
             }
