--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/MoveEvidence.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/MoveEvidence.java
@@ -19,6 +19,7 @@
     private final VersionJudge judge;
     private final EvidenceTracker tracker;
     private final MoveTotals totals = new MoveTotals();
+    private long begunMs = -1;
     private Judgement judgement = Judgement.SOUND;
 
     MoveEvidence(final String service, final Move move, final VersionJudge judge) {
@@ -34,6 +35,7 @@
      * @param nowMs the current time in milliseconds.
      */
     void advance(final List<Entry> entries, final long nowMs) {
+        begunMs = begunMs < 0 ? nowMs : begunMs;
         EvidenceBlock block = tracker.advance(entries, nowMs);
         totals.add(block);
         judgement = judge.judge(block);
@@ -58,6 +60,26 @@
         return judgement.finding() == Judgement.Finding.DOUBTFUL;
     }
 
+    /**
+     * Returns what speaks against the version.
+     *
+     * @return part of a sentence, empty if nothing does.
+     */
+    String doubt() {
+        return judgement.explanation();
+    }
+
+    /**
+     * Returns the service's rate as far as it is known.
+     *
+     * @param nowMs the current time in milliseconds.
+     * @return requests a second over the time since the first evidence, zero if there was none.
+     */
+    double requestsPerSecond(final long nowMs) {
+        long elapsedMs = Math.max(1_000, nowMs - begunMs);
+        return totals.requests() * 1_000.0 / elapsedMs;
+    }
+
     /**
      * Tells whether most of the nodes that sent evidence have fallen silent, as in a network partition.
      *
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/MoveRun.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/MoveRun.java
@@ -112,25 +112,32 @@
         }
         Optional<String> fault = evidence.fault().or(() -> targets.look(nowMs));
         if (fault.isPresent()) {
-            long seconds = (nowMs - sharedSinceMs) / 1_000;
-            write(progress.takenBack(fault.get() + "; " + seconds + " s after the start"));
+            takeBack(progress, fault.get());
         } else {
-            stepUpIfDue(RolloutStep.of(progress), nowMs);
+            stepUpIfDue(progress, nowMs);
         }
     }
 
-    private void stepUpIfDue(final RolloutStep step, final long nowMs) {
+    private void stepUpIfDue(final RolloutProgress progress, final long nowMs) {
+        RolloutStep step = RolloutStep.of(progress);
         boolean waiting = evidence.isDoubtful() || evidence.isCutOff(nowMs);
-        if (!pacer.isDue(step, waiting, nowMs)) {
+        if (!pacer.isDue(step, waiting, evidence.requestsPerSecond(nowMs), nowMs)) {
             return;
         }
         if (step == RolloutStep.WHOLE) {
             sealer.offer(progress(Stage.SEALED_DONE, step));
+        } else if (step == RolloutStep.NEARLY_ALL && evidence.isDoubtful()) {
+            takeBack(progress, "still in doubt when the time was up: " + evidence.doubt());
         } else {
             step.next().ifPresent(this::publish);
         }
     }
 
+    private void takeBack(final RolloutProgress progress, final String why) {
+        long seconds = (clock.nowMs() - sharedSinceMs) / 1_000;
+        write(progress.takenBack(why + "; " + seconds + " s after the start"));
+    }
+
     private void publish(final RolloutStep step) {
         write(progress(step.stage(), step));
     }
@@ -138,7 +145,8 @@
     private RolloutProgress progress(final Stage stage, final RolloutStep step) {
         long nowMs = clock.nowMs();
         String prefix = stage == Stage.SEALED_DONE ? "done" : "at " + ShareText.percent(step.shareParts());
-        String reason = prefix + "; " + evidence.describe(nowMs) + pacer.describe(step, nowMs);
+        String reason = prefix + "; " + evidence.describe(nowMs)
+                + pacer.describe(step, evidence.requestsPerSecond(nowMs), nowMs);
         return new RolloutProgress(identity, service, stage, step.shareParts(), reason);
     }
 
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/MoveTotals.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/MoveTotals.java
@@ -22,6 +22,15 @@
         failures = failures.plus(counts.failures());
     }
 
+    /**
+     * Returns how many calls were seen, of both versions.
+     *
+     * @return the number of calls.
+     */
+    long requests() {
+        return failures.newTrials() + failures.oldTrials();
+    }
+
     /**
      * Describes what was seen.
      *
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/RolloutController.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/RolloutController.java
@@ -24,6 +24,9 @@
  */
 public final class RolloutController implements Controller {
 
+    /** Probability with which one controller takes a sound version back, over the whole move. */
+    public static final double ERROR_RATE = 2e-3;
+
     private final String node;
     private final String failureDomain;
     private final Blackboard blackboard;
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/RolloutStep.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/RolloutStep.java
@@ -5,35 +5,47 @@
 /**
  * Steps of a move, in order, with the share of the new version in each and the part of the time that each may take.
  *
- * <p>Most of the time goes to the first step, since a fault that shows late reaches few requests there. The
- * {@link #WATCH} step keeps a small remainder on the old version: without it there would be nothing to judge the new
- * one against, and a fault of a shared dependency would look like one of the version. Immutable and thread-safe.
+ * <p>With much traffic most of the time goes to the first step, since a fault that shows late reaches few requests
+ * there. With little traffic the first step sees next to nothing, and most of the time goes to {@link #HALF}, where few
+ * requests tell most. {@link #MOST} and {@link #NEARLY_ALL} keep a remainder on the old version: without it there would
+ * be nothing to judge the new one against, and a fault of a shared dependency would look like one of the version.
+ * Immutable and thread-safe.
  */
 public enum RolloutStep {
     /** First requests. */
-    TRACE(8_000, Stage.SHIFTING, 45, 4_000),
+    TRACE(8_000, Stage.SHIFTING, 8, 57, 4_000),
     /** Small share. */
-    SMALL(50_000, Stage.SHIFTING, 12, 4_000),
+    SMALL(50_000, Stage.SHIFTING, 8, 6, 4_000),
     /** A quarter. */
-    QUARTER(250_000, Stage.SHIFTING, 9, 4_000),
+    QUARTER(250_000, Stage.SHIFTING, 8, 6, 4_000),
     /** Half. */
-    HALF(500_000, Stage.SHIFTING, 9, 4_000),
-    /** All but a remainder that keeps the old version comparable. */
-    WATCH(980_000, Stage.WATCHING, 15, 6_000),
+    HALF(500_000, Stage.SHIFTING, 46, 7, 4_000),
+    /** All but a remainder that is large enough to compare with. */
+    MOST(900_000, Stage.SHIFTING, 14, 11, 4_000),
+    /** All but a small remainder. */
+    NEARLY_ALL(980_000, Stage.WATCHING, 6, 3, 4_000),
     /** All; waits for the seal. */
-    WHOLE(RolloutProgress.WHOLE_SHARE_PARTS, Stage.WATCHING, 0, 0);
+    WHOLE(RolloutProgress.WHOLE_SHARE_PARTS, Stage.WATCHING, 0, 0, 0);
 
     private static final int MARGIN_WEIGHT = 10;
+    private static final double MUCH_TRAFFIC_PER_SECOND = 20;
 
     private final int shareParts;
     private final Stage stage;
-    private final int weight;
+    private final int littleTrafficWeight;
+    private final int muchTrafficWeight;
     private final long floorMs;
 
-    RolloutStep(final int shareParts, final Stage stage, final int weight, final long floorMs) {
+    RolloutStep(
+            final int shareParts,
+            final Stage stage,
+            final int littleTrafficWeight,
+            final int muchTrafficWeight,
+            final long floorMs) {
         this.shareParts = shareParts;
         this.stage = stage;
-        this.weight = weight;
+        this.littleTrafficWeight = littleTrafficWeight;
+        this.muchTrafficWeight = muchTrafficWeight;
         this.floorMs = floorMs;
     }
 
@@ -95,10 +107,11 @@
      *
      * @param remainingMs time from the start of this step until the move must be finished, in milliseconds; may be
      *     negative.
+     * @param requestsPerSecond the service's rate as far as it is known, zero or more.
      * @return milliseconds.
      */
-    public long holdMs(final long remainingMs) {
-        return Math.max(floorMs, pacedMs(remainingMs));
+    public long holdMs(final long remainingMs, final double requestsPerSecond) {
+        return Math.max(floorMs, pacedMs(remainingMs, requestsPerSecond));
     }
 
     /**
@@ -129,17 +142,23 @@
      *
      * @param remainingMs time from the start of this step until the move must be finished, in milliseconds; may be
      *     negative.
+     * @param requestsPerSecond the service's rate as far as it is known, zero or more.
      * @return true if its part of the time would be shorter than the floor.
      */
-    public boolean isCompressed(final long remainingMs) {
-        return pacedMs(remainingMs) < floorMs;
+    public boolean isCompressed(final long remainingMs, final double requestsPerSecond) {
+        return pacedMs(remainingMs, requestsPerSecond) < floorMs;
     }
 
-    private long pacedMs(final long remainingMs) {
+    private long pacedMs(final long remainingMs, final double requestsPerSecond) {
+        boolean muchTraffic = requestsPerSecond >= MUCH_TRAFFIC_PER_SECOND;
         int weights = MARGIN_WEIGHT;
         for (int index = ordinal(); index < values().length; index++) {
-            weights += values()[index].weight;
+            weights += values()[index].weight(muchTraffic);
         }
-        return remainingMs * weight / weights;
+        return remainingMs * weight(muchTraffic) / weights;
+    }
+
+    private int weight(final boolean muchTraffic) {
+        return muchTraffic ? muchTrafficWeight : littleTrafficWeight;
     }
 }
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/SequentialJudge.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/SequentialJudge.java
@@ -22,7 +22,7 @@
 
     private static final String ALL_ROUTES = "";
     private static final double LEFT_OUT_ERROR_RATE = 0.02;
-    private static final double DOUBT_ERROR_RATE = 0.05;
+    private static final double DOUBT_ERROR_RATE = 0.01;
     private static final int EXPECTED_ROUTES = 4;
     private static final long CONTROL_REQUESTS = 40;
     private static final int LONGEST_BLOCK_ROUNDS = 20;
@@ -110,10 +110,9 @@
 
     private Judgement.Finding finding(final RouteTests tests, final FaultKind kind) {
         double evidence = tests.all().logEvidence(kind);
-        if (evidence < doubtfulBound) {
+        if (evidence < doubtfulBound || tests.lowestWithoutOne(kind) < leftOutBound) {
             return Judgement.Finding.SOUND;
         }
-        boolean sure = evidence >= faultyBound && tests.lowestWithoutOne(kind) >= leftOutBound;
-        return sure ? Judgement.Finding.FAULTY : Judgement.Finding.DOUBTFUL;
+        return evidence >= faultyBound ? Judgement.Finding.FAULTY : Judgement.Finding.DOUBTFUL;
     }
 }
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/StepPacer.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/StepPacer.java
@@ -14,6 +14,9 @@
     /** How much longer a step may last when there is reason to wait. */
     private static final int WAITING_FACTOR = 3;
 
+    /** Time kept for the steps ahead while waiting, in multiples of their floors. */
+    private static final int AHEAD_FACTOR = 2;
+
     private final long finishByMs;
     private long beganMs;
     private long tickedMs;
@@ -50,14 +53,15 @@
      *
      * @param step the present step, not null.
      * @param waiting whether there is reason to hold the step longer.
+     * @param requestsPerSecond the service's rate as far as it is known, zero or more.
      * @param nowMs the current time in milliseconds.
      * @return true if the step has been held long enough.
      */
-    boolean isDue(final RolloutStep step, final boolean waiting, final long nowMs) {
+    boolean isDue(final RolloutStep step, final boolean waiting, final double requestsPerSecond, final long nowMs) {
         long remainingMs = finishByMs - beganMs;
-        long holdMs = step.holdMs(remainingMs);
+        long holdMs = step.holdMs(remainingMs, requestsPerSecond);
         if (waiting) {
-            long spareMs = remainingMs - WAITING_FACTOR * step.floorsAheadMs();
+            long spareMs = remainingMs - AHEAD_FACTOR * step.floorsAheadMs();
             holdMs = Math.max(holdMs, Math.min(WAITING_FACTOR * holdMs, spareMs));
         }
         return nowMs - beganMs >= holdMs;
@@ -67,14 +71,17 @@
      * Describes the pace for operators.
      *
      * @param step the step that begins, not null.
+     * @param requestsPerSecond the service's rate as far as it is known, zero or more.
      * @param nowMs the current time in milliseconds.
      * @return part of a sentence, empty if there is time enough.
      */
-    String describe(final RolloutStep step, final long nowMs) {
+    String describe(final RolloutStep step, final double requestsPerSecond, final long nowMs) {
         long remainingMs = finishByMs - nowMs;
         if (step.isLate(remainingMs)) {
             return remainingMs < 0 ? "; late: finishBy has passed" : "; late: too little time before finishBy";
         }
-        return step.isCompressed(remainingMs) ? "; steps shortened to their floor, as finishBy is near" : "";
+        return step.isCompressed(remainingMs, requestsPerSecond)
+                ? "; steps shortened to their floor, as finishBy is near"
+                : "";
     }
 }
--- /dev/null
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/rollout/Effect.java
@@ -0,0 +1,12 @@
+package org.sequoiashunt.trial.rollout;
+
+/**
+ * What the state of the world does to one request. Immutable and thread-safe.
+ *
+ * @param failureRate the probability that the request fails.
+ * @param latencyFactor by how much its latency grows.
+ */
+record Effect(double failureRate, double latencyFactor) {
+
+    static final Effect NONE = new Effect(0, 1);
+}
