--- /dev/null
+++ b/sequoiashunt-link/src/test/java/org/sequoiashunt/link/LinkBadInputTest.java
@@ -0,0 +1,179 @@
+package org.sequoiashunt.link;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.protobuf.ByteString;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.sequoiashunt.call.Body;
+import org.sequoiashunt.call.CallResult;
+import org.sequoiashunt.call.Outcome;
+import org.sequoiashunt.call.Reason;
+import org.sequoiashunt.link.wire.FrameProto.CallStart;
+import org.sequoiashunt.link.wire.FrameProto.Control;
+import org.sequoiashunt.link.wire.FrameProto.Frame;
+import org.sequoiashunt.link.wire.FrameProto.Freshness;
+import org.sequoiashunt.link.wire.FrameProto.Hello;
+
+/** What a broken or hostile peer may send; a call on another link goes on meanwhile. */
+class LinkBadInputTest {
+
+    private static final LinkLimits LIMITS =
+            new LinkLimits(250, 750, 300, 1_000, 3_000, 30_000, 1_500, 300, 100_000, 3, 90_000, 4_000_000, 100);
+    private static final Frame HELLO = Frames.hello(new LinkIdentity("peer", 1), 0);
+
+    private LinkFixture fixture;
+    private CompletableFuture<CallResult> bystander;
+
+    @BeforeEach
+    void open() throws Exception {
+        fixture = new LinkFixture(LIMITS);
+        bystander = fixture.client.call(fixture.address(), LinkFixture.request("bystander", 20_000));
+        LinkFixture.await(() -> !fixture.handler.runs.isEmpty());
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        CallResult answer = LinkFixture.answer(Body.of(new byte[10]));
+        fixture.handler.runs.element().complete(answer);
+        assertEquals(answer, LinkFixture.await(bystander));
+        assertEquals(1, fixture.clientCounters.read(LinkCounters.Count.LINKS_OPENED));
+        fixture.close();
+    }
+
+    static Stream<BadInput> inputs() {
+        Frame otherVersion = Frame.newBuilder()
+                .setHello(Hello.newBuilder().setProtocolVersion(2).setNode("peer"))
+                .build();
+        CallStart old = CallStart.newBuilder()
+                .setCallId("old")
+                .setFreshness(Freshness.newBuilder().setStamp(1).setRemainingMs(60_000))
+                .build();
+        return Stream.of(
+                new BadInput(Refusal.NO_HELLO, peer -> {}),
+                new BadInput(Refusal.NO_HELLO, peer -> peer.writeBytes((byte) 0, (byte) 0)),
+                new BadInput(Refusal.OVERSIZED, peer -> peer.writeBytes((byte) 127, (byte) 0, (byte) 0, (byte) 0)),
+                new BadInput(Refusal.OVERSIZED, peer -> peer.writeBytes((byte) 0, (byte) 2, (byte) 0, (byte) 0)),
+                new BadInput(Refusal.OVERSIZED, peer -> peer.writeBytes((byte) -1, (byte) -1, (byte) -1, (byte) -1)),
+                new BadInput(
+                        Refusal.MALFORMED,
+                        peer -> peer.writeBytes((byte) 0, (byte) 0, (byte) 0, (byte) 2, (byte) 255, (byte) 255)),
+                new BadInput(Refusal.UNEXPECTED, peer -> peer.write(Frames.ping())),
+                new BadInput(Refusal.PROTOCOL_VERSION, peer -> peer.write(otherVersion)),
+                new BadInput(Refusal.UNEXPECTED, introduced(peer -> peer.write(Frame.getDefaultInstance()))),
+                new BadInput(Refusal.UNEXPECTED, introduced(peer -> peer.write(HELLO))),
+                new BadInput(Refusal.UNEXPECTED, introduced(peer -> peer.write(Frames.pong(1)))),
+                new BadInput(Refusal.STALE, introduced(peer -> peer.write(Frames.of(old)))),
+                new BadInput(
+                        Refusal.INCOMPLETE,
+                        introduced(peer -> peer.writeBytes((byte) 0, (byte) 0, (byte) 0, (byte) 9, (byte) 1))));
+    }
+
+    @ParameterizedTest
+    @MethodSource("inputs")
+    void closesTheConnectionAndCountsTheReason(final BadInput input) throws Exception {
+        try (RawPeer peer = RawPeer.connect(fixture.address())) {
+            input.attempt().act(peer);
+            assertTrue(peer.isClosedByPeer());
+            assertEquals(1, fixture.serverCounters.read(input.refusal()));
+        }
+        assertEquals(1, fixture.handler.runs.size());
+    }
+
+    @Test
+    void aHalfClosedConnectionIsClosed() throws Exception {
+        try (RawPeer peer = RawPeer.connect(fixture.address())) {
+            peer.write(HELLO);
+            peer.read();
+            peer.shutdownOutput();
+            assertTrue(peer.isClosedByPeer());
+        }
+    }
+
+    @Test
+    void unfinishedFramesAreBoundedOverAllConnections() throws Exception {
+        try (RawPeer first = RawPeer.connect(fixture.address());
+                RawPeer second = RawPeer.connect(fixture.address())) {
+            for (RawPeer peer : new RawPeer[] {first, second}) {
+                peer.write(HELLO);
+                peer.read();
+                peer.writeBytes((byte) 0, (byte) 1, (byte) 0x80, (byte) 0);
+                peer.writeBytes(new byte[70_000]);
+            }
+            LinkFixture.await(() -> fixture.serverCounters.read(Refusal.TOO_MUCH_PENDING) == 1);
+        }
+    }
+
+    @Test
+    void connectionsAreBounded() throws Exception {
+        try (RawPeer first = RawPeer.connect(fixture.address());
+                RawPeer second = RawPeer.connect(fixture.address())) {
+            first.write(HELLO);
+            first.read();
+            second.write(HELLO);
+            second.read();
+            try (RawPeer third = RawPeer.connect(fixture.address())) {
+                assertTrue(third.isClosedByPeer());
+                assertEquals(1, fixture.serverCounters.read(Refusal.TOO_MANY_CONNECTIONS));
+            }
+        }
+    }
+
+    @Test
+    void aControlMessageThatCannotBeReadIsDroppedAndTheConnectionKept() throws Exception {
+        try (RawPeer peer = RawPeer.connect(fixture.address())) {
+            peer.write(HELLO);
+            peer.read();
+            peer.write(Frames.of(Control.newBuilder().setSubject(5_000).build()));
+            peer.write(Frames.of(Control.newBuilder().setSubject(99).build()));
+            peer.write(Frames.of(Control.newBuilder()
+                    .setSubject(99)
+                    .setPayload(ByteString.copyFromUtf8("good"))
+                    .build()));
+            LinkFixture.await(() -> fixture.received.contains(new TextMessage("good")));
+        }
+        assertEquals(1, fixture.serverCounters.read(Refusal.UNKNOWN_SUBJECT));
+        assertEquals(1, fixture.serverCounters.read(Refusal.MALFORMED_CONTROL));
+    }
+
+    @Test
+    void aCallTooLargeForAFrameIsNotRun() throws Exception {
+        Body large = Body.of(new byte[LIMITS.maximumFrameBytes()]);
+        CallResult result =
+                LinkFixture.await(fixture.client.call(fixture.address(), LinkFixture.request("large", 5_000, large)));
+        assertEquals(CallResult.notRun(Reason.TOO_LARGE), result);
+    }
+
+    @Test
+    void anAnswerTooLargeForAFrameIsReportedAsUnknown() throws Exception {
+        CompletableFuture<CallResult> call = fixture.client.call(fixture.address(), LinkFixture.request("call", 5_000));
+        LinkFixture.await(() -> fixture.handler.runs.size() == 2);
+        CompletableFuture<CallResult> run =
+                fixture.handler.runs.stream().skip(1).findFirst().orElseThrow();
+        run.complete(LinkFixture.answer(Body.of(new byte[LIMITS.maximumFrameBytes()])));
+        assertEquals(Outcome.UNKNOWN, LinkFixture.await(call).outcome());
+    }
+
+    private static Attempt introduced(final Attempt attempt) {
+        return peer -> {
+            peer.write(HELLO);
+            peer.read();
+            attempt.act(peer);
+        };
+    }
+
+    /** What a peer does. */
+    @FunctionalInterface
+    private interface Attempt {
+        void act(RawPeer peer) throws Exception;
+    }
+
+    /** What a peer does and the reason under which it is to be refused. */
+    private record BadInput(Refusal refusal, Attempt attempt) {}
+}
--- a/sequoiashunt-link/src/test/java/org/sequoiashunt/link/LinkFixture.java
+++ b/sequoiashunt-link/src/test/java/org/sequoiashunt/link/LinkFixture.java
@@ -56,6 +56,16 @@
         return closer.register(LinkServer.open(context, address, handler, (sender, message) -> received.add(message)));
     }
 
+    /** Opens a server as a restarted process would; the port of a closed one is free only after a moment. */
+    boolean restarted(final long incarnation, final int port) {
+        try {
+            openServer(LinkLimits.standard(), incarnation, port);
+            return true;
+        } catch (IOException exception) {
+            return false;
+        }
+    }
+
     NodeAddress address() {
         return server.address();
     }
--- /dev/null
+++ b/sequoiashunt-link/src/test/java/org/sequoiashunt/link/Relay.java
@@ -0,0 +1,133 @@
+package org.sequoiashunt.link;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import org.sequoiashunt.peer.NodeAddress;
+
+/**
+ * TCP relay whose open connections can be silenced for good, or have their answers cut, while new ones work. What a
+ * silenced connection still sends can be let through later.
+ */
+final class Relay implements Closeable {
+
+    private final ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    private final NodeAddress upstream;
+    private final List<Path> paths = new CopyOnWriteArrayList<>();
+
+    Relay(final NodeAddress upstream) throws IOException {
+        this.upstream = upstream;
+        start(this::accept);
+    }
+
+    NodeAddress address() {
+        return new NodeAddress(listener.getInetAddress().getHostAddress(), listener.getLocalPort());
+    }
+
+    int connections() {
+        return paths.size();
+    }
+
+    void silence() {
+        paths.forEach(path -> path.silent = true);
+    }
+
+    void release() {
+        paths.forEach(path -> path.released.countDown());
+    }
+
+    /** Cuts the connections that are open now once one has carried so many more bytes of answers. */
+    void cutAnswersAfter(final long bytes) {
+        paths.forEach(path -> path.remainingBytes = bytes);
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+        for (Path path : paths) {
+            path.released.countDown();
+            path.close();
+        }
+    }
+
+    private void accept() throws IOException {
+        while (true) {
+            Socket near = listener.accept();
+            Path path = new Path(near, new Socket(upstream.host(), upstream.port()));
+            paths.add(path);
+            start(() -> path.copy(near.getInputStream(), path.far.getOutputStream(), false));
+            start(() -> path.copy(path.far.getInputStream(), near.getOutputStream(), true));
+        }
+    }
+
+    private static void start(final Job job) {
+        Thread thread = new Thread(() -> {
+            try {
+                job.run();
+            } catch (IOException exception) {
+                // The connection ended, which is what the tests do to it.
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** One relayed connection. */
+    private static final class Path {
+        private final Socket near;
+        private final Socket far;
+        private final CountDownLatch released = new CountDownLatch(1);
+        private volatile boolean silent;
+        private volatile long remainingBytes = Long.MAX_VALUE;
+
+        private Path(final Socket near, final Socket far) {
+            this.near = near;
+            this.far = far;
+        }
+
+        private void copy(final InputStream in, final OutputStream out, final boolean answers) throws IOException {
+            byte[] buffer = new byte[4_096];
+            int count = in.read(buffer);
+            while (count >= 0) {
+                awaitRelease();
+                int passed = answers ? (int) Math.min(count, remainingBytes) : count;
+                remainingBytes -= answers ? passed : 0;
+                out.write(buffer, 0, passed);
+                if (passed < count) {
+                    close();
+                }
+                count = in.read(buffer);
+            }
+            awaitRelease();
+            close();
+        }
+
+        private void awaitRelease() {
+            try {
+                if (silent) {
+                    released.await();
+                }
+            } catch (InterruptedException exception) {
+                Thread.currentThread().interrupt();
+            }
+        }
+
+        private void close() throws IOException {
+            near.close();
+            far.close();
+        }
+    }
+
+    /** Work of a thread. */
+    @FunctionalInterface
+    private interface Job {
+        void run() throws IOException;
+    }
+}
