--- /dev/null
+++ b/sequoiashunt-platform/src/main/java/org/sequoiashunt/manifest/GroupReader.java
@@ -0,0 +1,57 @@
+package org.sequoiashunt.manifest;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.yaml.snakeyaml.nodes.Node;
+import org.yaml.snakeyaml.nodes.NodeTuple;
+
+/**
+ * Reads the home groups. A failure domain belongs to one group at most. Confined to one thread.
+ */
+final class GroupReader {
+
+    private final ProblemList problems;
+    private final NodeReader nodes;
+    private final SortedMap<String, List<String>> groups = new TreeMap<>();
+    private final Map<String, String> groupOfDomain = new HashMap<>();
+
+    GroupReader(final ProblemList problems) {
+        this.problems = problems;
+        this.nodes = new NodeReader(problems);
+    }
+
+    SortedMap<String, List<String>> read(final MappingReader mapping) {
+        for (Map.Entry<String, NodeTuple> entry : mapping.entries().entrySet()) {
+            String path = mapping.pathOf(entry.getKey());
+            nodes.isName(entry.getValue().getKeyNode(), path, entry.getKey());
+            groups.put(
+                    entry.getKey(), readDomains(entry.getKey(), entry.getValue().getValueNode(), path));
+        }
+        return groups;
+    }
+
+    private List<String> readDomains(final String group, final Node node, final String path) {
+        List<String> domains = new ArrayList<>();
+        List<Node> elements = nodes.list(node, path).orElse(List.of());
+        for (int index = 0; index < elements.size(); index++) {
+            Node element = elements.get(index);
+            String elementPath = path + "[" + index + "]";
+            nodes.name(element, elementPath).ifPresent(domain -> {
+                checkUnique(group, domain, element, elementPath);
+                domains.add(domain);
+            });
+        }
+        return domains;
+    }
+
+    private void checkUnique(final String group, final String domain, final Node node, final String path) {
+        String earlier = groupOfDomain.putIfAbsent(domain, group);
+        if (earlier != null) {
+            problems.error(node, path, "failure domain '" + domain + "' belongs to group '" + earlier + "' already");
+        }
+    }
+}
--- /dev/null
+++ b/sequoiashunt-platform/src/main/java/org/sequoiashunt/manifest/ManifestException.java
@@ -0,0 +1,33 @@
+package org.sequoiashunt.manifest;
+
+import java.util.List;
+import java.util.stream.Collectors;
+
+/**
+ * Reports everything that is wrong with a manifest. Immutable and thread-safe.
+ */
+public final class ManifestException extends Exception {
+
+    private static final long serialVersionUID = 1L;
+
+    private final transient List<Problem> problems;
+
+    /**
+     * Creates an exception.
+     *
+     * @param problems the problems, ordered by line, neither null nor empty.
+     */
+    public ManifestException(final List<Problem> problems) {
+        super(problems.stream().map(Problem::toString).collect(Collectors.joining("\n")));
+        this.problems = List.copyOf(problems);
+    }
+
+    /**
+     * Returns the problems.
+     *
+     * @return the problems, ordered by line, never empty.
+     */
+    public List<Problem> problems() {
+        return problems;
+    }
+}
--- /dev/null
+++ b/sequoiashunt-platform/src/main/java/org/sequoiashunt/manifest/MappingReader.java
@@ -0,0 +1,90 @@
+package org.sequoiashunt.manifest;
+
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.yaml.snakeyaml.nodes.MappingNode;
+import org.yaml.snakeyaml.nodes.Node;
+import org.yaml.snakeyaml.nodes.NodeTuple;
+import org.yaml.snakeyaml.nodes.ScalarNode;
+
+/**
+ * Keys and values of one YAML mapping. Reports keys that are unknown, repeated or not text. Confined to one thread.
+ */
+final class MappingReader {
+
+    private final Node node;
+    private final String path;
+    private final ProblemList problems;
+    private final Map<String, NodeTuple> entries = new LinkedHashMap<>();
+
+    private MappingReader(final MappingNode node, final String path, final ProblemList problems) {
+        this.node = node;
+        this.path = path;
+        this.problems = problems;
+        node.getValue().forEach(this::add);
+    }
+
+    /** Returns the reader, or empty after reporting that the node is not a mapping. */
+    static Optional<MappingReader> of(final Node node, final String path, final ProblemList problems) {
+        if (node instanceof MappingNode mapping) {
+            return Optional.of(new MappingReader(mapping, path, problems));
+        }
+        problems.error(node, path, "expected a mapping but found " + NodeReader.describe(node));
+        return Optional.empty();
+    }
+
+    private void add(final NodeTuple entry) {
+        if (!(entry.getKeyNode() instanceof ScalarNode key)) {
+            problems.error(entry.getKeyNode(), path, "a key must be text");
+            return;
+        }
+        NodeTuple earlier = entries.putIfAbsent(key.getValue(), entry);
+        if (earlier != null) {
+            int line = earlier.getKeyNode().getStartMark().getLine() + 1;
+            problems.error(key, pathOf(key.getValue()), "repeated; it stands in line " + line + " already");
+        }
+    }
+
+    MappingReader allowOnly(final Collection<String> known) {
+        for (Map.Entry<String, NodeTuple> entry : entries.entrySet()) {
+            if (!known.contains(entry.getKey())) {
+                problems.error(
+                        entry.getValue().getKeyNode(),
+                        pathOf(entry.getKey()),
+                        "unknown key",
+                        Spelling.nearest(entry.getKey(), known));
+            }
+        }
+        return this;
+    }
+
+    Map<String, NodeTuple> entries() {
+        return entries;
+    }
+
+    Optional<Node> find(final String key) {
+        return Optional.ofNullable(entries.get(key)).map(NodeTuple::getValueNode);
+    }
+
+    Optional<Node> require(final String key) {
+        Optional<Node> found = find(key);
+        if (found.isEmpty()) {
+            problems.error(node, pathOf(key), "missing");
+        }
+        return found;
+    }
+
+    String pathOf(final String key) {
+        return path.isEmpty() ? key : path + "." + key;
+    }
+
+    String path() {
+        return path;
+    }
+
+    Node node() {
+        return node;
+    }
+}
--- /dev/null
+++ b/sequoiashunt-platform/src/main/java/org/sequoiashunt/manifest/Problem.java
@@ -0,0 +1,37 @@
+package org.sequoiashunt.manifest;
+
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * One thing that is wrong with a manifest, or deserves a look.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param file the name of the file as the reader was told.
+ * @param line the line, counted from 1.
+ * @param path the path of the key, such as {@code services.lot-ledger.routes[0].path}, empty for the whole file.
+ * @param reason what is wrong.
+ * @param suggestion what may have been meant.
+ */
+public record Problem(String file, int line, String path, String reason, Optional<String> suggestion) {
+
+    /**
+     * Checks the components.
+     *
+     * @throws NullPointerException if a component is null.
+     */
+    public Problem {
+        Objects.requireNonNull(file, "file");
+        Objects.requireNonNull(path, "path");
+        Objects.requireNonNull(reason, "reason");
+        Objects.requireNonNull(suggestion, "suggestion");
+    }
+
+    @Override
+    public String toString() {
+        String where = path.isEmpty() ? "" : path + ": ";
+        String hint = suggestion.map(text -> "; did you mean " + text + "?").orElse("");
+        return file + ":" + line + ": " + where + reason + hint;
+    }
+}
--- /dev/null
+++ b/sequoiashunt-platform/src/main/java/org/sequoiashunt/manifest/RouteReader.java
@@ -0,0 +1,148 @@
+package org.sequoiashunt.manifest;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.regex.Pattern;
+import org.sequoiashunt.configuration.Route;
+import org.yaml.snakeyaml.nodes.Node;
+
+/**
+ * Reads the routes of one service. Confined to one thread.
+ */
+final class RouteReader {
+
+    private static final int MAXIMUM_TIMEOUT_MS = 60_000;
+    private static final int MAXIMUM_PATH_LENGTH = 512;
+    private static final List<String> KEYS = List.of("name", "path", "methods", "idempotent", "timeout");
+    private static final List<String> METHODS = List.of("DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT");
+    private static final Pattern PATH = Pattern.compile("/|(/[A-Za-z0-9._~!$&'()*+,;=:@%-]+)+/?");
+    private static final Pattern DOT_SEGMENT = Pattern.compile(".*/\\.{1,2}(/.*)?");
+
+    private final ProblemList problems;
+    private final NodeReader nodes;
+    private final Map<String, String> routeOfName = new HashMap<>();
+    private final Map<String, String> routeOfMatch = new HashMap<>();
+
+    RouteReader(final ProblemList problems) {
+        this.problems = problems;
+        this.nodes = new NodeReader(problems);
+    }
+
+    List<Route> read(final Node node, final String path) {
+        List<Route> routes = new ArrayList<>();
+        List<Node> elements = nodes.list(node, path).orElse(List.of());
+        for (int index = 0; index < elements.size(); index++) {
+            Node element = elements.get(index);
+            MappingReader.of(element, path + "[" + index + "]", problems)
+                    .flatMap(this::readRoute)
+                    .ifPresent(route -> {
+                        warnIfUnreachable(element, route, routes);
+                        routes.add(route);
+                    });
+        }
+        return routes;
+    }
+
+    private Optional<Route> readRoute(final MappingReader mapping) {
+        int errorsBefore = problems.errorCount();
+        mapping.allowOnly(KEYS);
+        Optional<String> name = mapping.require("name").flatMap(node -> nodes.name(node, mapping.pathOf("name")));
+        Optional<String> path = mapping.require("path").flatMap(node -> readPath(node, mapping.pathOf("path")));
+        Optional<Set<String>> methods =
+                mapping.require("methods").flatMap(node -> readMethods(node, mapping.pathOf("methods")));
+        Optional<Boolean> idempotent =
+                mapping.require("idempotent").flatMap(node -> nodes.flag(node, mapping.pathOf("idempotent")));
+        Optional<Long> timeoutMs = mapping.require("timeout")
+                .flatMap(node -> nodes.number(node, mapping.pathOf("timeout"), 1, MAXIMUM_TIMEOUT_MS));
+        name.ifPresent(present -> checkName(mapping, present));
+        if (path.isPresent() && methods.isPresent()) {
+            checkMatches(mapping, path.get(), methods.get());
+        }
+        if (problems.errorCount() > errorsBefore) {
+            return Optional.empty();
+        }
+        return Optional.of(new Route(
+                name.orElseThrow(),
+                path.orElseThrow(),
+                methods.orElseThrow(),
+                idempotent.orElseThrow(),
+                timeoutMs.orElseThrow()));
+    }
+
+    private Optional<String> readPath(final Node node, final String path) {
+        Optional<String> text = nodes.text(node, path);
+        if (text.isEmpty()) {
+            return text;
+        }
+        String value = text.get();
+        if (value.length() > MAXIMUM_PATH_LENGTH) {
+            problems.error(node, path, "longer than " + MAXIMUM_PATH_LENGTH + " characters");
+        } else if (!value.startsWith("/")) {
+            problems.error(node, path, "must start with a slash", Optional.of("'/" + value + "'"));
+        } else if (!PATH.matcher(value).matches()) {
+            problems.error(node, path, "'" + value + "' is not a path: no query, white space or empty segments");
+        } else if (DOT_SEGMENT.matcher(value).matches()) {
+            problems.error(node, path, "'" + value + "' has a segment of dots only");
+        } else {
+            return text;
+        }
+        return Optional.empty();
+    }
+
+    private Optional<Set<String>> readMethods(final Node node, final String path) {
+        List<Node> elements = nodes.list(node, path).orElse(List.of());
+        Set<String> methods = new LinkedHashSet<>();
+        for (int index = 0; index < elements.size(); index++) {
+            Node element = elements.get(index);
+            String elementPath = path + "[" + index + "]";
+            Optional<String> method = nodes.text(element, elementPath);
+            if (method.isPresent() && !METHODS.contains(method.get())) {
+                problems.error(
+                        element,
+                        elementPath,
+                        "unknown method '" + method.get() + "'",
+                        Spelling.nearest(method.get(), METHODS));
+            } else if (method.isPresent() && !methods.add(method.get())) {
+                problems.error(element, elementPath, "method " + method.get() + " is repeated");
+            }
+        }
+        return methods.isEmpty() ? Optional.empty() : Optional.of(methods);
+    }
+
+    private void checkName(final MappingReader mapping, final String name) {
+        String earlier = routeOfName.putIfAbsent(name, mapping.path());
+        if (earlier != null) {
+            problems.error(
+                    mapping.node(), mapping.pathOf("name"), "'" + name + "' is the name of " + earlier + " already");
+        }
+    }
+
+    private void checkMatches(final MappingReader mapping, final String path, final Set<String> methods) {
+        for (String method : methods) {
+            String earlier = routeOfMatch.putIfAbsent(method + " " + path, mapping.path());
+            if (earlier != null) {
+                problems.error(
+                        mapping.node(), mapping.path(), method + " " + path + " is matched by " + earlier + " already");
+            }
+        }
+    }
+
+    /** Routes are tried in order, so one that an earlier route covers gets no request. */
+    private void warnIfUnreachable(final Node node, final Route route, final List<Route> earlier) {
+        for (Route other : earlier) {
+            boolean covered = route.methods().stream().allMatch(method -> other.matches(method, route.pathPrefix()));
+            if (covered) {
+                problems.warning(
+                        node,
+                        "routes." + route.name(),
+                        "never used, since route '" + other.name() + "' before it matches all its requests");
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/sequoiashunt-platform/src/main/java/org/sequoiashunt/manifest/ServiceReader.java
@@ -0,0 +1,140 @@
+package org.sequoiashunt.manifest;
+
+import java.time.DateTimeException;
+import java.time.LocalDateTime;
+import java.time.OffsetDateTime;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import org.sequoiashunt.configuration.Move;
+import org.sequoiashunt.configuration.Route;
+import org.sequoiashunt.configuration.ServiceConfiguration;
+import org.sequoiashunt.platform.PartCodec;
+import org.sequoiashunt.store.Store;
+import org.yaml.snakeyaml.nodes.Node;
+
+/**
+ * Reads one service. Confined to one thread.
+ */
+final class ServiceReader {
+
+    private static final List<String> KEYS = List.of("version", "move", "homeGroups", "routes");
+    private static final List<String> MOVE_KEYS = List.of("to", "finishBy");
+
+    private final ProblemList problems;
+    private final NodeReader nodes;
+    private final Set<String> groups;
+
+    ServiceReader(final ProblemList problems, final Set<String> groups) {
+        this.problems = problems;
+        this.nodes = new NodeReader(problems);
+        this.groups = groups;
+    }
+
+    Optional<ServiceConfiguration> read(final String service, final MappingReader mapping) {
+        int errorsBefore = problems.errorCount();
+        mapping.allowOnly(KEYS);
+        Optional<String> version =
+                mapping.require("version").flatMap(node -> nodes.name(node, mapping.pathOf("version")));
+        Optional<Move> move = mapping.find("move")
+                .flatMap(node -> MappingReader.of(node, mapping.pathOf("move"), problems))
+                .flatMap(reader -> readMove(version, reader));
+        List<String> homeGroups = mapping.find("homeGroups")
+                .map(node -> readHomeGroups(node, mapping.pathOf("homeGroups")))
+                .orElse(List.of());
+        List<Route> routes = mapping.require("routes")
+                .map(node -> new RouteReader(problems).read(node, mapping.pathOf("routes")))
+                .orElse(List.of());
+        if (problems.errorCount() > errorsBefore) {
+            return Optional.empty();
+        }
+        ServiceConfiguration configuration =
+                new ServiceConfiguration(service, version.orElseThrow(), move, routes, homeGroups);
+        return checked(configuration, mapping);
+    }
+
+    private Optional<Move> readMove(final Optional<String> from, final MappingReader mapping) {
+        mapping.allowOnly(MOVE_KEYS);
+        Optional<String> to = mapping.require("to").flatMap(node -> nodes.name(node, mapping.pathOf("to")));
+        Optional<Long> finishByMs =
+                mapping.require("finishBy").flatMap(node -> readTime(node, mapping.pathOf("finishBy")));
+        if (to.isPresent() && to.equals(from)) {
+            problems.error(mapping.node(), mapping.pathOf("to"), "is the version that has the traffic already");
+            return Optional.empty();
+        }
+        boolean whole = from.isPresent() && to.isPresent() && finishByMs.isPresent();
+        return whole ? Optional.of(new Move(from.get(), to.get(), finishByMs.get())) : Optional.empty();
+    }
+
+    private Optional<Long> readTime(final Node node, final String path) {
+        Optional<String> text = nodes.time(node, path);
+        if (text.isEmpty()) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(OffsetDateTime.parse(text.get()).toInstant().toEpochMilli());
+        } catch (DateTimeException exception) {
+            Optional<String> zoned = withZone(text.get());
+            String reason = zoned.isPresent() ? "has no time zone" : "expected a time like 2026-12-04T10:00:00Z";
+            problems.error(node, path, "'" + text.get() + "' " + reason, zoned);
+            return Optional.empty();
+        }
+    }
+
+    private static Optional<String> withZone(final String text) {
+        try {
+            LocalDateTime.parse(text);
+            return Optional.of(text + "Z");
+        } catch (DateTimeException exception) {
+            return Optional.empty();
+        }
+    }
+
+    private List<String> readHomeGroups(final Node node, final String path) {
+        Set<String> named = new TreeSet<>();
+        List<Node> elements = nodes.list(node, path).orElse(List.of());
+        for (int index = 0; index < elements.size(); index++) {
+            Node element = elements.get(index);
+            String elementPath = path + "[" + index + "]";
+            nodes.text(element, elementPath).ifPresent(group -> addGroup(named, group, element, elementPath));
+        }
+        return List.copyOf(named);
+    }
+
+    private void addGroup(final Set<String> named, final String group, final Node node, final String path) {
+        if (!groups.contains(group)) {
+            problems.error(node, path, "unknown group '" + group + "'", Spelling.nearest(group, groups));
+        } else if (!named.add(group)) {
+            problems.error(node, path, "group '" + group + "' is repeated");
+        }
+    }
+
+    private Optional<ServiceConfiguration> checked(
+            final ServiceConfiguration configuration, final MappingReader mapping) {
+        int bytes = PartCodec.write(configuration).length;
+        if (bytes > Store.MAXIMUM_VALUE_BYTES) {
+            problems.error(
+                    mapping.node(),
+                    mapping.path(),
+                    "takes " + bytes + " bytes in the store, more than " + Store.MAXIMUM_VALUE_BYTES);
+            return Optional.empty();
+        }
+        if (configuration.homeGroups().isEmpty()) {
+            warnAboutKeys(configuration, mapping);
+        }
+        return Optional.of(configuration);
+    }
+
+    private void warnAboutKeys(final ServiceConfiguration configuration, final MappingReader mapping) {
+        for (Route route : configuration.routes()) {
+            if (!route.idempotent()) {
+                problems.warning(
+                        mapping.node(),
+                        mapping.pathOf("routes") + "." + route.name(),
+                        "not idempotent, but the service has no homeGroups:"
+                                + " idempotency keys cannot be honoured, and a call that may have run is not retried");
+            }
+        }
+    }
+}
