--- /dev/null
+++ b/sequoiashunt-platform/src/test/java/org/sequoiashunt/platform/ConfigurationCommitterTest.java
@@ -0,0 +1,159 @@
+package org.sequoiashunt.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.EnumSet;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.sequoiashunt.configuration.ConfigurationException;
+import org.sequoiashunt.configuration.ConfigurationSource.RevisedHead;
+import org.sequoiashunt.platform.CommitResult.Outcome;
+import org.sequoiashunt.platform.FaultyStore.Fault;
+import org.sequoiashunt.store.Store;
+import org.sequoiashunt.store.StoreKeys;
+
+final class ConfigurationCommitterTest {
+
+    private static final int FOREVER = Integer.MAX_VALUE;
+
+    private final CommitterFixture fixture = new CommitterFixture();
+
+    @Test
+    void committedConfigurationIsReadBack() throws Exception {
+        assertEquals(Outcome.COMMITTED, fixture.commit("first", "1").outcome());
+        CommitResult second = fixture.commit("second", "2");
+        assertEquals(2, second.record().orElseThrow().version());
+        StoredConfiguration source = StoredConfiguration.of(fixture.store);
+        RevisedHead head = source.awaitHead(0, 0).orElseThrow();
+        assertEquals("second", head.head().commitId());
+        String digest = head.head().parts().get("registry-desk");
+        assertEquals(CommitterFixture.service("registry-desk", "2"), source.readPart(digest));
+        assertTrue(source.awaitHead(head.revision(), 0).isEmpty());
+    }
+
+    @Test
+    void identicalContentChangesNothing() throws Exception {
+        fixture.commit("first", "1");
+        CommitResult result = fixture.commit("second", "1");
+        assertEquals(Outcome.UNCHANGED, result.outcome());
+        assertEquals("first", result.record().orElseThrow().commitId());
+    }
+
+    @Test
+    void repetitionFindsTheEarlierCommitBehindLaterOnes() throws Exception {
+        fixture.commit("first", "1");
+        fixture.commit("second", "2");
+        CommitResult repeated = fixture.commit("first", "1");
+        assertEquals(Outcome.COMMITTED, repeated.outcome());
+        assertEquals(1, repeated.record().orElseThrow().version());
+        assertEquals(1, fixture.committedTimes("first"));
+    }
+
+    @Test
+    void identityOfAnotherConfigurationIsRefused() throws Exception {
+        fixture.commit("first", "1");
+        assertThrows(ConfigurationException.class, () -> fixture.commit("first", "2"));
+    }
+
+    @Test
+    void outdatedExpectationLosesWithoutWriting() throws Exception {
+        fixture.commit("first", "1");
+        fixture.commit("second", "2");
+        long writes = fixture.store.writes();
+        CommitResult result =
+                fixture.committer(fixture.store).commit(CommitterFixture.request("third", "3", OptionalLong.of(1)));
+        assertEquals(Outcome.LOST_RACE, result.outcome());
+        assertEquals("second", result.record().orElseThrow().commitId());
+        assertEquals(writes, fixture.store.writes());
+    }
+
+    @Test
+    void unreadableHeadIsReportedAndKept() throws Exception {
+        long revision = fixture.store.compareAndSwap(StoreKeys.HEAD, Store.ABSENT, new byte[] {'{'});
+        assertThrows(ConfigurationException.class, () -> fixture.commit("first", "1"));
+        assertEquals(revision, fixture.store.read(StoreKeys.HEAD).orElseThrow().revision());
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void faultOfOneCallIsOvercome(final Fault fault) throws Exception {
+        for (int call = 1; call <= callsOfCommit(); call++) {
+            Outcome outcome = commitUnder(fault, call, call);
+            assertEquals(Outcome.COMMITTED, outcome, fault + " at call " + call);
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void lastingFaultEndsInTrueStatement(final Fault fault) throws Exception {
+        Set<Outcome> seen = EnumSet.noneOf(Outcome.class);
+        for (int call = 1; call <= callsOfCommit(); call++) {
+            seen.add(commitUnder(fault, call, FOREVER));
+        }
+        Set<Outcome> expected =
+                switch (fault) {
+                    case DOWN -> EnumSet.of(Outcome.NOT_COMMITTED);
+                    case ANSWER_LOST -> EnumSet.of(Outcome.COMMITTED);
+                    case SLOW -> EnumSet.of(Outcome.NOT_COMMITTED, Outcome.NOT_KNOWN);
+                };
+        assertEquals(expected, seen);
+    }
+
+    /** Makes one commit under a fault, checks the statement against the store, then repeats the commit. */
+    private Outcome commitUnder(final Fault fault, final int firstCall, final int lastCall) throws Exception {
+        CommitterFixture cell = new CommitterFixture();
+        cell.commit("before", "1");
+        FaultyStore faulty = new FaultyStore(cell.store, fault, firstCall, lastCall);
+        CommitRequest request = CommitterFixture.request("own", "2");
+        Outcome outcome = cell.committer(faulty).commit(request).outcome();
+        faulty.landPendingWrites();
+        String where = fault + " from call " + firstCall + " to " + lastCall;
+        if (outcome != Outcome.NOT_KNOWN) {
+            assertEquals(outcome == Outcome.COMMITTED ? 1 : 0, cell.committedTimes("own"), where);
+        }
+        assertEquals(
+                Outcome.COMMITTED, cell.committer(cell.store).commit(request).outcome(), where);
+        assertEquals(1, cell.committedTimes("own"), where);
+        return outcome;
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void raceUnderFaultNeverLosesACommitSilently(final Fault fault) throws Exception {
+        for (int race = 1; race <= callsOfCommit(); race++) {
+            for (int call = 1; call <= callsOfCommit(); call++) {
+                raceUnder(fault, race, call);
+            }
+        }
+    }
+
+    private void raceUnder(final Fault fault, final int raceCall, final int faultCall) throws Exception {
+        CommitterFixture cell = new CommitterFixture();
+        cell.commit("before", "1");
+        FaultyStore faulty = new FaultyStore(cell.store, fault, faultCall, faultCall);
+        RacingStore racing = new RacingStore(faulty, raceCall, () -> cell.commit("other", "3"));
+        CommitResult result = cell.committer(racing).commit(CommitterFixture.request("own", "2"));
+        faulty.landPendingWrites();
+        String where = fault + " at call " + faultCall + ", race at call " + raceCall;
+        assertEquals(1, cell.committedTimes("other"), where);
+        long own = cell.committedTimes("own");
+        assertEquals(result.outcome() == Outcome.COMMITTED ? 1 : 0, own, where);
+        if (own == 0) {
+            assertEquals(Outcome.LOST_RACE, result.outcome(), where);
+            assertEquals("other", result.record().orElseThrow().commitId(), where);
+        }
+    }
+
+    private static int callsOfCommit() throws Exception {
+        CommitterFixture cell = new CommitterFixture();
+        cell.commit("before", "1");
+        FaultyStore counting = new FaultyStore(cell.store, Fault.DOWN, FOREVER, FOREVER);
+        cell.committer(counting).commit(CommitterFixture.request("own", "2"));
+        return counting.calls();
+    }
+}
--- /dev/null
+++ b/sequoiashunt-platform/src/test/java/org/sequoiashunt/platform/RacingStore.java
@@ -0,0 +1,69 @@
+package org.sequoiashunt.platform;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Callable;
+import org.sequoiashunt.store.Store;
+import org.sequoiashunt.store.StoreException;
+import org.sequoiashunt.store.StoredLease;
+import org.sequoiashunt.store.StoredValue;
+
+/** Store on which somebody else acts right before one of the calls. Confined to one thread. */
+final class RacingStore implements Store {
+
+    private final Store store;
+    private final int raceCall;
+    private final Callable<?> race;
+    private int calls;
+
+    RacingStore(final Store store, final int raceCall, final Callable<?> race) {
+        this.store = store;
+        this.raceCall = raceCall;
+        this.race = race;
+    }
+
+    @Override
+    public Optional<StoredValue> read(final String key) throws StoreException {
+        countCall();
+        return store.read(key);
+    }
+
+    @Override
+    public long compareAndSwap(final String key, final long expectedRevision, final byte[] value)
+            throws StoreException {
+        countCall();
+        return store.compareAndSwap(key, expectedRevision, value);
+    }
+
+    private void countCall() {
+        calls++;
+        if (calls != raceCall) {
+            return;
+        }
+        try {
+            race.call();
+        } catch (Exception exception) {
+            throw new IllegalStateException(exception);
+        }
+    }
+
+    @Override
+    public List<StoredValue> list(final String prefix) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public Optional<StoredValue> watch(final String key, final long knownRevision, final long waitMs) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public StoredLease acquireLease(final String name, final String holder, final long durationMs) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public void releaseLease(final String name, final String holder) {
+        throw new UnsupportedOperationException();
+    }
+}
