--- /dev/null
+++ b/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/ExplainCommand.java
@@ -0,0 +1,104 @@
+package org.sequoiashunt.operator;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
+import java.io.IOException;
+import java.util.Collection;
+import java.util.Locale;
+import java.util.Optional;
+import org.sequoiashunt.configuration.ConfigurationException;
+import org.sequoiashunt.configuration.Move;
+import org.sequoiashunt.configuration.ServiceConfiguration;
+import org.sequoiashunt.manifest.Manifest;
+import org.sequoiashunt.manifest.ManifestException;
+import org.sequoiashunt.manifest.Spelling;
+import org.sequoiashunt.platform.CommitRecord;
+import org.sequoiashunt.store.StoreException;
+
+/**
+ * Explains what becomes of one request: its route, versions, timeout and treatment. Confined to one thread.
+ */
+@Parameters(commandDescription = "Explain which route and version a request takes, and why")
+final class ExplainCommand implements Command {
+
+    @Parameter(names = "--service", description = "Service that is called", required = true, order = 1)
+    private String service;
+
+    @Parameter(names = "--method", description = "HTTP method", required = true, order = 2)
+    private String method;
+
+    @Parameter(names = "--path", description = "Path of the request", required = true, order = 3)
+    private String path;
+
+    @Parameter(names = "--manifest", description = "Explain by this file instead of the store", order = 4)
+    private String manifestFile;
+
+    @ParametersDelegate
+    private final StoreOption store = new StoreOption();
+
+    @ParametersDelegate
+    private final HelpOption help = new HelpOption();
+
+    @Override
+    public boolean helpRequested() {
+        return help.isRequested();
+    }
+
+    @Override
+    public CommandResult run(final OperatorEnvironment environment)
+            throws UsageException, ManifestException, ConfigurationException, StoreException, IOException {
+        if (!path.startsWith("/")) {
+            throw new UsageException("--path must start with a slash");
+        }
+        return manifestFile == null ? explainByStore(environment) : explainByManifest(environment);
+    }
+
+    private CommandResult explainByStore(final OperatorEnvironment environment)
+            throws UsageException, ConfigurationException, StoreException, IOException {
+        StoreView view = new StoreView(store.connect(environment), environment);
+        CommitRecord record = view.current();
+        Optional<ServiceConfiguration> configuration = view.service(record, service);
+        if (configuration.isEmpty()) {
+            return unknownService(record.parts().keySet());
+        }
+        return explain(configuration.get(), "version " + record.version(), progress(configuration.get(), view));
+    }
+
+    private CommandResult explainByManifest(final OperatorEnvironment environment)
+            throws UsageException, ManifestException, StoreException, IOException {
+        Manifest manifest = ManifestFile.read(manifestFile);
+        ServiceConfiguration configuration = manifest.services().get(service);
+        if (configuration == null) {
+            return unknownService(manifest.services().keySet());
+        }
+        Optional<MoveStatus> progress = Optional.empty();
+        if (store.isGiven(environment)) {
+            progress = progress(configuration, new StoreView(store.connect(environment), environment));
+        }
+        return explain(configuration, manifestFile, progress);
+    }
+
+    private static Optional<MoveStatus> progress(final ServiceConfiguration configuration, final StoreView view)
+            throws StoreException {
+        Optional<Move> move = configuration.move();
+        return move.isEmpty() ? Optional.empty() : Optional.of(view.move(configuration.service(), move.get()));
+    }
+
+    private CommandResult explain(
+            final ServiceConfiguration configuration, final String source, final Optional<MoveStatus> progress) {
+        Explanation explanation = new Explanation(configuration, method.toUpperCase(Locale.ROOT), path);
+        String title = explanation.request() + " by " + source + "\n";
+        return explanation.matches()
+                ? CommandResult.ok(title + explanation.text(progress))
+                : CommandResult.failed(ExitCode.REFUSED, title + explanation.mismatch());
+    }
+
+    private CommandResult unknownService(final Collection<String> known) {
+        String hint = Spelling.nearest(service, known)
+                .map(name -> "; did you mean " + name + "?")
+                .orElse("");
+        return CommandResult.failed(
+                ExitCode.REFUSED, "there is no service '" + Texts.plain(service) + "'" + hint + "\n");
+    }
+}
--- /dev/null
+++ b/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/HelpOption.java
@@ -0,0 +1,16 @@
+package org.sequoiashunt.operator;
+
+import com.beust.jcommander.Parameter;
+
+/**
+ * Option that asks for help. Filled once by the parser; confined to one thread.
+ */
+final class HelpOption {
+
+    @Parameter(names = "--help", help = true, description = "Print the options of this command", order = 100)
+    private boolean requested;
+
+    boolean isRequested() {
+        return requested;
+    }
+}
--- /dev/null
+++ b/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/MoveText.java
@@ -0,0 +1,40 @@
+package org.sequoiashunt.operator;
+
+import org.sequoiashunt.configuration.Move;
+
+/**
+ * States in one plain line where a move stands. Not instantiable; thread-safe.
+ */
+final class MoveText {
+
+    private MoveText() {}
+
+    static String title(final String service, final Move move) {
+        return service + " " + move.from() + " -> " + move.to();
+    }
+
+    static String line(final MoveStatus status) {
+        String title = status.service() + " " + status.from() + " -> " + status.to() + ": ";
+        return title + state(status) + lateness(status) + reason(status);
+    }
+
+    private static String state(final MoveStatus status) {
+        String due = ", due " + Texts.time(status.finishByMs());
+        return switch (status.state()) {
+            case NOT_STARTED -> "not started" + due;
+            case IN_PROGRESS -> "in progress, " + Texts.share(status.shareParts()) + " of the traffic" + due;
+            case WATCHED -> "in progress, all traffic since " + Texts.time(status.sinceMs()) + " and under watch" + due;
+            case DONE -> "done at " + Texts.time(status.sinceMs()) + due;
+            case TAKEN_BACK -> "taken back at " + Texts.time(status.sinceMs());
+            case REPLACED -> "replaced by a later commit at " + Texts.share(status.shareParts()) + " of the traffic";
+        };
+    }
+
+    private static String lateness(final MoveStatus status) {
+        return status.lateByMs() > 0 ? ", LATE by " + Texts.duration(status.lateByMs()) : "";
+    }
+
+    private static String reason(final MoveStatus status) {
+        return status.reason().isEmpty() ? "" : ": " + Texts.plain(status.reason());
+    }
+}
--- /dev/null
+++ b/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/Operator.java
@@ -0,0 +1,112 @@
+package org.sequoiashunt.operator;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.ParameterException;
+import java.io.IOException;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Objects;
+import org.sequoiashunt.configuration.ConfigurationException;
+import org.sequoiashunt.manifest.ManifestException;
+import org.sequoiashunt.store.StoreException;
+
+/**
+ * Runs one command line: parses it, runs the command and turns every failure into an exit code and a plain text.
+ *
+ * <p>Each call of {@link #run} is independent. As thread-safe as its environment.
+ */
+public final class Operator {
+
+    private static final String PROGRAM = "sequoiashunt";
+    private static final int HELP_WIDTH = 110;
+
+    private final OperatorEnvironment environment;
+
+    private Operator(final OperatorEnvironment environment) {
+        this.environment = Objects.requireNonNull(environment, "environment");
+    }
+
+    /**
+     * Creates a runner of command lines.
+     *
+     * @param environment what commands use, not null.
+     * @return a new runner, never null.
+     */
+    public static Operator of(final OperatorEnvironment environment) {
+        return new Operator(environment);
+    }
+
+    /**
+     * Runs a command line.
+     *
+     * @param arguments the words after the name of the program, not null.
+     * @return exit code and texts, never null.
+     */
+    public CommandResult run(final String... arguments) {
+        HelpOption help = new HelpOption();
+        Map<String, Command> commands = commands();
+        JCommander.Builder builder = JCommander.newBuilder()
+                .programName(PROGRAM)
+                .columnSize(HELP_WIDTH)
+                .addObject(help);
+        commands.forEach(builder::addCommand);
+        JCommander parser = builder.build();
+        try {
+            parser.parse(arguments);
+            Command command = commands.get(String.valueOf(parser.getParsedCommand()));
+            if (help.isRequested()) {
+                return CommandResult.ok(generalHelp(parser));
+            }
+            if (command == null) {
+                throw new UsageException("name a command: " + String.join(", ", commands.keySet()));
+            }
+            if (command.helpRequested()) {
+                return CommandResult.ok(commandHelp(parser));
+            }
+            return runGuarded(command);
+        } catch (ParameterException | UsageException exception) {
+            return CommandResult.failed(ExitCode.USAGE, exception.getMessage() + "\nSee '" + PROGRAM + " --help'.\n");
+        }
+    }
+
+    private CommandResult runGuarded(final Command command) throws UsageException {
+        try {
+            return command.run(environment);
+        } catch (ManifestException | ConfigurationException | IOException exception) {
+            return CommandResult.failed(ExitCode.REFUSED, exception.getMessage() + "\n");
+        } catch (StoreException exception) {
+            return CommandResult.failed(
+                    ExitCode.STORE_UNAVAILABLE, "the store is unavailable: " + exception.getMessage() + "\n");
+        }
+    }
+
+    private static Map<String, Command> commands() {
+        Map<String, Command> commands = new LinkedHashMap<>();
+        commands.put("validate", new ValidateCommand());
+        commands.put("commit", new CommitCommand());
+        commands.put("status", new StatusCommand());
+        commands.put("history", new HistoryCommand());
+        commands.put("explain", new ExplainCommand());
+        return commands;
+    }
+
+    private static String generalHelp(final JCommander parser) {
+        StringBuilder text = new StringBuilder();
+        parser.getUsageFormatter().usage(text);
+        text.append("\n  Exit codes:\n");
+        for (ExitCode code : ExitCode.values()) {
+            text.append("    ")
+                    .append(code.status())
+                    .append("  ")
+                    .append(code.meaning())
+                    .append('\n');
+        }
+        return text.toString();
+    }
+
+    private static String commandHelp(final JCommander parser) {
+        StringBuilder text = new StringBuilder();
+        parser.getUsageFormatter().usage(parser.getParsedCommand(), text);
+        return text.toString();
+    }
+}
--- /dev/null
+++ b/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/OperatorMain.java
@@ -0,0 +1,48 @@
+package org.sequoiashunt.operator;
+
+import java.security.SecureRandom;
+import java.util.Optional;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import org.sequoiashunt.lifecycle.Closer;
+import org.sequoiashunt.lifecycle.ResourceCloseException;
+import org.sequoiashunt.platform.HttpStore;
+import org.sequoiashunt.platform.SystemClock;
+
+/**
+ * Entry point of the operators' command {@code sequoiashunt}. Not instantiable; runs on the main thread.
+ */
+public final class OperatorMain {
+
+    private static final long CALL_TIMEOUT_MS = 3_000;
+
+    private OperatorMain() {}
+
+    /**
+     * Runs the command line and ends the process with the exit code of the command.
+     *
+     * @param arguments the command line.
+     * @throws ResourceCloseException if the client of the store cannot be closed.
+     */
+    public static void main(final String[] arguments) throws ResourceCloseException {
+        System.setProperty("java.util.logging.manager", "org.jboss.logmanager.LogManager");
+        Logger.getLogger("").setLevel(Level.SEVERE);
+        Closer closer = new Closer();
+        CommandResult result = Operator.of(environment(closer)).run(arguments);
+        closer.close();
+        System.out.print(result.output());
+        System.err.print(result.errors());
+        System.out.flush();
+        System.exit(result.code().status());
+    }
+
+    private static OperatorEnvironment environment(final Closer closer) {
+        return new OperatorEnvironment(
+                SystemClock.start(),
+                new SecureRandom(),
+                Thread::sleep,
+                address -> HttpStore.open(address, CALL_TIMEOUT_MS, closer),
+                Optional.ofNullable(System.getenv(StoreOption.VARIABLE)).filter(text -> !text.isEmpty()),
+                System.err::println);
+    }
+}
--- /dev/null
+++ b/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/StatusCommand.java
@@ -0,0 +1,38 @@
+package org.sequoiashunt.operator;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
+import java.io.IOException;
+import org.sequoiashunt.configuration.ConfigurationException;
+import org.sequoiashunt.platform.JsonCodec;
+import org.sequoiashunt.store.StoreException;
+
+/**
+ * Tells where each move stands and where the accepted version is in force. Confined to one thread.
+ */
+@Parameters(commandDescription = "Tell where each move stands and where the accepted version is in force")
+final class StatusCommand implements Command {
+
+    @Parameter(names = "--json", description = "Print JSON, with times in milliseconds since the epoch", order = 1)
+    private boolean json;
+
+    @ParametersDelegate
+    private final StoreOption store = new StoreOption();
+
+    @ParametersDelegate
+    private final HelpOption help = new HelpOption();
+
+    @Override
+    public boolean helpRequested() {
+        return help.isRequested();
+    }
+
+    @Override
+    public CommandResult run(final OperatorEnvironment environment)
+            throws UsageException, ConfigurationException, StoreException, IOException {
+        StoreView view = new StoreView(store.connect(environment), environment);
+        StatusReport report = StatusReport.read(view, environment.clock().nowMs());
+        return CommandResult.ok(json ? JsonCodec.writePretty(report) + "\n" : StatusText.format(report));
+    }
+}
--- /dev/null
+++ b/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/StatusReport.java
@@ -0,0 +1,64 @@
+package org.sequoiashunt.operator;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.sequoiashunt.configuration.ConfigurationException;
+import org.sequoiashunt.configuration.ServiceConfiguration;
+import org.sequoiashunt.membership.DomainSummary;
+import org.sequoiashunt.platform.CommitRecord;
+import org.sequoiashunt.store.StoreException;
+
+/**
+ * State of the system as the store shows it. Immutable and thread-safe.
+ *
+ * @param version the accepted version.
+ * @param commitId the identity of its commit.
+ * @param author who committed it.
+ * @param atMs when it was committed, in milliseconds since the epoch.
+ * @param moves where each move of the accepted version stands, ordered by service.
+ * @param domains where the accepted version is in force, ordered by failure domain.
+ */
+record StatusReport(
+        long version, String commitId, String author, long atMs, List<MoveStatus> moves, List<DomainStatus> domains) {
+
+    StatusReport {
+        moves = List.copyOf(moves);
+        domains = List.copyOf(domains);
+    }
+
+    static StatusReport read(final StoreView view, final long nowMs) throws StoreException, ConfigurationException {
+        CommitRecord record = view.current();
+        return new StatusReport(
+                record.version(),
+                record.commitId(),
+                record.author(),
+                record.atMs(),
+                readMoves(view, record),
+                readDomains(view, record, nowMs));
+    }
+
+    private static List<MoveStatus> readMoves(final StoreView view, final CommitRecord record)
+            throws StoreException, ConfigurationException {
+        List<MoveStatus> moves = new ArrayList<>();
+        for (String service : record.parts().keySet()) {
+            ServiceConfiguration configuration = view.service(record, service).orElseThrow();
+            if (configuration.move().isPresent()) {
+                moves.add(view.move(service, configuration.move().get()));
+            }
+        }
+        return moves;
+    }
+
+    private static List<DomainStatus> readDomains(final StoreView view, final CommitRecord record, final long nowMs)
+            throws StoreException {
+        Map<String, Optional<DomainSummary>> known = new TreeMap<>();
+        record.groups().values().forEach(domains -> domains.forEach(domain -> known.put(domain, Optional.empty())));
+        view.domains().forEach(summary -> known.put(summary.failureDomain(), Optional.of(summary)));
+        List<DomainStatus> statuses = new ArrayList<>();
+        known.forEach((domain, summary) -> statuses.add(DomainStatus.of(domain, summary, record.version(), nowMs)));
+        return statuses;
+    }
+}
--- /dev/null
+++ b/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/StatusText.java
@@ -0,0 +1,58 @@
+package org.sequoiashunt.operator;
+
+/**
+ * Formats a status report in plain lines. Not instantiable; thread-safe.
+ */
+final class StatusText {
+
+    private StatusText() {}
+
+    static String format(final StatusReport report) {
+        StringBuilder text = new StringBuilder();
+        text.append("version ").append(report.version()).append(" by ").append(Texts.plain(report.author()));
+        text.append(" at ").append(Texts.time(report.atMs())).append('\n');
+        text.append("\nmoves\n");
+        report.moves().forEach(move -> appendLine(text, MoveText.line(move)));
+        if (report.moves().isEmpty()) {
+            appendLine(text, "none");
+        }
+        text.append("\nfailure domains\n");
+        report.domains().forEach(domain -> appendDomain(text, domain, report.version()));
+        if (report.domains().isEmpty()) {
+            appendLine(text, "none has reported");
+        }
+        return text.toString();
+    }
+
+    private static void appendDomain(final StringBuilder text, final DomainStatus domain, final long version) {
+        String region = domain.region().isEmpty() ? "" : " in " + domain.region();
+        appendLine(text, domain.failureDomain() + region + ": " + state(domain, version) + age(domain));
+        domain.refusals().forEach(refusal -> appendLine(text, "  refused: " + Texts.plain(refusal)));
+    }
+
+    private static String state(final DomainStatus domain, final long version) {
+        String nodes = Texts.count(domain.members(), "node");
+        return switch (domain.state()) {
+            case IN_FORCE -> "version " + version + " in force, " + nodes;
+            case PARTLY ->
+                "version " + version + " in force in part, the lowest is " + domain.lowestVersion() + ", " + nodes;
+            case NOT_IN_FORCE -> "version " + version + " NOT in force, " + highest(domain) + ", " + nodes;
+            case NO_REPORT -> "no report";
+        };
+    }
+
+    private static String highest(final DomainStatus domain) {
+        return domain.highestVersion() == 0 ? "no version yet" : "the highest is " + domain.highestVersion();
+    }
+
+    private static String age(final DomainStatus domain) {
+        if (domain.state() == DomainStatus.State.NO_REPORT || !domain.stale()) {
+            return "";
+        }
+        return ", STALE: as of " + Texts.duration(domain.ageMs()) + " ago";
+    }
+
+    private static void appendLine(final StringBuilder text, final String line) {
+        text.append("  ").append(line).append('\n');
+    }
+}
--- /dev/null
+++ b/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/StoreView.java
@@ -0,0 +1,76 @@
+package org.sequoiashunt.operator;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.sequoiashunt.configuration.ConfigurationException;
+import org.sequoiashunt.configuration.Move;
+import org.sequoiashunt.configuration.ServiceConfiguration;
+import org.sequoiashunt.membership.DomainSummary;
+import org.sequoiashunt.platform.CommitLog;
+import org.sequoiashunt.platform.CommitRecord;
+import org.sequoiashunt.platform.StoredDomainRegister;
+import org.sequoiashunt.platform.StoredMoveRegister;
+import org.sequoiashunt.store.Store;
+import org.sequoiashunt.store.StoreException;
+
+/**
+ * What one command reads from the store. Parts are read once, as they never change. Confined to one thread.
+ */
+final class StoreView {
+
+    private final OperatorEnvironment environment;
+    private final CommitLog log;
+    private final StoredMoveRegister moves;
+    private final StoredDomainRegister domains;
+    private final Map<String, ServiceConfiguration> parts = new HashMap<>();
+
+    StoreView(final Store store, final OperatorEnvironment environment) {
+        Store retrying = new RetryingStore(store, environment.startRetry());
+        this.environment = environment;
+        this.log = CommitLog.of(retrying);
+        this.moves = StoredMoveRegister.of(retrying, environment.clock());
+        this.domains = StoredDomainRegister.of(retrying);
+    }
+
+    /** Reads the record of the version in force. */
+    CommitRecord current() throws StoreException, ConfigurationException {
+        String key = log.readHead()
+                .orElseThrow(() -> new ConfigurationException("the store holds no configuration yet"))
+                .document()
+                .record();
+        return log.readRecord(key);
+    }
+
+    Optional<CommitRecord> previous(final CommitRecord record) throws StoreException, ConfigurationException {
+        return record.previous() == null ? Optional.empty() : Optional.of(log.readRecord(record.previous()));
+    }
+
+    /** Reads the configuration of a service in a record, or empty if the record lacks the service. */
+    Optional<ServiceConfiguration> service(final CommitRecord record, final String service)
+            throws StoreException, ConfigurationException {
+        String digest = record.parts().get(service);
+        if (digest == null) {
+            return Optional.empty();
+        }
+        ServiceConfiguration known = parts.get(digest);
+        if (known == null) {
+            known = log.readPart(digest);
+            parts.put(digest, known);
+        }
+        return Optional.of(known);
+    }
+
+    MoveStatus move(final String service, final Move move) throws StoreException {
+        return MoveStatus.of(
+                service,
+                move,
+                moves.readHistory(move.identity(service)),
+                environment.clock().nowMs());
+    }
+
+    List<DomainSummary> domains() throws StoreException {
+        return domains.readAll();
+    }
+}
--- a/sequoiashunt-platform/src/main/java/org/sequoiashunt/manifest/Spelling.java
+++ b/sequoiashunt-platform/src/main/java/org/sequoiashunt/manifest/Spelling.java
@@ -8,15 +8,21 @@
 /**
  * Finds the known word that a misspelt one is nearest to. Not instantiable; thread-safe.
  */
-final class Spelling {
+public final class Spelling {
 
     /** One wrong letter in three is still a near miss. */
     private static final int LETTERS_PER_MISTAKE = 3;
 
     private Spelling() {}
 
-    /** Returns the nearest known word in quotes, or empty if none is near. */
-    static Optional<String> nearest(final String word, final Collection<String> known) {
+    /**
+     * Finds the nearest known word.
+     *
+     * @param word the word as it was written, not null.
+     * @param known the known words, not null.
+     * @return the word in quotes, or empty if none is near.
+     */
+    public static Optional<String> nearest(final String word, final Collection<String> known) {
         return known.stream()
                 .filter(candidate -> isNear(word, candidate))
                 .min(Comparator.<String>comparingInt(candidate -> distance(word, candidate))
