--- /dev/null
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/lead/NodePorts.java
@@ -0,0 +1,34 @@
+package org.sequoiashunt.lead;
+
+import java.util.Objects;
+import org.sequoiashunt.configuration.ConfigurationSource;
+import org.sequoiashunt.membership.DomainRegister;
+import org.sequoiashunt.peer.PeerSender;
+import org.sequoiashunt.store.Store;
+import org.sequoiashunt.time.Clock;
+
+/**
+ * The outside systems of a {@link ReplicaNode}. Immutable and thread-safe.
+ *
+ * @param clock the clock.
+ * @param sender sends to other nodes.
+ * @param store the platform's store.
+ * @param register the summaries of failure domains in the store.
+ * @param source the committed configuration in the store.
+ */
+public record NodePorts(
+        Clock clock, PeerSender sender, Store store, DomainRegister register, ConfigurationSource source) {
+
+    /**
+     * Checks the components.
+     *
+     * @throws NullPointerException if a component is null.
+     */
+    public NodePorts {
+        Objects.requireNonNull(clock, "clock");
+        Objects.requireNonNull(sender, "sender");
+        Objects.requireNonNull(store, "store");
+        Objects.requireNonNull(register, "register");
+        Objects.requireNonNull(source, "source");
+    }
+}
