--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/EntryCodec.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/EntryCodec.java
@@ -1,24 +1,18 @@
 package org.sequoiashunt.link;
 
-import java.util.ArrayList;
-import java.util.List;
-import java.util.Optional;
-import java.util.Set;
-import java.util.SortedMap;
-import java.util.TreeMap;
 import org.sequoiashunt.blackboard.Entry;
 import org.sequoiashunt.blackboard.EntryKey;
 import org.sequoiashunt.blackboard.EntryValue;
 import org.sequoiashunt.blackboard.EntryVersion;
 import org.sequoiashunt.blackboard.Section;
 import org.sequoiashunt.configuration.ConfigurationHead;
-import org.sequoiashunt.configuration.Move;
-import org.sequoiashunt.configuration.Route;
 import org.sequoiashunt.configuration.ServiceConfiguration;
 import org.sequoiashunt.execution.QuarantinedRequest;
 import org.sequoiashunt.execution.Roster;
 import org.sequoiashunt.link.wire.EntryProto;
+import org.sequoiashunt.membership.Departure;
 import org.sequoiashunt.membership.Member;
+import org.sequoiashunt.membership.Suspicion;
 import org.sequoiashunt.rollout.Evidence;
 import org.sequoiashunt.rollout.RolloutProgress;
 import org.sequoiashunt.rollout.Stage;
@@ -68,9 +62,9 @@
 
     private static void encode(final EntryValue value, final EntryProto.Entry.Builder builder) {
         if (value instanceof ConfigurationHead head) {
-            builder.setConfigurationHead(encode(head));
+            builder.setConfigurationHead(ConfigurationCodec.encode(head));
         } else if (value instanceof ServiceConfiguration service) {
-            builder.setServiceConfiguration(encode(service));
+            builder.setServiceConfiguration(ConfigurationCodec.encode(service));
         } else if (value instanceof Member member) {
             builder.setMember(MemberCodec.encode(member));
         } else if (value instanceof RolloutProgress progress) {
@@ -81,6 +75,12 @@
             builder.setQuarantinedRequest(encode(request));
         } else if (value instanceof Roster roster) {
             builder.setRoster(encode(roster));
+        } else if (value instanceof Suspicion suspicion) {
+            builder.setSuspicion(EntryProto.Suspicion.newBuilder().setMember(suspicion.member()));
+        } else if (value instanceof Departure departure) {
+            builder.setDeparture(EntryProto.Departure.newBuilder()
+                    .setMember(departure.member())
+                    .setAtMs(departure.atMs()));
         } else {
             throw new IllegalArgumentException(
                     "no wire form of " + value.getClass().getName());
@@ -89,90 +89,21 @@
 
     private static EntryValue value(final EntryProto.Entry entry) {
         return switch (entry.getValueCase()) {
-            case CONFIGURATION_HEAD -> decode(entry.getConfigurationHead());
-            case SERVICE_CONFIGURATION -> decode(entry.getServiceConfiguration());
+            case CONFIGURATION_HEAD -> ConfigurationCodec.decode(entry.getConfigurationHead());
+            case SERVICE_CONFIGURATION -> ConfigurationCodec.decode(entry.getServiceConfiguration());
             case MEMBER -> MemberCodec.decode(entry.getMember());
             case ROLLOUT_PROGRESS -> decode(entry.getRolloutProgress());
             case EVIDENCE -> decode(entry.getEvidence());
             case QUARANTINED_REQUEST -> decode(entry.getQuarantinedRequest());
             case ROSTER -> decode(entry.getRoster());
+            case SUSPICION -> new Suspicion(entry.getSuspicion().getMember());
+            case DEPARTURE ->
+                new Departure(
+                        entry.getDeparture().getMember(), entry.getDeparture().getAtMs());
             default -> throw new IllegalArgumentException("entry without a known value");
         };
     }
 
-    private static EntryProto.ConfigurationHead encode(final ConfigurationHead head) {
-        EntryProto.ConfigurationHead.Builder builder = EntryProto.ConfigurationHead.newBuilder()
-                .setVersion(head.version())
-                .setCommitId(head.commitId());
-        head.parts()
-                .forEach((service, digest) -> builder.addParts(EntryProto.ConfigurationHead.Part.newBuilder()
-                        .setService(service)
-                        .setDigest(digest)));
-        head.groups()
-                .forEach((name, domains) -> builder.addGroups(EntryProto.ConfigurationHead.Group.newBuilder()
-                        .setName(name)
-                        .addAllFailureDomains(domains)));
-        return builder.build();
-    }
-
-    private static ConfigurationHead decode(final EntryProto.ConfigurationHead head) {
-        SortedMap<String, String> parts = new TreeMap<>();
-        head.getPartsList().forEach(part -> parts.put(part.getService(), part.getDigest()));
-        SortedMap<String, List<String>> groups = new TreeMap<>();
-        head.getGroupsList().forEach(group -> groups.put(group.getName(), strings(group.getFailureDomainsList())));
-        return new ConfigurationHead(head.getVersion(), head.getCommitId(), parts, groups);
-    }
-
-    private static EntryProto.ServiceConfiguration encode(final ServiceConfiguration service) {
-        EntryProto.ServiceConfiguration.Builder builder = EntryProto.ServiceConfiguration.newBuilder()
-                .setService(service.service())
-                .setVersion(service.version())
-                .addAllHomeGroups(service.homeGroups());
-        service.move().ifPresent(move -> builder.setMove(encode(move)));
-        service.routes().forEach(route -> builder.addRoutes(encode(route)));
-        return builder.build();
-    }
-
-    private static ServiceConfiguration decode(final EntryProto.ServiceConfiguration service) {
-        return new ServiceConfiguration(
-                service.getService(),
-                service.getVersion(),
-                service.hasMove() ? Optional.of(decode(service.getMove())) : Optional.empty(),
-                service.getRoutesList().stream().map(EntryCodec::decode).toList(),
-                strings(service.getHomeGroupsList()));
-    }
-
-    private static EntryProto.Move encode(final Move move) {
-        return EntryProto.Move.newBuilder()
-                .setFrom(move.from())
-                .setTo(move.to())
-                .setFinishByMs(move.finishByMs())
-                .build();
-    }
-
-    private static Move decode(final EntryProto.Move move) {
-        return new Move(move.getFrom(), move.getTo(), move.getFinishByMs());
-    }
-
-    private static EntryProto.Route encode(final Route route) {
-        return EntryProto.Route.newBuilder()
-                .setName(route.name())
-                .setPathPrefix(route.pathPrefix())
-                .addAllMethods(route.methods())
-                .setIdempotent(route.idempotent())
-                .setTimeoutMs(route.timeoutMs())
-                .build();
-    }
-
-    private static Route decode(final EntryProto.Route route) {
-        return new Route(
-                route.getName(),
-                route.getPathPrefix(),
-                Set.copyOf(route.getMethodsList()),
-                route.getIdempotent(),
-                route.getTimeoutMs());
-    }
-
     private static EntryProto.RolloutProgress encode(final RolloutProgress progress) {
         return EntryProto.RolloutProgress.newBuilder()
                 .setMove(progress.move())
@@ -212,7 +143,7 @@
                 evidence.getRoute(),
                 evidence.getRequests(),
                 evidence.getFailures(),
-                new ArrayList<>(evidence.getLatencyBucketsList()));
+                evidence.getLatencyBucketsList());
     }
 
     private static EntryProto.QuarantinedRequest encode(final QuarantinedRequest request) {
@@ -227,7 +158,7 @@
         return new QuarantinedRequest(request.getFingerprint(), request.getCrashes(), request.getExpiresMs());
     }
 
-    private static EntryProto.Roster encode(final Roster roster) {
+    static EntryProto.Roster encode(final Roster roster) {
         return EntryProto.Roster.newBuilder()
                 .setGroup(roster.group())
                 .setEpoch(roster.epoch())
@@ -235,11 +166,7 @@
                 .build();
     }
 
-    private static Roster decode(final EntryProto.Roster roster) {
-        return new Roster(roster.getGroup(), roster.getEpoch(), strings(roster.getGuardsList()));
-    }
-
-    private static List<String> strings(final List<String> list) {
-        return List.copyOf(list);
+    static Roster decode(final EntryProto.Roster roster) {
+        return new Roster(roster.getGroup(), roster.getEpoch(), roster.getGuardsList());
     }
 }
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/LinkThreads.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/LinkThreads.java
@@ -19,6 +19,7 @@
     private static final int THREADS = 2;
     private static final int PAGE_BYTES = 8_192;
     private static final int CHUNK_ORDER = 5; // 256 KB a chunk: the buffers of an idle node take less than 1 MB.
+    private static final int CACHED = 32; // Buffers of each size that a thread keeps for itself.
     private static final long CLOSE_TIMEOUT_MS = 2_000;
 
     private final EventLoopGroup group;
@@ -30,7 +31,7 @@
         this.group = group;
         this.accepting = group.next();
         this.opening = group.next();
-        this.allocator = new PooledByteBufAllocator(true, 0, THREADS, PAGE_BYTES, CHUNK_ORDER);
+        this.allocator = new PooledByteBufAllocator(true, 0, THREADS, PAGE_BYTES, CHUNK_ORDER, CACHED, CACHED, false);
     }
 
     /**
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/MessageCodec.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/MessageCodec.java
@@ -37,6 +37,15 @@
         return new MessageCodec(bySubject);
     }
 
+    /**
+     * Creates a registry of all subjects that the nodes of this project use.
+     *
+     * @return the registry, never null.
+     */
+    public static MessageCodec standard() {
+        return of(List.of(new ReplicationCodec(), new MembershipCodec(), new ClaimCodec()));
+    }
+
     /**
      * Encodes a message.
      *
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/wire/EntryProto.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/wire/EntryProto.java
@@ -1281,6 +1281,36 @@
      */
     org.sequoiashunt.link.wire.EntryProto.RosterOrBuilder getRosterOrBuilder();
 
+    /**
+     * <code>.sequoiashunt.link.Suspicion suspicion = 11;</code>
+     * @return Whether the suspicion field is set.
+     */
+    boolean hasSuspicion();
+    /**
+     * <code>.sequoiashunt.link.Suspicion suspicion = 11;</code>
+     * @return The suspicion.
+     */
+    org.sequoiashunt.link.wire.EntryProto.Suspicion getSuspicion();
+    /**
+     * <code>.sequoiashunt.link.Suspicion suspicion = 11;</code>
+     */
+    org.sequoiashunt.link.wire.EntryProto.SuspicionOrBuilder getSuspicionOrBuilder();
+
+    /**
+     * <code>.sequoiashunt.link.Departure departure = 12;</code>
+     * @return Whether the departure field is set.
+     */
+    boolean hasDeparture();
+    /**
+     * <code>.sequoiashunt.link.Departure departure = 12;</code>
+     * @return The departure.
+     */
+    org.sequoiashunt.link.wire.EntryProto.Departure getDeparture();
+    /**
+     * <code>.sequoiashunt.link.Departure departure = 12;</code>
+     */
+    org.sequoiashunt.link.wire.EntryProto.DepartureOrBuilder getDepartureOrBuilder();
+
     org.sequoiashunt.link.wire.EntryProto.Entry.ValueCase getValueCase();
   }
   /**
@@ -1340,6 +1370,8 @@
       EVIDENCE(8),
       QUARANTINED_REQUEST(9),
       ROSTER(10),
+      SUSPICION(11),
+      DEPARTURE(12),
       VALUE_NOT_SET(0);
       private final int value;
       private ValueCase(int value) {
@@ -1364,6 +1396,8 @@
           case 8: return EVIDENCE;
           case 9: return QUARANTINED_REQUEST;
           case 10: return ROSTER;
+          case 11: return SUSPICION;
+          case 12: return DEPARTURE;
           case 0: return VALUE_NOT_SET;
           default: return null;
         }
@@ -1687,6 +1721,68 @@
       return org.sequoiashunt.link.wire.EntryProto.Roster.getDefaultInstance();
     }
 
+    public static final int SUSPICION_FIELD_NUMBER = 11;
+    /**
+     * <code>.sequoiashunt.link.Suspicion suspicion = 11;</code>
+     * @return Whether the suspicion field is set.
+     */
+    @java.lang.Override
+    public boolean hasSuspicion() {
+      return valueCase_ == 11;
+    }
+    /**
+     * <code>.sequoiashunt.link.Suspicion suspicion = 11;</code>
+     * @return The suspicion.
+     */
+    @java.lang.Override
+    public org.sequoiashunt.link.wire.EntryProto.Suspicion getSuspicion() {
+      if (valueCase_ == 11) {
+         return (org.sequoiashunt.link.wire.EntryProto.Suspicion) value_;
+      }
+      return org.sequoiashunt.link.wire.EntryProto.Suspicion.getDefaultInstance();
+    }
+    /**
+     * <code>.sequoiashunt.link.Suspicion suspicion = 11;</code>
+     */
+    @java.lang.Override
+    public org.sequoiashunt.link.wire.EntryProto.SuspicionOrBuilder getSuspicionOrBuilder() {
+      if (valueCase_ == 11) {
+         return (org.sequoiashunt.link.wire.EntryProto.Suspicion) value_;
+      }
+      return org.sequoiashunt.link.wire.EntryProto.Suspicion.getDefaultInstance();
+    }
+
+    public static final int DEPARTURE_FIELD_NUMBER = 12;
+    /**
+     * <code>.sequoiashunt.link.Departure departure = 12;</code>
+     * @return Whether the departure field is set.
+     */
+    @java.lang.Override
+    public boolean hasDeparture() {
+      return valueCase_ == 12;
+    }
+    /**
+     * <code>.sequoiashunt.link.Departure departure = 12;</code>
+     * @return The departure.
+     */
+    @java.lang.Override
+    public org.sequoiashunt.link.wire.EntryProto.Departure getDeparture() {
+      if (valueCase_ == 12) {
+         return (org.sequoiashunt.link.wire.EntryProto.Departure) value_;
+      }
+      return org.sequoiashunt.link.wire.EntryProto.Departure.getDefaultInstance();
+    }
+    /**
+     * <code>.sequoiashunt.link.Departure departure = 12;</code>
+     */
+    @java.lang.Override
+    public org.sequoiashunt.link.wire.EntryProto.DepartureOrBuilder getDepartureOrBuilder() {
+      if (valueCase_ == 12) {
+         return (org.sequoiashunt.link.wire.EntryProto.Departure) value_;
+      }
+      return org.sequoiashunt.link.wire.EntryProto.Departure.getDefaultInstance();
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -1731,6 +1827,12 @@
       if (valueCase_ == 10) {
         output.writeMessage(10, (org.sequoiashunt.link.wire.EntryProto.Roster) value_);
       }
+      if (valueCase_ == 11) {
+        output.writeMessage(11, (org.sequoiashunt.link.wire.EntryProto.Suspicion) value_);
+      }
+      if (valueCase_ == 12) {
+        output.writeMessage(12, (org.sequoiashunt.link.wire.EntryProto.Departure) value_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -1774,6 +1876,14 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(10, (org.sequoiashunt.link.wire.EntryProto.Roster) value_);
       }
+      if (valueCase_ == 11) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(11, (org.sequoiashunt.link.wire.EntryProto.Suspicion) value_);
+      }
+      if (valueCase_ == 12) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(12, (org.sequoiashunt.link.wire.EntryProto.Departure) value_);
+      }
       return size;
     }
     @java.lang.Override
@@ -1840,6 +1950,14 @@
           if (!getRoster()
               .equals(other.getRoster())) return false;
           break;
+        case 11:
+          if (!getSuspicion()
+              .equals(other.getSuspicion())) return false;
+          break;
+        case 12:
+          if (!getDeparture()
+              .equals(other.getDeparture())) return false;
+          break;
         case 0:
         default:
       }
@@ -1893,6 +2011,14 @@
           hash = (37 * hash) + ROSTER_FIELD_NUMBER;
           hash = (53 * hash) + getRoster().hashCode();
           break;
+        case 11:
+          hash = (37 * hash) + SUSPICION_FIELD_NUMBER;
+          hash = (53 * hash) + getSuspicion().hashCode();
+          break;
+        case 12:
+          hash = (37 * hash) + DEPARTURE_FIELD_NUMBER;
+          hash = (53 * hash) + getDeparture().hashCode();
+          break;
         case 0:
         default:
       }
@@ -2066,6 +2192,12 @@
         if (rosterBuilder_ != null) {
           rosterBuilder_.clear();
         }
+        if (suspicionBuilder_ != null) {
+          suspicionBuilder_.clear();
+        }
+        if (departureBuilder_ != null) {
+          departureBuilder_.clear();
+        }
         valueCase_ = 0;
         value_ = null;
         return this;
@@ -2152,6 +2284,14 @@
             rosterBuilder_ != null) {
           result.value_ = rosterBuilder_.build();
         }
+        if (valueCase_ == 11 &&
+            suspicionBuilder_ != null) {
+          result.value_ = suspicionBuilder_.build();
+        }
+        if (valueCase_ == 12 &&
+            departureBuilder_ != null) {
+          result.value_ = departureBuilder_.build();
+        }
       }
 
       @java.lang.Override
@@ -2206,6 +2346,14 @@
             mergeRoster(other.getRoster());
             break;
           }
+          case SUSPICION: {
+            mergeSuspicion(other.getSuspicion());
+            break;
+          }
+          case DEPARTURE: {
+            mergeDeparture(other.getDeparture());
+            break;
+          }
           case VALUE_NOT_SET: {
             break;
           }
@@ -2302,6 +2450,20 @@
                 valueCase_ = 10;
                 break;
               } // case 82
+              case 90: {
+                input.readMessage(
+                    internalGetSuspicionFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                valueCase_ = 11;
+                break;
+              } // case 90
+              case 98: {
+                input.readMessage(
+                    internalGetDepartureFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                valueCase_ = 12;
+                break;
+              } // case 98
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -3624,6 +3786,286 @@
         return rosterBuilder_;
       }
 
+      private com.google.protobuf.SingleFieldBuilder<
+          org.sequoiashunt.link.wire.EntryProto.Suspicion, org.sequoiashunt.link.wire.EntryProto.Suspicion.Builder, org.sequoiashunt.link.wire.EntryProto.SuspicionOrBuilder> suspicionBuilder_;
+      /**
+       * <code>.sequoiashunt.link.Suspicion suspicion = 11;</code>
+       * @return Whether the suspicion field is set.
+       */
+      @java.lang.Override
+      public boolean hasSuspicion() {
+        return valueCase_ == 11;
+      }
+      /**
+       * <code>.sequoiashunt.link.Suspicion suspicion = 11;</code>
+       * @return The suspicion.
+       */
+      @java.lang.Override
+      public org.sequoiashunt.link.wire.EntryProto.Suspicion getSuspicion() {
+        if (suspicionBuilder_ == null) {
+          if (valueCase_ == 11) {
+            return (org.sequoiashunt.link.wire.EntryProto.Suspicion) value_;
+          }
+          return org.sequoiashunt.link.wire.EntryProto.Suspicion.getDefaultInstance();
+        } else {
+          if (valueCase_ == 11) {
+            return suspicionBuilder_.getMessage();
+          }
+          return org.sequoiashunt.link.wire.EntryProto.Suspicion.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.sequoiashunt.link.Suspicion suspicion = 11;</code>
+       */
+      public Builder setSuspicion(org.sequoiashunt.link.wire.EntryProto.Suspicion value) {
+        if (suspicionBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          value_ = value;
+          onChanged();
+        } else {
+          suspicionBuilder_.setMessage(value);
+        }
+        valueCase_ = 11;
+        return this;
+      }
+      /**
+       * <code>.sequoiashunt.link.Suspicion suspicion = 11;</code>
+       */
+      public Builder setSuspicion(
+          org.sequoiashunt.link.wire.EntryProto.Suspicion.Builder builderForValue) {
+        if (suspicionBuilder_ == null) {
+          value_ = builderForValue.build();
+          onChanged();
+        } else {
+          suspicionBuilder_.setMessage(builderForValue.build());
+        }
+        valueCase_ = 11;
+        return this;
+      }
+      /**
+       * <code>.sequoiashunt.link.Suspicion suspicion = 11;</code>
+       */
+      public Builder mergeSuspicion(org.sequoiashunt.link.wire.EntryProto.Suspicion value) {
+        if (suspicionBuilder_ == null) {
+          if (valueCase_ == 11 &&
+              value_ != org.sequoiashunt.link.wire.EntryProto.Suspicion.getDefaultInstance()) {
+            value_ = org.sequoiashunt.link.wire.EntryProto.Suspicion.newBuilder((org.sequoiashunt.link.wire.EntryProto.Suspicion) value_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            value_ = value;
+          }
+          onChanged();
+        } else {
+          if (valueCase_ == 11) {
+            suspicionBuilder_.mergeFrom(value);
+          } else {
+            suspicionBuilder_.setMessage(value);
+          }
+        }
+        valueCase_ = 11;
+        return this;
+      }
+      /**
+       * <code>.sequoiashunt.link.Suspicion suspicion = 11;</code>
+       */
+      public Builder clearSuspicion() {
+        if (suspicionBuilder_ == null) {
+          if (valueCase_ == 11) {
+            valueCase_ = 0;
+            value_ = null;
+            onChanged();
+          }
+        } else {
+          if (valueCase_ == 11) {
+            valueCase_ = 0;
+            value_ = null;
+          }
+          suspicionBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.sequoiashunt.link.Suspicion suspicion = 11;</code>
+       */
+      public org.sequoiashunt.link.wire.EntryProto.Suspicion.Builder getSuspicionBuilder() {
+        return internalGetSuspicionFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.sequoiashunt.link.Suspicion suspicion = 11;</code>
+       */
+      @java.lang.Override
+      public org.sequoiashunt.link.wire.EntryProto.SuspicionOrBuilder getSuspicionOrBuilder() {
+        if ((valueCase_ == 11) && (suspicionBuilder_ != null)) {
+          return suspicionBuilder_.getMessageOrBuilder();
+        } else {
+          if (valueCase_ == 11) {
+            return (org.sequoiashunt.link.wire.EntryProto.Suspicion) value_;
+          }
+          return org.sequoiashunt.link.wire.EntryProto.Suspicion.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.sequoiashunt.link.Suspicion suspicion = 11;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.sequoiashunt.link.wire.EntryProto.Suspicion, org.sequoiashunt.link.wire.EntryProto.Suspicion.Builder, org.sequoiashunt.link.wire.EntryProto.SuspicionOrBuilder> 
+          internalGetSuspicionFieldBuilder() {
+        if (suspicionBuilder_ == null) {
+          if (!(valueCase_ == 11)) {
+            value_ = org.sequoiashunt.link.wire.EntryProto.Suspicion.getDefaultInstance();
+          }
+          suspicionBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.sequoiashunt.link.wire.EntryProto.Suspicion, org.sequoiashunt.link.wire.EntryProto.Suspicion.Builder, org.sequoiashunt.link.wire.EntryProto.SuspicionOrBuilder>(
+                  (org.sequoiashunt.link.wire.EntryProto.Suspicion) value_,
+                  getParentForChildren(),
+                  isClean());
+          value_ = null;
+        }
+        valueCase_ = 11;
+        onChanged();
+        return suspicionBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          org.sequoiashunt.link.wire.EntryProto.Departure, org.sequoiashunt.link.wire.EntryProto.Departure.Builder, org.sequoiashunt.link.wire.EntryProto.DepartureOrBuilder> departureBuilder_;
+      /**
+       * <code>.sequoiashunt.link.Departure departure = 12;</code>
+       * @return Whether the departure field is set.
+       */
+      @java.lang.Override
+      public boolean hasDeparture() {
+        return valueCase_ == 12;
+      }
+      /**
+       * <code>.sequoiashunt.link.Departure departure = 12;</code>
+       * @return The departure.
+       */
+      @java.lang.Override
+      public org.sequoiashunt.link.wire.EntryProto.Departure getDeparture() {
+        if (departureBuilder_ == null) {
+          if (valueCase_ == 12) {
+            return (org.sequoiashunt.link.wire.EntryProto.Departure) value_;
+          }
+          return org.sequoiashunt.link.wire.EntryProto.Departure.getDefaultInstance();
+        } else {
+          if (valueCase_ == 12) {
+            return departureBuilder_.getMessage();
+          }
+          return org.sequoiashunt.link.wire.EntryProto.Departure.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.sequoiashunt.link.Departure departure = 12;</code>
+       */
+      public Builder setDeparture(org.sequoiashunt.link.wire.EntryProto.Departure value) {
+        if (departureBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          value_ = value;
+          onChanged();
+        } else {
+          departureBuilder_.setMessage(value);
+        }
+        valueCase_ = 12;
+        return this;
+      }
+      /**
+       * <code>.sequoiashunt.link.Departure departure = 12;</code>
+       */
+      public Builder setDeparture(
+          org.sequoiashunt.link.wire.EntryProto.Departure.Builder builderForValue) {
+        if (departureBuilder_ == null) {
+          value_ = builderForValue.build();
+          onChanged();
+        } else {
+          departureBuilder_.setMessage(builderForValue.build());
+        }
+        valueCase_ = 12;
+        return this;
+      }
+      /**
+       * <code>.sequoiashunt.link.Departure departure = 12;</code>
+       */
+      public Builder mergeDeparture(org.sequoiashunt.link.wire.EntryProto.Departure value) {
+        if (departureBuilder_ == null) {
+          if (valueCase_ == 12 &&
+              value_ != org.sequoiashunt.link.wire.EntryProto.Departure.getDefaultInstance()) {
+            value_ = org.sequoiashunt.link.wire.EntryProto.Departure.newBuilder((org.sequoiashunt.link.wire.EntryProto.Departure) value_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            value_ = value;
+          }
+          onChanged();
+        } else {
+          if (valueCase_ == 12) {
+            departureBuilder_.mergeFrom(value);
+          } else {
+            departureBuilder_.setMessage(value);
+          }
+        }
+        valueCase_ = 12;
+        return this;
+      }
+      /**
+       * <code>.sequoiashunt.link.Departure departure = 12;</code>
+       */
+      public Builder clearDeparture() {
+        if (departureBuilder_ == null) {
+          if (valueCase_ == 12) {
+            valueCase_ = 0;
+            value_ = null;
+            onChanged();
+          }
+        } else {
+          if (valueCase_ == 12) {
+            valueCase_ = 0;
+            value_ = null;
+          }
+          departureBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.sequoiashunt.link.Departure departure = 12;</code>
+       */
+      public org.sequoiashunt.link.wire.EntryProto.Departure.Builder getDepartureBuilder() {
+        return internalGetDepartureFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.sequoiashunt.link.Departure departure = 12;</code>
+       */
+      @java.lang.Override
+      public org.sequoiashunt.link.wire.EntryProto.DepartureOrBuilder getDepartureOrBuilder() {
+        if ((valueCase_ == 12) && (departureBuilder_ != null)) {
+          return departureBuilder_.getMessageOrBuilder();
+        } else {
+          if (valueCase_ == 12) {
+            return (org.sequoiashunt.link.wire.EntryProto.Departure) value_;
+          }
+          return org.sequoiashunt.link.wire.EntryProto.Departure.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.sequoiashunt.link.Departure departure = 12;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.sequoiashunt.link.wire.EntryProto.Departure, org.sequoiashunt.link.wire.EntryProto.Departure.Builder, org.sequoiashunt.link.wire.EntryProto.DepartureOrBuilder> 
+          internalGetDepartureFieldBuilder() {
+        if (departureBuilder_ == null) {
+          if (!(valueCase_ == 12)) {
+            value_ = org.sequoiashunt.link.wire.EntryProto.Departure.getDefaultInstance();
+          }
+          departureBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.sequoiashunt.link.wire.EntryProto.Departure, org.sequoiashunt.link.wire.EntryProto.Departure.Builder, org.sequoiashunt.link.wire.EntryProto.DepartureOrBuilder>(
+                  (org.sequoiashunt.link.wire.EntryProto.Departure) value_,
+                  getParentForChildren(),
+                  isClean());
+          value_ = null;
+        }
+        valueCase_ = 12;
+        onChanged();
+        return departureBuilder_;
+      }
+
       // @@protoc_insertion_point(builder_scope:sequoiashunt.link.Entry)
     }
 
@@ -16443,40 +16885,1147 @@
 
   }
 
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_sequoiashunt_link_EntryKey_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_sequoiashunt_link_EntryKey_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_sequoiashunt_link_EntryVersion_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_sequoiashunt_link_EntryVersion_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_sequoiashunt_link_Entry_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_sequoiashunt_link_Entry_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_sequoiashunt_link_ConfigurationHead_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_sequoiashunt_link_ConfigurationHead_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_sequoiashunt_link_ConfigurationHead_Group_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_sequoiashunt_link_ConfigurationHead_Group_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_sequoiashunt_link_ConfigurationHead_Part_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_sequoiashunt_link_ConfigurationHead_Part_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_sequoiashunt_link_Move_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+  public interface SuspicionOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:sequoiashunt.link.Suspicion)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string member = 1;</code>
+     * @return The member.
+     */
+    java.lang.String getMember();
+    /**
+     * <code>string member = 1;</code>
+     * @return The bytes for member.
+     */
+    com.google.protobuf.ByteString
+        getMemberBytes();
+  }
+  /**
+   * Protobuf type {@code sequoiashunt.link.Suspicion}
+   */
+  public static final class Suspicion extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:sequoiashunt.link.Suspicion)
+      SuspicionOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "Suspicion");
+    }
+    // Use Suspicion.newBuilder() to construct.
+    private Suspicion(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private Suspicion() {
+      member_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.sequoiashunt.link.wire.EntryProto.internal_static_sequoiashunt_link_Suspicion_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.sequoiashunt.link.wire.EntryProto.internal_static_sequoiashunt_link_Suspicion_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.sequoiashunt.link.wire.EntryProto.internal_static_sequoiashunt_link_Suspicion_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.sequoiashunt.link.wire.EntryProto.Suspicion.class, org.sequoiashunt.link.wire.EntryProto.Suspicion.Builder.class);
+    }
+
+    public static final int MEMBER_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object member_ = "";
+    /**
+     * <code>string member = 1;</code>
+     * @return The member.
+     */
+    @java.lang.Override
+    public java.lang.String getMember() {
+      java.lang.Object ref = member_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        member_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string member = 1;</code>
+     * @return The bytes for member.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getMemberBytes() {
+      java.lang.Object ref = member_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        member_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(member_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, member_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(member_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, member_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.sequoiashunt.link.wire.EntryProto.Suspicion)) {
+        return super.equals(obj);
+      }
+      org.sequoiashunt.link.wire.EntryProto.Suspicion other = (org.sequoiashunt.link.wire.EntryProto.Suspicion) obj;
+
+      if (!getMember()
+          .equals(other.getMember())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + MEMBER_FIELD_NUMBER;
+      hash = (53 * hash) + getMember().hashCode();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.sequoiashunt.link.wire.EntryProto.Suspicion parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.sequoiashunt.link.wire.EntryProto.Suspicion parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.sequoiashunt.link.wire.EntryProto.Suspicion parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.sequoiashunt.link.wire.EntryProto.Suspicion parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.sequoiashunt.link.wire.EntryProto.Suspicion parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.sequoiashunt.link.wire.EntryProto.Suspicion parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.sequoiashunt.link.wire.EntryProto.Suspicion parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.sequoiashunt.link.wire.EntryProto.Suspicion parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.sequoiashunt.link.wire.EntryProto.Suspicion parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.sequoiashunt.link.wire.EntryProto.Suspicion parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.sequoiashunt.link.wire.EntryProto.Suspicion parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.sequoiashunt.link.wire.EntryProto.Suspicion parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.sequoiashunt.link.wire.EntryProto.Suspicion prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code sequoiashunt.link.Suspicion}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:sequoiashunt.link.Suspicion)
+        org.sequoiashunt.link.wire.EntryProto.SuspicionOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.sequoiashunt.link.wire.EntryProto.internal_static_sequoiashunt_link_Suspicion_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.sequoiashunt.link.wire.EntryProto.internal_static_sequoiashunt_link_Suspicion_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.sequoiashunt.link.wire.EntryProto.Suspicion.class, org.sequoiashunt.link.wire.EntryProto.Suspicion.Builder.class);
+      }
+
+      // Construct using org.sequoiashunt.link.wire.EntryProto.Suspicion.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        member_ = "";
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.sequoiashunt.link.wire.EntryProto.internal_static_sequoiashunt_link_Suspicion_descriptor;
+      }
+
+      @java.lang.Override
+      public org.sequoiashunt.link.wire.EntryProto.Suspicion getDefaultInstanceForType() {
+        return org.sequoiashunt.link.wire.EntryProto.Suspicion.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.sequoiashunt.link.wire.EntryProto.Suspicion build() {
+        org.sequoiashunt.link.wire.EntryProto.Suspicion result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.sequoiashunt.link.wire.EntryProto.Suspicion buildPartial() {
+        org.sequoiashunt.link.wire.EntryProto.Suspicion result = new org.sequoiashunt.link.wire.EntryProto.Suspicion(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.sequoiashunt.link.wire.EntryProto.Suspicion result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.member_ = member_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.sequoiashunt.link.wire.EntryProto.Suspicion) {
+          return mergeFrom((org.sequoiashunt.link.wire.EntryProto.Suspicion)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.sequoiashunt.link.wire.EntryProto.Suspicion other) {
+        if (other == org.sequoiashunt.link.wire.EntryProto.Suspicion.getDefaultInstance()) return this;
+        if (!other.getMember().isEmpty()) {
+          member_ = other.member_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                member_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object member_ = "";
+      /**
+       * <code>string member = 1;</code>
+       * @return The member.
+       */
+      public java.lang.String getMember() {
+        java.lang.Object ref = member_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          member_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string member = 1;</code>
+       * @return The bytes for member.
+       */
+      public com.google.protobuf.ByteString
+          getMemberBytes() {
+        java.lang.Object ref = member_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          member_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string member = 1;</code>
+       * @param value The member to set.
+       * @return This builder for chaining.
+       */
+      public Builder setMember(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        member_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string member = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearMember() {
+        member_ = getDefaultInstance().getMember();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string member = 1;</code>
+       * @param value The bytes for member to set.
+       * @return This builder for chaining.
+       */
+      public Builder setMemberBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        member_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:sequoiashunt.link.Suspicion)
+    }
+
+    // @@protoc_insertion_point(class_scope:sequoiashunt.link.Suspicion)
+    private static final org.sequoiashunt.link.wire.EntryProto.Suspicion DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.sequoiashunt.link.wire.EntryProto.Suspicion();
+    }
+
+    public static org.sequoiashunt.link.wire.EntryProto.Suspicion getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<Suspicion>
+        PARSER = new com.google.protobuf.AbstractParser<Suspicion>() {
+      @java.lang.Override
+      public Suspicion parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<Suspicion> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<Suspicion> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.sequoiashunt.link.wire.EntryProto.Suspicion getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface DepartureOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:sequoiashunt.link.Departure)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string member = 1;</code>
+     * @return The member.
+     */
+    java.lang.String getMember();
+    /**
+     * <code>string member = 1;</code>
+     * @return The bytes for member.
+     */
+    com.google.protobuf.ByteString
+        getMemberBytes();
+
+    /**
+     * <code>int64 at_ms = 2;</code>
+     * @return The atMs.
+     */
+    long getAtMs();
+  }
+  /**
+   * Protobuf type {@code sequoiashunt.link.Departure}
+   */
+  public static final class Departure extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:sequoiashunt.link.Departure)
+      DepartureOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "Departure");
+    }
+    // Use Departure.newBuilder() to construct.
+    private Departure(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private Departure() {
+      member_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.sequoiashunt.link.wire.EntryProto.internal_static_sequoiashunt_link_Departure_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.sequoiashunt.link.wire.EntryProto.internal_static_sequoiashunt_link_Departure_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.sequoiashunt.link.wire.EntryProto.internal_static_sequoiashunt_link_Departure_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.sequoiashunt.link.wire.EntryProto.Departure.class, org.sequoiashunt.link.wire.EntryProto.Departure.Builder.class);
+    }
+
+    public static final int MEMBER_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object member_ = "";
+    /**
+     * <code>string member = 1;</code>
+     * @return The member.
+     */
+    @java.lang.Override
+    public java.lang.String getMember() {
+      java.lang.Object ref = member_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        member_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string member = 1;</code>
+     * @return The bytes for member.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getMemberBytes() {
+      java.lang.Object ref = member_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        member_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int AT_MS_FIELD_NUMBER = 2;
+    private long atMs_ = 0L;
+    /**
+     * <code>int64 at_ms = 2;</code>
+     * @return The atMs.
+     */
+    @java.lang.Override
+    public long getAtMs() {
+      return atMs_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(member_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, member_);
+      }
+      if (atMs_ != 0L) {
+        output.writeInt64(2, atMs_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(member_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, member_);
+      }
+      if (atMs_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(2, atMs_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.sequoiashunt.link.wire.EntryProto.Departure)) {
+        return super.equals(obj);
+      }
+      org.sequoiashunt.link.wire.EntryProto.Departure other = (org.sequoiashunt.link.wire.EntryProto.Departure) obj;
+
+      if (!getMember()
+          .equals(other.getMember())) return false;
+      if (getAtMs()
+          != other.getAtMs()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + MEMBER_FIELD_NUMBER;
+      hash = (53 * hash) + getMember().hashCode();
+      hash = (37 * hash) + AT_MS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getAtMs());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.sequoiashunt.link.wire.EntryProto.Departure parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.sequoiashunt.link.wire.EntryProto.Departure parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.sequoiashunt.link.wire.EntryProto.Departure parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.sequoiashunt.link.wire.EntryProto.Departure parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.sequoiashunt.link.wire.EntryProto.Departure parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.sequoiashunt.link.wire.EntryProto.Departure parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.sequoiashunt.link.wire.EntryProto.Departure parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.sequoiashunt.link.wire.EntryProto.Departure parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.sequoiashunt.link.wire.EntryProto.Departure parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.sequoiashunt.link.wire.EntryProto.Departure parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.sequoiashunt.link.wire.EntryProto.Departure parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.sequoiashunt.link.wire.EntryProto.Departure parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.sequoiashunt.link.wire.EntryProto.Departure prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code sequoiashunt.link.Departure}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:sequoiashunt.link.Departure)
+        org.sequoiashunt.link.wire.EntryProto.DepartureOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.sequoiashunt.link.wire.EntryProto.internal_static_sequoiashunt_link_Departure_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.sequoiashunt.link.wire.EntryProto.internal_static_sequoiashunt_link_Departure_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.sequoiashunt.link.wire.EntryProto.Departure.class, org.sequoiashunt.link.wire.EntryProto.Departure.Builder.class);
+      }
+
+      // Construct using org.sequoiashunt.link.wire.EntryProto.Departure.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        member_ = "";
+        atMs_ = 0L;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.sequoiashunt.link.wire.EntryProto.internal_static_sequoiashunt_link_Departure_descriptor;
+      }
+
+      @java.lang.Override
+      public org.sequoiashunt.link.wire.EntryProto.Departure getDefaultInstanceForType() {
+        return org.sequoiashunt.link.wire.EntryProto.Departure.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.sequoiashunt.link.wire.EntryProto.Departure build() {
+        org.sequoiashunt.link.wire.EntryProto.Departure result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.sequoiashunt.link.wire.EntryProto.Departure buildPartial() {
+        org.sequoiashunt.link.wire.EntryProto.Departure result = new org.sequoiashunt.link.wire.EntryProto.Departure(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.sequoiashunt.link.wire.EntryProto.Departure result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.member_ = member_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.atMs_ = atMs_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.sequoiashunt.link.wire.EntryProto.Departure) {
+          return mergeFrom((org.sequoiashunt.link.wire.EntryProto.Departure)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.sequoiashunt.link.wire.EntryProto.Departure other) {
+        if (other == org.sequoiashunt.link.wire.EntryProto.Departure.getDefaultInstance()) return this;
+        if (!other.getMember().isEmpty()) {
+          member_ = other.member_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.getAtMs() != 0L) {
+          setAtMs(other.getAtMs());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                member_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                atMs_ = input.readInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object member_ = "";
+      /**
+       * <code>string member = 1;</code>
+       * @return The member.
+       */
+      public java.lang.String getMember() {
+        java.lang.Object ref = member_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          member_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string member = 1;</code>
+       * @return The bytes for member.
+       */
+      public com.google.protobuf.ByteString
+          getMemberBytes() {
+        java.lang.Object ref = member_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          member_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string member = 1;</code>
+       * @param value The member to set.
+       * @return This builder for chaining.
+       */
+      public Builder setMember(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        member_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string member = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearMember() {
+        member_ = getDefaultInstance().getMember();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string member = 1;</code>
+       * @param value The bytes for member to set.
+       * @return This builder for chaining.
+       */
+      public Builder setMemberBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        member_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private long atMs_ ;
+      /**
+       * <code>int64 at_ms = 2;</code>
+       * @return The atMs.
+       */
+      @java.lang.Override
+      public long getAtMs() {
+        return atMs_;
+      }
+      /**
+       * <code>int64 at_ms = 2;</code>
+       * @param value The atMs to set.
+       * @return This builder for chaining.
+       */
+      public Builder setAtMs(long value) {
+
+        atMs_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>int64 at_ms = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearAtMs() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        atMs_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:sequoiashunt.link.Departure)
+    }
+
+    // @@protoc_insertion_point(class_scope:sequoiashunt.link.Departure)
+    private static final org.sequoiashunt.link.wire.EntryProto.Departure DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.sequoiashunt.link.wire.EntryProto.Departure();
+    }
+
+    public static org.sequoiashunt.link.wire.EntryProto.Departure getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<Departure>
+        PARSER = new com.google.protobuf.AbstractParser<Departure>() {
+      @java.lang.Override
+      public Departure parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<Departure> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<Departure> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.sequoiashunt.link.wire.EntryProto.Departure getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_sequoiashunt_link_EntryKey_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_sequoiashunt_link_EntryKey_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_sequoiashunt_link_EntryVersion_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_sequoiashunt_link_EntryVersion_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_sequoiashunt_link_Entry_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_sequoiashunt_link_Entry_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_sequoiashunt_link_ConfigurationHead_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_sequoiashunt_link_ConfigurationHead_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_sequoiashunt_link_ConfigurationHead_Group_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_sequoiashunt_link_ConfigurationHead_Group_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_sequoiashunt_link_ConfigurationHead_Part_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_sequoiashunt_link_ConfigurationHead_Part_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_sequoiashunt_link_Move_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_sequoiashunt_link_Move_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_sequoiashunt_link_Route_descriptor;
@@ -16523,6 +18072,16 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_sequoiashunt_link_Roster_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_sequoiashunt_link_Suspicion_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_sequoiashunt_link_Suspicion_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_sequoiashunt_link_Departure_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_sequoiashunt_link_Departure_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -16535,7 +18094,7 @@
       "\n\013entry.proto\022\021sequoiashunt.link\")\n\010Entr" +
       "yKey\022\017\n\007section\030\001 \001(\r\022\014\n\004name\030\002 \001(\t\",\n\014E" +
       "ntryVersion\022\r\n\005major\030\001 \001(\004\022\r\n\005minor\030\002 \001(" +
-      "\004\"\233\004\n\005Entry\022(\n\003key\030\001 \001(\0132\033.sequoiashunt." +
+      "\004\"\201\005\n\005Entry\022(\n\003key\030\001 \001(\0132\033.sequoiashunt." +
       "link.EntryKey\022\016\n\006writer\030\002 \001(\t\0220\n\007version" +
       "\030\003 \001(\0132\037.sequoiashunt.link.EntryVersion\022" +
       "B\n\022configuration_head\030\004 \001(\0132$.sequoiashu" +
@@ -16548,41 +18107,46 @@
       "unt.link.EvidenceH\000\022D\n\023quarantined_reque" +
       "st\030\t \001(\0132%.sequoiashunt.link.Quarantined" +
       "RequestH\000\022+\n\006roster\030\n \001(\0132\031.sequoiashunt" +
-      ".link.RosterH\000B\007\n\005value\"\206\002\n\021Configuratio" +
-      "nHead\022\017\n\007version\030\001 \001(\004\022\021\n\tcommit_id\030\002 \001(" +
-      "\t\0228\n\005parts\030\003 \003(\0132).sequoiashunt.link.Con" +
-      "figurationHead.Part\022:\n\006groups\030\004 \003(\0132*.se" +
-      "quoiashunt.link.ConfigurationHead.Group\032" +
-      ".\n\005Group\022\014\n\004name\030\001 \001(\t\022\027\n\017failure_domain" +
-      "s\030\002 \003(\t\032\'\n\004Part\022\017\n\007service\030\001 \001(\t\022\016\n\006dige" +
-      "st\030\002 \001(\t\"6\n\004Move\022\014\n\004from\030\001 \001(\t\022\n\n\002to\030\002 \001" +
-      "(\t\022\024\n\014finish_by_ms\030\003 \001(\003\"c\n\005Route\022\014\n\004nam" +
-      "e\030\001 \001(\t\022\023\n\013path_prefix\030\002 \001(\t\022\017\n\007methods\030" +
-      "\003 \003(\t\022\022\n\nidempotent\030\004 \001(\010\022\022\n\ntimeout_ms\030" +
-      "\005 \001(\004\"\236\001\n\024ServiceConfiguration\022\017\n\007servic" +
-      "e\030\001 \001(\t\022\017\n\007version\030\002 \001(\t\022%\n\004move\030\003 \001(\0132\027" +
-      ".sequoiashunt.link.Move\022(\n\006routes\030\004 \003(\0132" +
-      "\030.sequoiashunt.link.Route\022\023\n\013home_groups" +
-      "\030\005 \003(\t\")\n\013NodeAddress\022\014\n\004host\030\001 \001(\t\022\014\n\004p" +
-      "ort\030\002 \001(\r\"e\n\014ServedTarget\022\016\n\006target\030\001 \001(" +
-      "\t\022\017\n\007service\030\002 \001(\t\022\026\n\016target_version\030\003 \001" +
-      "(\t\022\r\n\005slots\030\004 \001(\r\022\r\n\005state\030\005 \001(\r\"\317\001\n\006Mem" +
-      "ber\022\014\n\004node\030\001 \001(\t\022\026\n\016failure_domain\030\002 \001(" +
-      "\t\022\016\n\006region\030\003 \001(\t\022/\n\007address\030\004 \001(\0132\036.seq" +
-      "uoiashunt.link.NodeAddress\022\r\n\005state\030\005 \001(" +
-      "\r\0220\n\007targets\030\006 \003(\0132\037.sequoiashunt.link.S" +
-      "ervedTarget\022\035\n\025configuration_version\030\007 \001" +
-      "(\004\"d\n\017RolloutProgress\022\014\n\004move\030\001 \001(\t\022\017\n\007s" +
-      "ervice\030\002 \001(\t\022\r\n\005stage\030\003 \001(\r\022\023\n\013share_par" +
-      "ts\030\004 \001(\r\022\016\n\006reason\030\005 \001(\t\"\215\001\n\010Evidence\022\014\n" +
-      "\004node\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\026\n\016target_v" +
-      "ersion\030\003 \001(\t\022\r\n\005route\030\004 \001(\t\022\020\n\010requests\030" +
-      "\005 \001(\004\022\020\n\010failures\030\006 \001(\004\022\027\n\017latency_bucke" +
-      "ts\030\007 \003(\004\"N\n\022QuarantinedRequest\022\023\n\013finger" +
-      "print\030\001 \001(\t\022\017\n\007crashes\030\002 \001(\r\022\022\n\nexpires_" +
-      "ms\030\003 \001(\003\"6\n\006Roster\022\r\n\005group\030\001 \001(\t\022\r\n\005epo" +
-      "ch\030\002 \001(\004\022\016\n\006guards\030\003 \003(\tB(\n\032org.sequoias" +
-      "hunt.link.wireB\nEntryProtob\006proto3"
+      ".link.RosterH\000\0221\n\tsuspicion\030\013 \001(\0132\034.sequ" +
+      "oiashunt.link.SuspicionH\000\0221\n\tdeparture\030\014" +
+      " \001(\0132\034.sequoiashunt.link.DepartureH\000B\007\n\005" +
+      "value\"\206\002\n\021ConfigurationHead\022\017\n\007version\030\001" +
+      " \001(\004\022\021\n\tcommit_id\030\002 \001(\t\0228\n\005parts\030\003 \003(\0132)" +
+      ".sequoiashunt.link.ConfigurationHead.Par" +
+      "t\022:\n\006groups\030\004 \003(\0132*.sequoiashunt.link.Co" +
+      "nfigurationHead.Group\032.\n\005Group\022\014\n\004name\030\001" +
+      " \001(\t\022\027\n\017failure_domains\030\002 \003(\t\032\'\n\004Part\022\017\n" +
+      "\007service\030\001 \001(\t\022\016\n\006digest\030\002 \001(\t\"6\n\004Move\022\014" +
+      "\n\004from\030\001 \001(\t\022\n\n\002to\030\002 \001(\t\022\024\n\014finish_by_ms" +
+      "\030\003 \001(\003\"c\n\005Route\022\014\n\004name\030\001 \001(\t\022\023\n\013path_pr" +
+      "efix\030\002 \001(\t\022\017\n\007methods\030\003 \003(\t\022\022\n\nidempoten" +
+      "t\030\004 \001(\010\022\022\n\ntimeout_ms\030\005 \001(\004\"\236\001\n\024ServiceC" +
+      "onfiguration\022\017\n\007service\030\001 \001(\t\022\017\n\007version" +
+      "\030\002 \001(\t\022%\n\004move\030\003 \001(\0132\027.sequoiashunt.link" +
+      ".Move\022(\n\006routes\030\004 \003(\0132\030.sequoiashunt.lin" +
+      "k.Route\022\023\n\013home_groups\030\005 \003(\t\")\n\013NodeAddr" +
+      "ess\022\014\n\004host\030\001 \001(\t\022\014\n\004port\030\002 \001(\r\"e\n\014Serve" +
+      "dTarget\022\016\n\006target\030\001 \001(\t\022\017\n\007service\030\002 \001(\t" +
+      "\022\026\n\016target_version\030\003 \001(\t\022\r\n\005slots\030\004 \001(\r\022" +
+      "\r\n\005state\030\005 \001(\r\"\317\001\n\006Member\022\014\n\004node\030\001 \001(\t\022" +
+      "\026\n\016failure_domain\030\002 \001(\t\022\016\n\006region\030\003 \001(\t\022" +
+      "/\n\007address\030\004 \001(\0132\036.sequoiashunt.link.Nod" +
+      "eAddress\022\r\n\005state\030\005 \001(\r\0220\n\007targets\030\006 \003(\013" +
+      "2\037.sequoiashunt.link.ServedTarget\022\035\n\025con" +
+      "figuration_version\030\007 \001(\004\"d\n\017RolloutProgr" +
+      "ess\022\014\n\004move\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\r\n\005st" +
+      "age\030\003 \001(\r\022\023\n\013share_parts\030\004 \001(\r\022\016\n\006reason" +
+      "\030\005 \001(\t\"\215\001\n\010Evidence\022\014\n\004node\030\001 \001(\t\022\017\n\007ser" +
+      "vice\030\002 \001(\t\022\026\n\016target_version\030\003 \001(\t\022\r\n\005ro" +
+      "ute\030\004 \001(\t\022\020\n\010requests\030\005 \001(\004\022\020\n\010failures\030" +
+      "\006 \001(\004\022\027\n\017latency_buckets\030\007 \003(\004\"N\n\022Quaran" +
+      "tinedRequest\022\023\n\013fingerprint\030\001 \001(\t\022\017\n\007cra" +
+      "shes\030\002 \001(\r\022\022\n\nexpires_ms\030\003 \001(\003\"6\n\006Roster" +
+      "\022\r\n\005group\030\001 \001(\t\022\r\n\005epoch\030\002 \001(\004\022\016\n\006guards" +
+      "\030\003 \003(\t\"\033\n\tSuspicion\022\016\n\006member\030\001 \001(\t\"*\n\tD" +
+      "eparture\022\016\n\006member\030\001 \001(\t\022\r\n\005at_ms\030\002 \001(\003B" +
+      "(\n\032org.sequoiashunt.link.wireB\nEntryProt" +
+      "ob\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -16605,7 +18169,7 @@
     internal_static_sequoiashunt_link_Entry_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_sequoiashunt_link_Entry_descriptor,
-        new java.lang.String[] { "Key", "Writer", "Version", "ConfigurationHead", "ServiceConfiguration", "Member", "RolloutProgress", "Evidence", "QuarantinedRequest", "Roster", "Value", });
+        new java.lang.String[] { "Key", "Writer", "Version", "ConfigurationHead", "ServiceConfiguration", "Member", "RolloutProgress", "Evidence", "QuarantinedRequest", "Roster", "Suspicion", "Departure", "Value", });
     internal_static_sequoiashunt_link_ConfigurationHead_descriptor =
       getDescriptor().getMessageType(3);
     internal_static_sequoiashunt_link_ConfigurationHead_fieldAccessorTable = new
@@ -16684,6 +18248,18 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_sequoiashunt_link_Roster_descriptor,
         new java.lang.String[] { "Group", "Epoch", "Guards", });
+    internal_static_sequoiashunt_link_Suspicion_descriptor =
+      getDescriptor().getMessageType(14);
+    internal_static_sequoiashunt_link_Suspicion_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_sequoiashunt_link_Suspicion_descriptor,
+        new java.lang.String[] { "Member", });
+    internal_static_sequoiashunt_link_Departure_descriptor =
+      getDescriptor().getMessageType(15);
+    internal_static_sequoiashunt_link_Departure_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_sequoiashunt_link_Departure_descriptor,
+        new java.lang.String[] { "Member", "AtMs", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/sequoiashunt-link/src/test/java/org/sequoiashunt/link/LinkBadInputTest.java
+++ b/sequoiashunt-link/src/test/java/org/sequoiashunt/link/LinkBadInputTest.java
@@ -34,6 +34,7 @@
     @BeforeEach
     void open() throws Exception {
         fixture = new LinkFixture(LIMITS);
+        fixture.warmUp();
         bystander = fixture.client.call(fixture.address(), LinkFixture.request("bystander", 20_000));
         LinkFixture.await(() -> !fixture.handler.runs.isEmpty());
     }
--- a/sequoiashunt-link/src/test/java/org/sequoiashunt/link/LinkFixture.java
+++ b/sequoiashunt-link/src/test/java/org/sequoiashunt/link/LinkFixture.java
@@ -50,6 +50,14 @@
         client = closer.register(LinkClient.open(context(limits, "entry", 1, clientCounters), random()));
     }
 
+    /** Opens the link; loading the classes for it may take longer than the protocol allows a peer. */
+    void warmUp() throws InterruptedException, TimeoutException {
+        await(() -> {
+            client.send(address(), new TextMessage("warm-up"));
+            return !received.isEmpty();
+        });
+    }
+
     LinkServer openServer(final LinkLimits limits, final long incarnation, final int port) throws IOException {
         InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
         LinkContext context = context(limits, "gate", incarnation, serverCounters);
--- a/sequoiashunt-link/src/test/java/org/sequoiashunt/link/LinkTest.java
+++ b/sequoiashunt-link/src/test/java/org/sequoiashunt/link/LinkTest.java
@@ -15,6 +15,7 @@
     @Test
     void carriesACallAndItsAnswer() throws Exception {
         try (LinkFixture fixture = new LinkFixture()) {
+            fixture.warmUp();
             CallRequest request = LinkFixture.request("call", 2_000);
             CompletableFuture<CallResult> call = fixture.client.call(fixture.address(), request);
             LinkFixture.await(() -> !fixture.handler.runs.isEmpty());
@@ -31,6 +32,7 @@
     @Test
     void carriesControlMessages() throws Exception {
         try (LinkFixture fixture = new LinkFixture()) {
+            fixture.warmUp();
             fixture.client.send(fixture.address(), new TextMessage("hello"));
             LinkFixture.await(() -> fixture.received.contains(new TextMessage("hello")));
         }
@@ -39,6 +41,7 @@
     @Test
     void cancellationReachesTheGate() throws Exception {
         try (LinkFixture fixture = new LinkFixture()) {
+            fixture.warmUp();
             CompletableFuture<CallResult> call =
                     fixture.client.call(fixture.address(), LinkFixture.request("call", 5_000));
             LinkFixture.await(() -> !fixture.handler.runs.isEmpty());
