--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/CallerHandler.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/CallerHandler.java
@@ -6,19 +6,26 @@
 import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
 import io.undertow.util.SameThreadExecutor;
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.sequoiashunt.call.Body;
 import org.sequoiashunt.call.CallResult;
 import org.sequoiashunt.call.HeaderField;
 import org.sequoiashunt.call.Reason;
 import org.sequoiashunt.dispatch.CallDispatcher;
 import org.sequoiashunt.dispatch.IncomingCall;
+import org.sequoiashunt.execution.CrashTracker;
 import org.sequoiashunt.http.HopByHopHeaders;
+import org.xnio.IoUtils;
+import org.xnio.XnioExecutor;
 
 /**
  * Takes callers' requests, whole and bounded, and answers them.
@@ -29,6 +36,13 @@
 public final class CallerHandler implements HttpHandler {
 
     private static final int MAXIMUM_KEY_CHARACTERS = 200;
+    private static final long RECEIVE_TIMEOUT_MS = 15_000;
+
+    /** Headers that concern this node alone, or that callers may not set. */
+    private static final Set<String> OWN_HEADERS = Set.of(
+            Headers.HOST_STRING.toLowerCase(Locale.ROOT),
+            CallHeaders.TIMEOUT_MS.toLowerCase(Locale.ROOT),
+            CrashTracker.SUSPECT_HEADER.toLowerCase(Locale.ROOT));
 
     private final CallDispatcher dispatcher;
     private final CallerAdmission admission;
@@ -56,29 +70,57 @@
 
     @Override
     public void handleRequest(final HttpServerExchange exchange) {
-        Optional<Reason> refusal = admission.enter();
+        if (exchange.getRequestContentLength() > maximumBodyBytes) {
+            refuseLargeBody(exchange);
+            return;
+        }
+        long bytes = mostBodyBytes(exchange);
+        Optional<Reason> refusal = admission.enter(bytes);
         if (refusal.isPresent()) {
             exchange.setPersistent(refusal.get() != Reason.DRAINING);
             CallAnswers.refuse(exchange, CallResult.notRun(refusal.get()));
             return;
         }
         exchange.addExchangeCompleteListener((completed, next) -> {
-            admission.leave();
+            admission.leave(bytes);
             next.proceed();
         });
-        if (exchange.getRequestContentLength() > maximumBodyBytes) {
-            refuseLargeBody(exchange);
-            return;
+        receive(exchange);
+    }
+
+    /** A body without a stated length may have any up to the bound. */
+    private long mostBodyBytes(final HttpServerExchange exchange) {
+        if (exchange.isRequestComplete()) {
+            return 0;
         }
+        long stated = exchange.getRequestContentLength();
+        return stated >= 0 ? stated : maximumBodyBytes;
+    }
+
+    private void receive(final HttpServerExchange exchange) {
         exchange.setMaxEntitySize(maximumBodyBytes);
-        exchange.getRequestReceiver().receiveFullBytes(this::received, (failed, exception) -> {
-            if (exception instanceof Receiver.RequestToLargeException) {
-                refuseLargeBody(failed);
-            } else {
-                failed.setPersistent(false);
-                failed.endExchange();
-            }
-        });
+        XnioExecutor.Key timer = exchange.getIoThread()
+                .executeAfter(
+                        () -> IoUtils.safeClose(exchange.getConnection()), RECEIVE_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        exchange.getRequestReceiver()
+                .receiveFullBytes(
+                        (received, bytes) -> {
+                            timer.remove();
+                            received(received, bytes);
+                        },
+                        (failed, exception) -> {
+                            timer.remove();
+                            receiveFailed(failed, exception);
+                        });
+    }
+
+    private static void receiveFailed(final HttpServerExchange exchange, final IOException exception) {
+        if (exception instanceof Receiver.RequestToLargeException) {
+            refuseLargeBody(exchange);
+        } else {
+            exchange.setPersistent(false);
+            exchange.endExchange();
+        }
     }
 
     private static void refuseLargeBody(final HttpServerExchange exchange) {
@@ -155,7 +197,7 @@
         List<HeaderField> fields = new ArrayList<>();
         for (HeaderValues values : exchange.getRequestHeaders()) {
             String name = values.getHeaderName().toString();
-            if (!name.equalsIgnoreCase(CallHeaders.TIMEOUT_MS) && !name.equalsIgnoreCase(Headers.HOST_STRING)) {
+            if (!OWN_HEADERS.contains(name.toLowerCase(Locale.ROOT))) {
                 values.forEach(value -> fields.add(new HeaderField(name, value)));
             }
         }
--- /dev/null
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/ClaimParts.java
@@ -0,0 +1,97 @@
+package org.sequoiashunt.node;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+import org.sequoiashunt.configuration.ConfigurationSnapshot;
+import org.sequoiashunt.execution.ClaimCoordinator;
+import org.sequoiashunt.execution.ClaimRule;
+import org.sequoiashunt.execution.ClaimTiming;
+import org.sequoiashunt.execution.ControlMessenger;
+import org.sequoiashunt.execution.HomeGroupGuards;
+import org.sequoiashunt.execution.HomeGroupSource;
+import org.sequoiashunt.execution.HomeGroups;
+import org.sequoiashunt.execution.RosterRegister;
+import org.sequoiashunt.lead.ReplicaNode;
+import org.sequoiashunt.membership.Member;
+import org.sequoiashunt.membership.Standing;
+import org.sequoiashunt.peer.NodeAddress;
+import org.sequoiashunt.peer.PeerSender;
+import org.sequoiashunt.time.Clock;
+
+/**
+ * Claims of idempotency keys on one node: the entry's side and the guards.
+ *
+ * <p>Immutable and thread-safe, as its parts are.
+ *
+ * @param coordinator the entry's side.
+ * @param guards the guards of this node.
+ */
+record ClaimParts(ClaimCoordinator coordinator, HomeGroupGuards guards) {
+
+    static ClaimParts of(
+            final NodeSettings settings,
+            final ReplicaNode replica,
+            final RosterRegister rosters,
+            final PeerSender sender,
+            final Clock clock,
+            final RandomGenerator random) {
+        ControlMessenger messenger = new ControlMessenger(sender, node -> addressOf(replica, node));
+        ClaimTiming timing = ClaimTiming.defaults();
+        HomeGroups homes = new HomeGroups(() -> homeGroups(replica), clock, timing, ClaimRule.all());
+        ClaimCoordinator coordinator =
+                new ClaimCoordinator(replica.blackboard(), homes, clock, timing, ClaimRule.all(), messenger);
+        HomeGroupGuards guards = new HomeGroupGuards(new HomeGroupGuards.Ports(
+                settings.node(),
+                () -> groupsOf(replica, settings.failureDomain()),
+                group -> nodesOf(replica, group),
+                replica.blackboard(),
+                clock,
+                rosters,
+                messenger,
+                random));
+        return new ClaimParts(coordinator, guards);
+    }
+
+    private static Optional<NodeAddress> addressOf(final ReplicaNode replica, final String node) {
+        return replica.membership().view().find(node).map(Standing::member).map(Member::address);
+    }
+
+    private static Map<String, HomeGroupSource.Lists> homeGroups(final ReplicaNode replica) {
+        Map<String, HomeGroupSource.Lists> groups = new TreeMap<>();
+        replica.configuration()
+                .inForce()
+                .ifPresent(snapshot -> snapshot.services()
+                        .forEach((service, configuration) ->
+                                groups.put(service, new HomeGroupSource.Lists(configuration.homeGroups(), List.of()))));
+        return groups;
+    }
+
+    private static List<String> groupsOf(final ReplicaNode replica, final String failureDomain) {
+        List<String> names = new ArrayList<>();
+        groups(replica).forEach((group, domains) -> {
+            if (domains.contains(failureDomain)) {
+                names.add(group);
+            }
+        });
+        return names;
+    }
+
+    private static List<String> nodesOf(final ReplicaNode replica, final String group) {
+        return groups(replica).getOrDefault(group, List.of()).stream()
+                .flatMap(domain -> replica.membership().view().ranked(domain).stream())
+                .map(Member::node)
+                .toList();
+    }
+
+    private static Map<String, List<String>> groups(final ReplicaNode replica) {
+        return replica.configuration()
+                .inForce()
+                .map(ConfigurationSnapshot::head)
+                .<Map<String, List<String>>>map(head -> head.groups())
+                .orElse(Map.of());
+    }
+}
