--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/TrialMain.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/TrialMain.java
@@ -2,6 +2,8 @@
 
 import java.util.Arrays;
 import java.util.List;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 import org.sequoiashunt.trial.demonstration.Demonstration;
 
 /**
@@ -16,6 +18,9 @@
     private static final int EXIT_FAILED = 1;
     private static final int EXIT_USAGE = 2;
 
+    /** Kept, since a logger that nothing refers to loses its level. */
+    private static final Logger UNDERTOW = Logger.getLogger("io.undertow");
+
     private TrialMain() {}
 
     /**
@@ -25,6 +30,7 @@
      * @throws Exception if the trial cannot be run.
      */
     public static void main(final String[] arguments) throws Exception {
+        UNDERTOW.setLevel(Level.WARNING);
         System.exit(run(List.of(arguments)));
     }
 
--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/demonstration/Demonstration.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/demonstration/Demonstration.java
@@ -6,7 +6,9 @@
 import java.nio.file.Path;
 import java.time.Instant;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
+import java.util.TreeMap;
 import org.sequoiashunt.configuration.Move;
 import org.sequoiashunt.http.HttpExchanger;
 import org.sequoiashunt.lifecycle.Closer;
@@ -36,6 +38,7 @@
 public final class Demonstration {
 
     private static final String SERVICE = "registry-desk";
+    private static final String REASON_PREFIX = "calls.reason.";
     private static final int REQUESTS_PER_SECOND = 200;
     private static final long START_BOUND_MS = 60_000;
     private static final long IN_FORCE_BOUND_MS = 4_000;
@@ -90,12 +93,30 @@
         LoadSummary summary = load.stop();
         output.println(deployment.operator("status").text());
         output.println(deployment.operator("history").text());
+        output.println("refusals at the entries: " + refusals());
         output.println("callers: " + summary);
         boolean passed = good == Stage.SEALED_DONE && bad == Stage.SEALED_TAKEN_BACK && summary.isClean();
         output.println(passed ? "PASSED" : "FAILED");
         return passed;
     }
 
+    /** Sums over all nodes how calls ended that no target answered. */
+    private Map<String, Long> refusals() throws IOException, InterruptedException {
+        Map<String, Long> counts = new TreeMap<>();
+        for (NodePlan plan : deployment.plans()) {
+            pages.metrics(plan).fields().forEachRemaining(metric -> {
+                boolean refusal = metric.getKey().startsWith(REASON_PREFIX)
+                        && !metric.getKey().endsWith("answered")
+                        && metric.getValue().asLong() > 0;
+                if (refusal) {
+                    String reason = metric.getKey().substring(REASON_PREFIX.length());
+                    counts.merge(reason, metric.getValue().asLong(), Long::sum);
+                }
+            });
+        }
+        return counts;
+    }
+
     private void startNodes() throws Exception {
         deployment.startNode(NodePlan.of("registry-desk-1", "ha-noi-a", "bac-bo", "127.0.1.1"));
         deployment.startNode(NodePlan.of("registry-desk-2", "hai-phong-b", "bac-bo", "127.0.1.2"));
