--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/ClaimAttempt.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/ClaimAttempt.java
@@ -72,9 +72,10 @@
      * Starts or restarts the vote of a group under a roster. Guards asked before stay known for release.
      *
      * @param roster the roster, not null.
+     * @return true if the roster is newer than the one asked before.
      */
-    synchronized void ask(final Roster roster) {
-        votes.computeIfAbsent(roster.group(), group -> new GroupVote()).restart(roster, key);
+    synchronized boolean ask(final Roster roster) {
+        return votes.computeIfAbsent(roster.group(), group -> new GroupVote()).restart(roster, key);
     }
 
     /**
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/ClaimCoordinator.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/ClaimCoordinator.java
@@ -154,6 +154,10 @@
 
     @Override
     public boolean receive(final String sender, final ControlMessage message) {
+        if (message instanceof RosterNotice notice) {
+            ClaimGuard.publish(blackboard, notice.roster());
+            return false;
+        }
         if (!(message instanceof ClaimReply reply)) {
             return false;
         }
@@ -166,13 +170,15 @@
 
     private void noteReply(final Pending pending, final String guard, final ClaimReply reply) {
         pending.claim.note(guard, reply);
-        decide(pending);
         Optional<Roster> roster = roster(reply.group());
-        if (reply.verdict() == ClaimVerdict.EPOCH_DIFFERS
-                && roster.isPresent()
-                && reply.epoch() < roster.get().epoch()) {
-            messenger.send(guard, new RosterNotice(roster.get()));
+        if (reply.verdict() == ClaimVerdict.EPOCH_DIFFERS && roster.isPresent()) {
+            if (reply.epoch() < roster.get().epoch()) {
+                messenger.send(guard, new RosterNotice(roster.get()));
+            } else if (pending.claim.ask(roster.get())) {
+                send(pending.claim.openRequests(clock.nowMs()));
+            }
         }
+        decide(pending);
     }
 
     private void decide(final Pending pending) {
@@ -200,7 +206,7 @@
         ClaimAttempt claim = pending.claim;
         if (claim.isAsking()) {
             tickAsking(pending, nowMs);
-        } else if (nowMs > claim.latestDispatchMs() && claim.move(State.GRANTED, State.ABANDONED)) {
+        } else if (!isInTime(claim) && claim.move(State.GRANTED, State.ABANDONED)) {
             release(pending);
         } else if (pending.releasesLeft > 0) {
             sendRelease(pending);
@@ -211,20 +217,21 @@
 
     private void tickAsking(final Pending pending, final long nowMs) {
         ClaimAttempt claim = pending.claim;
-        if (nowMs - pending.startMs > ASK_TIMEOUT_MS || nowMs > claim.latestDispatchMs()) {
+        boolean askedLong = nowMs - pending.startMs > ASK_TIMEOUT_MS && rules.contains(ClaimRule.ATTEMPT_DEADLINE);
+        if (askedLong || !isInTime(claim)) {
             abandon(pending);
         } else if (nowMs - pending.askedMs >= REPEAT_MS) {
             pending.askedMs = nowMs;
             pending.claim.asked().stream()
                     .map(Addressed::content)
                     .distinct()
-                    .forEach(group -> roster(group).ifPresent(claim::ask));
+                    .forEach(group -> roster(group).ifPresent(roster -> claim.ask(roster)));
             send(claim.openRequests(nowMs));
         }
     }
 
     private boolean isInTime(final ClaimAttempt claim) {
-        return !rules.contains(ClaimRule.ENTRY_DEADLINE) || clock.nowMs() <= claim.latestDispatchMs();
+        return !rules.contains(ClaimRule.ATTEMPT_DEADLINE) || clock.nowMs() <= claim.latestDispatchMs();
     }
 
     private void release(final Pending pending) {
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/ClaimGuard.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/ClaimGuard.java
@@ -32,6 +32,7 @@
     private final Set<ClaimRule> rules;
     private final ControlMessenger messenger;
     private long nextHeartbeatMs;
+    private long heartbeatEpoch;
 
     /**
      * Creates a guard with an empty ledger.
@@ -75,7 +76,11 @@
     @Override
     public boolean receive(final String sender, final ControlMessage message) {
         if (message instanceof ClaimRequest request && isOwn(request.group())) {
-            messenger.send(sender, answer(request));
+            ClaimReply reply = answer(request);
+            if (reply.verdict() == ClaimVerdict.EPOCH_DIFFERS) {
+                tellIfOlder(sender, request.epoch());
+            }
+            messenger.send(sender, reply);
             return true;
         }
         if (message instanceof ClaimRelease release && isOwn(release.group())) {
@@ -119,8 +124,10 @@
             return true;
         }
         if (message instanceof RosterNotice notice && isOwn(notice.roster().group())) {
-            standing.adopt(notice.roster());
-            publish(blackboard, notice.roster());
+            if (standing.adopt(notice.roster())) {
+                publish(blackboard, notice.roster());
+                sendHeartbeats();
+            }
             return true;
         }
         return false;
@@ -143,7 +150,7 @@
         if (rules.contains(ClaimRule.EPOCH_CHECK) && (request.epoch() != standing.epoch() || !standing.isGuard())) {
             return ClaimVerdict.EPOCH_DIFFERS;
         }
-        if (request.remainingMs() <= 0) {
+        if (request.remainingMs() <= 0 && rules.contains(ClaimRule.ATTEMPT_DEADLINE)) {
             return ClaimVerdict.ENDED;
         }
         return standing.isConfirmed() && standing.isHeard() ? null : ClaimVerdict.FENCED;
@@ -169,9 +176,11 @@
 
     private void sendHeartbeats() {
         long nowMs = clock.nowMs();
-        if (nowMs < nextHeartbeatMs || !standing.isGuard()) {
+        boolean due = nowMs >= nextHeartbeatMs || standing.epoch() != heartbeatEpoch;
+        if (!due || !standing.isGuard()) {
             return;
         }
+        heartbeatEpoch = standing.epoch();
         nextHeartbeatMs = nowMs + timing.heartbeatMs();
         standing.asking();
         GuardHeartbeat heartbeat = new GuardHeartbeat(standing.group(), standing.epoch(), nowMs);
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/ClaimRule.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/ClaimRule.java
@@ -28,8 +28,8 @@
     SINGLE_CHANGE,
     /** A restarted guard takes part only after it has learned the epoch from the store or from a majority. */
     CONFIRMED_START,
-    /** An entry dispatches only before the attempt's deadline by its own clock. */
-    ENTRY_DEADLINE,
+    /** An attempt ends at its deadline: guards refuse it, and the entry checks its own clock before dispatch. */
+    ATTEMPT_DEADLINE,
     /** An entry that was paused claims nothing for what it received before the pause. */
     ENTRY_PAUSE,
     /** Former home groups of a service are asked as well until the retention window has passed. */
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/GroupVote.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/GroupVote.java
@@ -28,15 +28,17 @@
      *
      * @param roster the roster, not null.
      * @param key the key, not null.
+     * @return true if the roster is newer than the one in use.
      */
-    void restart(final Roster roster, final ClaimKey key) {
+    boolean restart(final Roster roster, final ClaimKey key) {
         if (!guards.isEmpty() && roster.epoch() <= epoch) {
-            return;
+            return false;
         }
         epoch = roster.epoch();
         guards = GuardStanding.guardsOf(roster, key);
         asked.addAll(guards);
         replies.clear();
+        return true;
     }
 
     /**
--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/execution/ModelNode.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/execution/ModelNode.java
@@ -13,6 +13,7 @@
 import org.sequoiashunt.execution.ClaimCoordinator;
 import org.sequoiashunt.execution.ClaimGuard;
 import org.sequoiashunt.execution.ClaimRule;
+import org.sequoiashunt.execution.ClaimTiming;
 import org.sequoiashunt.execution.ControlMessenger;
 import org.sequoiashunt.execution.GuardStanding;
 import org.sequoiashunt.execution.HomeGroups;
@@ -30,7 +31,7 @@
 
     private final String name;
     private final String group;
-    private final ModelWorld world;
+    private final ModelHost world;
     private final Clock clock;
     private final Deque<Runnable> waiting = new ArrayDeque<>();
     private Blackboard blackboard;
@@ -40,12 +41,21 @@
     private boolean alive;
     private boolean frozen;
 
-    ModelNode(final String name, final String group, final ModelWorld world, final RandomGenerator random) {
+    /**
+     * Creates a node that is not started.
+     *
+     * @param name its name, not null.
+     * @param group its home group, not null.
+     * @param world what surrounds it, not null.
+     * @param drift the largest relative drift between two clocks.
+     */
+    ModelNode(final String name, final String group, final ModelHost world, final double drift) {
         this.name = name;
         this.group = group;
         this.world = world;
+        RandomGenerator random = world.random();
         long offsetMs = random.nextInt(1_000_000);
-        double rate = 1.0 + (random.nextDouble() - 0.5) * ModelWorld.DRIFT;
+        double rate = 1.0 + (random.nextDouble() - 0.5) * drift;
         this.clock = () -> offsetMs + (long) (world.nowMs() * rate);
     }
 
@@ -76,6 +86,7 @@
     /** Starts the node with nothing in memory. */
     void start() {
         Set<ClaimRule> rules = world.rules();
+        ClaimTiming timing = world.timing();
         alive = true;
         frozen = false;
         waiting.clear();
@@ -83,18 +94,18 @@
         ControlMessenger messenger = new ControlMessenger(
                 (address, message) -> world.send(name, address.host(), message),
                 node -> Optional.of(new NodeAddress(node, 1)));
-        GuardStanding standing = new GuardStanding(name, group, clock, ModelWorld.TIMING, rules);
+        GuardStanding standing = new GuardStanding(name, group, clock, timing, rules);
         guard = new ClaimGuard(
-                name, standing, blackboard, clock, ModelWorld.TIMING, world.capacity(), rules, messenger);
-        HomeGroups homes = new HomeGroups(() -> world.homeGroups(name), clock, ModelWorld.TIMING, rules);
-        coordinator = new ClaimCoordinator(blackboard, homes, clock, ModelWorld.TIMING, rules, messenger);
+                name, standing, blackboard, clock, timing, world.capacity(), rules, messenger);
+        HomeGroups homes = new HomeGroups(() -> world.homeGroups(name), clock, timing, rules);
+        coordinator = new ClaimCoordinator(blackboard, homes, clock, timing, rules, messenger);
         controller = new RosterController(
                 name,
                 standing,
                 world.store().registerFor(name),
                 () -> world.reachableOf(this),
                 clock,
-                ModelWorld.TIMING,
+                timing,
                 world.rosterSize(),
                 rules,
                 world.random());
@@ -159,14 +170,4 @@
             other.blackboard.entries(Section.ROSTER).forEach(blackboard::merge);
         }
     }
-
-    /**
-     * Returns the bounds of a guard in the model.
-     *
-     * @param claims how many claims it retains.
-     * @return the bounds.
-     */
-    static ClaimCapacity capacity(final int claims) {
-        return new ClaimCapacity(claims, 50, 10_000);
-    }
 }
--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/execution/ModelWorld.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/execution/ModelWorld.java
@@ -21,7 +21,7 @@
  *
  * <p>Confined to one thread. Invariant: the same seed and rules give the same history.
  */
-public final class ModelWorld {
+public final class ModelWorld implements ModelHost {
 
     /** Times of the model: those of production, scaled down so that a schedule spans several retention windows. */
     static final ClaimTiming TIMING = new ClaimTiming(4_000, 1_000, 600, 500, 1_000, 200);
@@ -61,7 +61,7 @@
         this.network = new ModelNetwork(random, (int) (2 * TIMING.retentionMs()));
         this.store = new ModelStore(random);
         this.rosterSize = 3 + random.nextInt(3);
-        this.capacity = ModelNode.capacity(random.nextInt(4) == 0 ? 32 : 5_000);
+        this.capacity = new ClaimCapacity(random.nextInt(4) == 0 ? 32 : 5_000, 50, 10_000);
         this.homeChangeMs = random.nextInt(3) == 0 ? WARM_UP_MS + random.nextInt((int) endMs / 2) : Integer.MAX_VALUE;
         addNodes("east", EAST_NODES);
         addNodes("west", WEST_NODES);
@@ -82,11 +82,13 @@
         return nodes;
     }
 
-    Set<ClaimRule> rules() {
+    @Override
+    public Set<ClaimRule> rules() {
         return rules;
     }
 
-    RandomGenerator random() {
+    @Override
+    public RandomGenerator random() {
         return random;
     }
 
@@ -94,23 +96,33 @@
         return network;
     }
 
-    ModelStore store() {
+    @Override
+    public ModelStore store() {
         return store;
     }
 
-    int rosterSize() {
+    @Override
+    public ClaimTiming timing() {
+        return TIMING;
+    }
+
+    @Override
+    public int rosterSize() {
         return rosterSize;
     }
 
-    ClaimCapacity capacity() {
+    @Override
+    public ClaimCapacity capacity() {
         return capacity;
     }
 
-    long nowMs() {
+    @Override
+    public long nowMs() {
         return nowMs;
     }
 
-    void send(final String from, final String to, final ControlMessage message) {
+    @Override
+    public void send(final String from, final String to, final ControlMessage message) {
         network.send(from, to, message, nowMs);
     }
 
@@ -119,8 +131,9 @@
         plan.add(new Planned(nowMs + delayMs, planned++, action));
     }
 
-    /** Returns the home groups that a node has in force; nodes adopt each change with a lag of their own. */
-    Map<String, Lists> homeGroups(final String node) {
+    /** Nodes adopt each change of the home groups with a lag of their own. */
+    @Override
+    public Map<String, Lists> homeGroups(final String node) {
         long sinceMs = nowMs - homeChangeMs - adoptionLagMs.get(node);
         if (sinceMs < 0) {
             return Map.of("ledger", new Lists(List.of("east"), List.of()));
@@ -129,8 +142,8 @@
         return Map.of("ledger", new Lists(List.of("west"), formerDropped ? List.of() : List.of("east")));
     }
 
-    /** Returns the nodes of a node's group that it can reach. */
-    List<String> reachableOf(final ModelNode node) {
+    @Override
+    public List<String> reachableOf(final ModelNode node) {
         return nodes.stream()
                 .filter(other -> other.group().equals(node.group()) && other.isAlive())
                 .filter(other -> !network.isCut(node.name(), other.name()))
@@ -140,7 +153,7 @@
 
     private void addNodes(final String group, final int count) {
         for (int index = 0; index < count; index++) {
-            ModelNode node = new ModelNode(group + index, group, this, random);
+            ModelNode node = new ModelNode(group + index, group, this, DRIFT);
             nodes.add(node);
             nodesByName.put(node.name(), node);
             adoptionLagMs.put(node.name(), (long) random.nextInt(ADOPTION_LAG_MS));
