--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/ClaimAttempt.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/ClaimAttempt.java
@@ -110,6 +110,10 @@
         return state == State.ASKING;
     }
 
+    synchronized boolean isDispatched() {
+        return state == State.DISPATCHED;
+    }
+
     /**
      * Tells whether every group's majority has granted the key.
      *
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/ClaimCoordinator.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/ClaimCoordinator.java
@@ -210,7 +210,7 @@
             release(pending);
         } else if (pending.releasesLeft > 0) {
             sendRelease(pending);
-        } else if (pending.releasing || nowMs > claim.deadlineMs() + timing.attemptMs()) {
+        } else if (pending.releasing || claim.isDispatched() && nowMs > claim.deadlineMs() + timing.attemptMs()) {
             remove(claim.attempt());
         }
     }
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/ClaimGuard.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/ClaimGuard.java
@@ -31,8 +31,8 @@
     private final ClaimTiming timing;
     private final Set<ClaimRule> rules;
     private final ControlMessenger messenger;
-    private long nextHeartbeatMs;
-    private long heartbeatEpoch;
+    private volatile long nextHeartbeatMs;
+    private volatile long heartbeatEpoch;
 
     /**
      * Creates a guard with an empty ledger.
--- /dev/null
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/execution/ClaimCoordinatorTest.java
@@ -0,0 +1,150 @@
+package org.sequoiashunt.execution;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.sequoiashunt.call.Body;
+import org.sequoiashunt.call.CallAnswer;
+import org.sequoiashunt.call.CallResult;
+import org.sequoiashunt.call.Reason;
+
+final class ClaimCoordinatorTest {
+
+    private final ClaimFixture fixture = new ClaimFixture();
+
+    @Test
+    void dispatchesAfterAMajorityGranted() {
+        fixture.silent.add("guard3");
+        var decision = fixture.claim("entry1", "first");
+        assertFalse(decision.isDone());
+        fixture.deliver();
+        assertEquals(Optional.empty(), decision.getNow(null));
+        assertTrue(fixture.beginDispatch("entry1", "first"));
+    }
+
+    @Test
+    void answersAResendWithTheRecordedAnswer() {
+        dispatch("entry1", "first");
+        CallResult answer = CallResult.complete(new CallAnswer(201, List.of(), Body.of(new byte[] {7})));
+        fixture.record("entry1", "first", answer);
+        assertEquals(Optional.of(answer), resend("entry2", "second"));
+    }
+
+    @Test
+    void saysInProgressWhileTheFirstAttemptMayRun() {
+        dispatch("entry1", "first");
+        assertEquals(Optional.of(CallResult.unknown(Reason.IN_PROGRESS)), resend("entry2", "second"));
+    }
+
+    @Test
+    void saysUnknownOnceTheFirstAttemptMustHaveEnded() {
+        dispatch("entry1", "first");
+        fixture.advance(ClaimFixture.CALL_MS);
+        assertEquals(Optional.of(CallResult.unknown(Reason.ALREADY_CLAIMED)), resend("entry2", "second"));
+    }
+
+    @Test
+    void keepsTheClaimOfAnAttemptThatEndedUnknown() {
+        dispatch("entry1", "first");
+        fixture.record("entry1", "first", CallResult.unknown(Reason.CONNECTION_FAILED));
+        fixture.advance(ClaimFixture.TIMING.resendMs());
+        assertTrue(resend("entry2", "second").isPresent());
+    }
+
+    @Test
+    void letsAResendRunAfterAnAttemptThatNeverRan() {
+        dispatch("entry1", "first");
+        fixture.record("entry1", "first", CallResult.notRun(Reason.QUEUE_FULL));
+        assertEquals(Optional.empty(), resend("entry2", "second"));
+    }
+
+    @Test
+    void letsOneOfTwoCrossingAttemptsWin() {
+        var first = fixture.claim("entry1", "first");
+        var second = fixture.claim("entry2", "second");
+        fixture.deliverOnly("entry1", "guard1");
+        fixture.deliverOnly("entry2", "guard2");
+        fixture.deliver();
+        long granted = List.of(first, second).stream()
+                .filter(decision -> decision.getNow(null).isEmpty())
+                .count();
+        assertEquals(1, granted);
+    }
+
+    @Test
+    void releasesASplitVoteSoThatAResendCanRun() {
+        fixture.silent.add("guard3");
+        var first = fixture.claim("entry1", "first");
+        var second = fixture.claim("entry2", "second");
+        fixture.deliverOnly("entry1", "guard1");
+        fixture.deliverOnly("entry2", "guard2");
+        fixture.advance(4_000);
+        assertTrue(first.getNow(null).isPresent());
+        assertTrue(second.getNow(null).isPresent());
+        assertEquals(Optional.empty(), resend("entry1", "third"));
+    }
+
+    @Test
+    void refusesNotRunWithoutAMajority() {
+        fixture.silent.addAll(List.of("guard2", "guard3"));
+        var decision = fixture.claim("entry1", "first");
+        fixture.advance(3_000);
+        assertEquals(Optional.of(CallResult.notRun(Reason.CLAIM_UNAVAILABLE)), decision.getNow(null));
+    }
+
+    @Test
+    void doesNotCountGuardsThatRestartedEmpty() {
+        fixture.startGuard("guard1", Optional.of(ClaimFixture.ROSTER));
+        fixture.startGuard("guard2", Optional.of(ClaimFixture.ROSTER));
+        fixture.advance(3_000);
+        assertEquals(Optional.of(CallResult.notRun(Reason.CLAIM_UNAVAILABLE)), resend("entry1", "first"));
+    }
+
+    @Test
+    void countsRestartedGuardsAfterTheRetentionWindow() {
+        fixture.startGuard("guard1", Optional.of(ClaimFixture.ROSTER));
+        fixture.startGuard("guard2", Optional.of(ClaimFixture.ROSTER));
+        fixture.advance(ClaimFixture.TIMING.retentionMs() + 2_000);
+        assertEquals(Optional.empty(), resend("entry1", "first"));
+    }
+
+    @Test
+    void doesNotDispatchAGrantedAttemptAfterItsDeadline() {
+        var decision = fixture.claim("entry1", "first");
+        fixture.deliver();
+        assertEquals(Optional.empty(), decision.getNow(null));
+        fixture.clock.advance(ClaimFixture.CALL_MS + 1);
+        assertFalse(fixture.beginDispatch("entry1", "first"));
+        assertFalse(fixture.beginDispatch("entry1", "first"));
+    }
+
+    @Test
+    void doesNotCountGrantsThatArriveAfterTheDeadline() {
+        var decision = fixture.claim("entry1", "first");
+        fixture.clock.advance(ClaimFixture.CALL_MS + 1);
+        fixture.deliver();
+        assertEquals(Optional.of(CallResult.notRun(Reason.CLAIM_UNAVAILABLE)), decision.getNow(null));
+    }
+
+    @Test
+    void claimsNothingDirectlyAfterAPause() {
+        fixture.clock.advance(ClaimFixture.TIMING.pauseMs() + 1);
+        var refusal = fixture.claim("entry1", "first").getNow(null);
+        assertEquals(Optional.of(CallResult.notRun(Reason.CLAIM_UNAVAILABLE)), refusal);
+    }
+
+    private void dispatch(final String entry, final String attempt) {
+        assertEquals(Optional.empty(), resend(entry, attempt));
+        assertTrue(fixture.beginDispatch(entry, attempt));
+    }
+
+    private Optional<CallResult> resend(final String entry, final String attempt) {
+        var decision = fixture.claim(entry, attempt);
+        fixture.deliver();
+        return decision.getNow(null);
+    }
+}
--- /dev/null
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/execution/ClaimFixture.java
@@ -0,0 +1,117 @@
+package org.sequoiashunt.execution;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.sequoiashunt.blackboard.Blackboard;
+import org.sequoiashunt.call.CallResult;
+import org.sequoiashunt.execution.HomeGroupSource.Lists;
+import org.sequoiashunt.peer.ControlMessage;
+import org.sequoiashunt.peer.NodeAddress;
+import org.sequoiashunt.time.SteppedClock;
+
+/** Three guards and two entries that share one stepped clock; messages wait until they are delivered. */
+final class ClaimFixture {
+
+    static final ClaimTiming TIMING = ClaimTiming.defaults();
+    static final Roster ROSTER = new Roster("east", 1, List.of("guard1", "guard2", "guard3"));
+    static final long CALL_MS = 10_000;
+
+    final SteppedClock clock = SteppedClock.of(1_000_000);
+    final Map<String, ClaimGuard> guards = new HashMap<>();
+    final Map<String, ClaimCoordinator> entries = new HashMap<>();
+    final Set<String> silent = new HashSet<>();
+    private final Deque<Envelope> messages = new ArrayDeque<>();
+
+    ClaimFixture() {
+        ROSTER.guards().forEach(name -> startGuard(name, Optional.empty()));
+        startEntry("entry1");
+        startEntry("entry2");
+        advance(TIMING.heartbeatMs());
+    }
+
+    void startGuard(final String name, final Optional<Roster> stored) {
+        GuardStanding standing = new GuardStanding(name, "east", clock, TIMING, ClaimRule.all());
+        standing.storeRead(stored);
+        standing.adopt(ROSTER);
+        ClaimCapacity capacity = ClaimCapacity.defaults();
+        guards.put(
+                name,
+                new ClaimGuard(
+                        name, standing, new Blackboard(), clock, TIMING, capacity, ClaimRule.all(), messenger(name)));
+    }
+
+    private void startEntry(final String name) {
+        Blackboard blackboard = new Blackboard();
+        ClaimGuard.publish(blackboard, ROSTER);
+        HomeGroupSource source = () -> Map.of("ledger", new Lists(List.of("east"), List.of()));
+        HomeGroups homes = new HomeGroups(source, clock, TIMING, ClaimRule.all());
+        entries.put(name, new ClaimCoordinator(blackboard, homes, clock, TIMING, ClaimRule.all(), messenger(name)));
+    }
+
+    CompletableFuture<Optional<CallResult>> claim(final String entry, final String attempt) {
+        return entries.get(entry).claim("ledger", "key", attempt, clock.nowMs() + CALL_MS);
+    }
+
+    boolean beginDispatch(final String entry, final String attempt) {
+        return entries.get(entry).beginDispatch("ledger", "key", attempt);
+    }
+
+    void record(final String entry, final String attempt, final CallResult result) {
+        entries.get(entry).record("ledger", "key", attempt, result);
+        deliver();
+    }
+
+    void advance(final long durationMs) {
+        for (long passedMs = 0; passedMs < durationMs; passedMs += 100) {
+            clock.advance(100);
+            guards.values().forEach(ClaimGuard::tick);
+            entries.values().forEach(ClaimCoordinator::tick);
+            deliver();
+        }
+    }
+
+    void deliver() {
+        while (!messages.isEmpty()) {
+            Envelope envelope = messages.poll();
+            if (silent.contains(envelope.from) || silent.contains(envelope.to)) {
+                continue;
+            }
+            if (guards.containsKey(envelope.to)) {
+                guards.get(envelope.to).receive(envelope.from, envelope.message);
+            } else {
+                entries.get(envelope.to).receive(envelope.from, envelope.message);
+            }
+        }
+    }
+
+    /** Delivers what one node sent to another, and leaves the rest under way. */
+    void deliverOnly(final String from, final String to) {
+        List<Envelope> waiting = List.copyOf(messages);
+        messages.clear();
+        waiting.stream()
+                .filter(envelope -> envelope.from.equals(from) && envelope.to.equals(to))
+                .forEach(envelope -> {
+                    messages.add(envelope);
+                    deliver();
+                });
+        waiting.stream()
+                .filter(envelope -> !envelope.from.equals(from) || !envelope.to.equals(to))
+                .forEach(messages::add);
+    }
+
+    private ControlMessenger messenger(final String from) {
+        return new ControlMessenger(
+                (address, message) -> messages.add(new Envelope(from, address.host(), message)),
+                node -> Optional.of(new NodeAddress(node, 1)));
+    }
+
+    /** Message under way. Immutable. */
+    private record Envelope(String from, String to, ControlMessage message) {}
+}
--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/execution/ClaimCostCommand.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/execution/ClaimCostCommand.java
@@ -33,16 +33,24 @@
      * @return zero.
      */
     public int run(final PrintStream out) {
-        scenario("healthy", ROSTER, model -> { }, out);
+        scenario("healthy", ROSTER, model -> {}, out);
         scenario("one guard just died", ROSTER, model -> model.guards().get(0).kill(), out);
-        scenario("one guard died, replaced", ROSTER, model -> {
-            model.guards().get(0).kill();
-            model.pass(60_000);
-        }, out);
+        scenario(
+                "one guard died, replaced",
+                ROSTER,
+                model -> {
+                    model.guards().get(0).kill();
+                    model.pass(60_000);
+                },
+                out);
         scenario("split, 4 of 10 nodes cut off", ROSTER, model -> model.split(4), out);
         scenario("all guards restarted empty", ROSTER, model -> model.guards().forEach(ModelNode::start), out);
-        scenario("one guard only, healthy", 1, model -> { }, out);
-        scenario("one guard only, it just died", 1, model -> model.guards().get(0).kill(), out);
+        scenario("one guard only, healthy", 1, model -> {}, out);
+        scenario(
+                "one guard only, it just died",
+                1,
+                model -> model.guards().get(0).kill(),
+                out);
         firstSeconds(out);
         for (double rate : new double[] {100, 300, 380, 500}) {
             storeClaims(rate, out);
@@ -73,8 +81,16 @@
 
     private void firstSeconds(final PrintStream out) {
         ClaimCostModel model = new ClaimCostModel(seed, ROSTER);
-        out.printf(Locale.ROOT, "%-32s %s%n", "first 10 s of an empty group", model.claimFor(10_000).describe());
-        out.printf(Locale.ROOT, "%-32s %s%n", "next 30 s of the group", model.claimFor(LOAD_MS).describe());
+        out.printf(
+                Locale.ROOT,
+                "%-32s %s%n",
+                "first 10 s of an empty group",
+                model.claimFor(10_000).describe());
+        out.printf(
+                Locale.ROOT,
+                "%-32s %s%n",
+                "next 30 s of the group",
+                model.claimFor(LOAD_MS).describe());
     }
 
     /** Queue in front of a store that serves writes one after another, fed at random times. */
--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/execution/ClaimCostModel.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/execution/ClaimCostModel.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
@@ -16,10 +17,11 @@
 import org.sequoiashunt.execution.ClaimTiming;
 import org.sequoiashunt.execution.HomeGroupSource.Lists;
 import org.sequoiashunt.peer.ControlMessage;
+import org.sequoiashunt.store.StoreException;
 
 /**
- * Counts what claims cost in a home group of ten nodes in two failure domains, with the product's own classes: messages,
- * bytes, added time and refusals. Messages take 1 ms between nodes and none within one.
+ * Counts what claims cost in a home group of ten nodes in two failure domains, with the product's own classes:
+ * messages, bytes, added time and refusals. Messages take 1 ms between nodes and none within one.
  *
  * <p>Confined to one thread. Invariant: the same seed and scenario give the same figures.
  */
@@ -39,7 +41,7 @@
     private final Map<String, ModelNode> nodesByName = new HashMap<>();
     private final PriorityQueue<Event> events =
             new PriorityQueue<>(Comparator.comparingLong(Event::atMs).thenComparingLong(Event::number));
-    private final Set<String> minority = new java.util.HashSet<>();
+    private final Set<String> minority = new HashSet<>();
     private final ClaimCost cost = new ClaimCost();
     private long nowMs;
     private long eventNumber;
@@ -77,7 +79,7 @@
                     .flatMap(roster -> roster.guards().stream())
                     .map(nodesByName::get)
                     .toList();
-        } catch (org.sequoiashunt.store.StoreException exception) {
+        } catch (StoreException exception) {
             throw new IllegalStateException(exception);
         }
     }
@@ -112,15 +114,17 @@
         String key = "key" + attempt;
         long startMs = nowMs;
         cost.asked();
-        entry.coordinator().claim("press-floor", key, attempt, entry.clock().nowMs() + CALL_MS).thenAccept(refusal -> {
-            if (refusal.isEmpty() && entry.coordinator().beginDispatch("press-floor", key, attempt)) {
-                cost.granted(nowMs - startMs);
-                entry.coordinator()
-                        .record("press-floor", key, attempt, CallResult.unknown(Reason.CONNECTION_FAILED));
-            } else {
-                cost.refused();
-            }
-        });
+        entry.coordinator()
+                .claim("press-floor", key, attempt, entry.clock().nowMs() + CALL_MS)
+                .thenAccept(refusal -> {
+                    if (refusal.isEmpty() && entry.coordinator().beginDispatch("press-floor", key, attempt)) {
+                        cost.granted(nowMs - startMs);
+                        entry.coordinator()
+                                .record("press-floor", key, attempt, CallResult.unknown(Reason.CONNECTION_FAILED));
+                    } else {
+                        cost.refused();
+                    }
+                });
     }
 
     private void tick() {
--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/execution/ExecutionCommand.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/execution/ExecutionCommand.java
@@ -29,6 +29,9 @@
     @Parameter(names = "--without", description = "Run with this one rule off")
     private ClaimRule without;
 
+    @Parameter(names = "--stop-at-first", description = "With a rule off, stop at the first contradiction")
+    private boolean stopAtFirst;
+
     /**
      * Runs the command.
      *
@@ -37,13 +40,13 @@
      */
     public int run(final PrintStream out) {
         if (without != null) {
-            search("without " + without, ClaimRule.allBut(without), out);
+            search("without " + without, ClaimRule.allBut(without), stopAtFirst, out);
             return 0;
         }
-        int found = search("all rules", ClaimRule.all(), out);
+        int found = search("all rules", ClaimRule.all(), false, out);
         if (eachRule) {
             for (ClaimRule rule : ClaimRule.values()) {
-                search("without " + rule, ClaimRule.allBut(rule), out);
+                search("without " + rule, ClaimRule.allBut(rule), stopAtFirst, out);
             }
         }
         return found == 0 ? 0 : 1;
@@ -60,10 +63,11 @@
         System.exit(command.run(System.out));
     }
 
-    private int search(final String title, final Set<ClaimRule> rules, final PrintStream out) {
+    private int search(final String title, final Set<ClaimRule> rules, final boolean stopEarly, final PrintStream out) {
         Totals totals = new Totals();
         List<String> found = new ArrayList<>();
-        for (int index = 0; index < schedules; index++) {
+        int index = 0;
+        for (; index < schedules && !(stopEarly && !found.isEmpty()); index++) {
             ScheduleReport report = ModelWorld.run(seed + index, rules);
             totals.add(report);
             if (!report.contradictions().isEmpty()) {
@@ -71,7 +75,7 @@
                         + report.contradictions().get(0));
             }
         }
-        out.println(title + ": " + found.size() + " of " + schedules + " schedules contradict; " + totals);
+        out.println(title + ": " + found.size() + " of " + index + " schedules contradict; " + totals);
         found.stream().limit(3).forEach(line -> out.println("  " + line));
         return found.size();
     }
--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/execution/LedgerMemory.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/execution/LedgerMemory.java
@@ -44,16 +44,19 @@
                 timing,
                 ClaimCapacity.defaults(),
                 ClaimRule.all(),
-                new ControlMessenger((address, message) -> { }, node -> Optional.empty()));
+                new ControlMessenger((address, message) -> {}, node -> Optional.empty()));
         long beforeBytes = usedBytes();
         for (int index = 0; index < CLAIMS; index++) {
             String attempt = "node1-" + index;
-            guard.receive(
-                    "node1", new ClaimRequest("group", 1, ClaimKey.of("service", attempt), attempt, 1_000));
+            guard.receive("node1", new ClaimRequest("group", 1, ClaimKey.of("service", attempt), attempt, 1_000));
         }
         long usedBytes = usedBytes() - beforeBytes;
         int claims = guard.claimCount();
-        out.printf(Locale.ROOT, "%d claims in one guard: %d bytes of heap, %d a claim%n", claims, usedBytes,
+        out.printf(
+                Locale.ROOT,
+                "%d claims in one guard: %d bytes of heap, %d a claim%n",
+                claims,
+                usedBytes,
                 usedBytes / Math.max(1, claims));
     }
 
--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/execution/ModelNode.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/execution/ModelNode.java
@@ -9,7 +9,6 @@
 import java.util.random.RandomGenerator;
 import org.sequoiashunt.blackboard.Blackboard;
 import org.sequoiashunt.blackboard.Section;
-import org.sequoiashunt.execution.ClaimCapacity;
 import org.sequoiashunt.execution.ClaimCoordinator;
 import org.sequoiashunt.execution.ClaimGuard;
 import org.sequoiashunt.execution.ClaimRule;
@@ -95,8 +94,7 @@
                 (address, message) -> world.send(name, address.host(), message),
                 node -> Optional.of(new NodeAddress(node, 1)));
         GuardStanding standing = new GuardStanding(name, group, clock, timing, rules);
-        guard = new ClaimGuard(
-                name, standing, blackboard, clock, timing, world.capacity(), rules, messenger);
+        guard = new ClaimGuard(name, standing, blackboard, clock, timing, world.capacity(), rules, messenger);
         HomeGroups homes = new HomeGroups(() -> world.homeGroups(name), clock, timing, rules);
         coordinator = new ClaimCoordinator(blackboard, homes, clock, timing, rules, messenger);
         controller = new RosterController(
--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/execution/ModelWorld.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/execution/ModelWorld.java
@@ -163,14 +163,14 @@
     private ScheduleReport run() {
         nodes.forEach(ModelNode::start);
         ModelCallers callers = new ModelCallers(this, history);
-        ModelFaults faults = new ModelFaults(this);
+        Runnable faults = random.nextBoolean() ? new ModelFaults(this)::step : new PartitionFaults(this)::step;
         while (nowMs < endMs) {
             nowMs += STEP_MS;
             if (nowMs > WARM_UP_MS && nowMs < endMs - TIMING.resendMs()) {
                 if (random.nextInt(KEY_ONE_IN) == 0) {
                     callers.startKey();
                 }
-                faults.step();
+                faults.run();
             }
             step();
         }
