--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/ClaimAttempt.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/ClaimAttempt.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.sequoiashunt.call.CallResult;
 import org.sequoiashunt.call.Reason;
@@ -22,6 +23,7 @@
     private final long deadlineMs;
     private final long latestDispatchMs;
     private final boolean needsMajority;
+    private final boolean checksEpoch;
     private final CompletableFuture<Optional<CallResult>> decision = new CompletableFuture<>();
     private final Map<String, GroupVote> votes = new LinkedHashMap<>();
     private State state = State.ASKING;
@@ -33,19 +35,20 @@
      * @param attempt the identity of the attempt, not null.
      * @param deadlineMs when the call ends, by the local clock.
      * @param latestDispatchMs when the call must have been dispatched, by the local clock.
-     * @param needsMajority whether one grant is not enough.
+     * @param rules the rules that are on, not null.
      */
     ClaimAttempt(
             final ClaimKey key,
             final String attempt,
             final long deadlineMs,
             final long latestDispatchMs,
-            final boolean needsMajority) {
+            final Set<ClaimRule> rules) {
         this.key = key;
         this.attempt = attempt;
         this.deadlineMs = deadlineMs;
         this.latestDispatchMs = latestDispatchMs;
-        this.needsMajority = needsMajority;
+        this.needsMajority = rules.contains(ClaimRule.MAJORITY);
+        this.checksEpoch = rules.contains(ClaimRule.EPOCH_CHECK);
     }
 
     ClaimKey key() {
@@ -102,7 +105,7 @@
     synchronized void note(final String guard, final ClaimReply reply) {
         GroupVote vote = votes.get(reply.group());
         if (vote != null && state == State.ASKING && reply.key().equals(key)) {
-            vote.note(guard, reply);
+            vote.note(guard, reply, checksEpoch);
         }
     }
 
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/ClaimCoordinator.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/ClaimCoordinator.java
@@ -95,7 +95,7 @@
                 attempt,
                 deadlineMs,
                 Math.min(deadlineMs, nowMs + timing.attemptMs()),
-                rules.contains(ClaimRule.MAJORITY));
+                rules);
         rosters.forEach(roster -> claim.ask(roster.orElseThrow()));
         put(attempt, new Pending(claim, nowMs));
         send(claim.openRequests(nowMs));
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/GroupVote.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/GroupVote.java
@@ -46,9 +46,11 @@
      *
      * @param guard who replied, not null.
      * @param reply the reply, not null.
+     * @param checksEpoch whether a grant counts only at the epoch of the roster in use.
      */
-    void note(final String guard, final ClaimReply reply) {
-        if (guards.contains(guard) && reply.epoch() == epoch || reply.verdict().isHeld()) {
+    void note(final String guard, final ClaimReply reply, final boolean checksEpoch) {
+        boolean sameEpoch = reply.epoch() == epoch || !checksEpoch;
+        if (guards.contains(guard) && sameEpoch || reply.verdict().isHeld()) {
             replies.put(guard, reply);
         }
     }
--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/execution/ClaimCoordinatorTest.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/execution/ClaimCoordinatorTest.java
@@ -6,6 +6,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.sequoiashunt.call.Body;
 import org.sequoiashunt.call.CallAnswer;
@@ -137,6 +138,30 @@
         assertEquals(Optional.of(CallResult.notRun(Reason.CLAIM_UNAVAILABLE)), refusal);
     }
 
+    @Test
+    void refusesAnEntryWithAnOutdatedSmallerRoster() {
+        assertEquals(1, dispatchesBesideAnOutdatedRoster(ClaimRule.all()));
+    }
+
+    @Test
+    void runsAKeyTwiceWithoutTheEpochCheck() {
+        assertEquals(2, dispatchesBesideAnOutdatedRoster(ClaimRule.allBut(ClaimRule.EPOCH_CHECK)));
+    }
+
+    /** One entry still knows guard1 alone; the message of the other to guard1 is lost. */
+    private static int dispatchesBesideAnOutdatedRoster(final Set<ClaimRule> rules) {
+        ClaimFixture group = new ClaimFixture(rules);
+        group.startEntry("outdated", new Roster("east", 0, List.of("guard1")));
+        group.silent.add("guard1");
+        var first = group.claim("entry1", "first");
+        group.deliver();
+        group.silent.clear();
+        var second = group.claim("outdated", "second");
+        group.advance(1_000);
+        int dispatches = first.getNow(null).isEmpty() && group.beginDispatch("entry1", "first") ? 1 : 0;
+        return second.getNow(null).isEmpty() && group.beginDispatch("outdated", "second") ? dispatches + 1 : dispatches;
+    }
+
     private void dispatch(final String entry, final String attempt) {
         assertEquals(Optional.empty(), resend(entry, attempt));
         assertTrue(fixture.beginDispatch(entry, attempt));
--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/execution/ClaimFixture.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/execution/ClaimFixture.java
@@ -23,6 +23,7 @@
     static final Roster ROSTER = new Roster("east", 1, List.of("guard1", "guard2", "guard3"));
     static final long CALL_MS = 10_000;
 
+    final Set<ClaimRule> rules;
     final SteppedClock clock = SteppedClock.of(1_000_000);
     final Map<String, ClaimGuard> guards = new HashMap<>();
     final Map<String, ClaimCoordinator> entries = new HashMap<>();
@@ -30,29 +31,33 @@
     private final Deque<Envelope> messages = new ArrayDeque<>();
 
     ClaimFixture() {
+        this(ClaimRule.all());
+    }
+
+    ClaimFixture(final Set<ClaimRule> rules) {
+        this.rules = rules;
         ROSTER.guards().forEach(name -> startGuard(name, Optional.empty()));
-        startEntry("entry1");
-        startEntry("entry2");
+        startEntry("entry1", ROSTER);
+        startEntry("entry2", ROSTER);
         advance(TIMING.heartbeatMs());
     }
 
     void startGuard(final String name, final Optional<Roster> stored) {
-        GuardStanding standing = new GuardStanding(name, "east", clock, TIMING, ClaimRule.all());
+        GuardStanding standing = new GuardStanding(name, "east", clock, TIMING, rules);
         standing.storeRead(stored);
         standing.adopt(ROSTER);
         ClaimCapacity capacity = ClaimCapacity.defaults();
         guards.put(
                 name,
-                new ClaimGuard(
-                        name, standing, new Blackboard(), clock, TIMING, capacity, ClaimRule.all(), messenger(name)));
+                new ClaimGuard(name, standing, new Blackboard(), clock, TIMING, capacity, rules, messenger(name)));
     }
 
-    private void startEntry(final String name) {
+    void startEntry(final String name, final Roster roster) {
         Blackboard blackboard = new Blackboard();
-        ClaimGuard.publish(blackboard, ROSTER);
+        ClaimGuard.publish(blackboard, roster);
         HomeGroupSource source = () -> Map.of("ledger", new Lists(List.of("east"), List.of()));
-        HomeGroups homes = new HomeGroups(source, clock, TIMING, ClaimRule.all());
-        entries.put(name, new ClaimCoordinator(blackboard, homes, clock, TIMING, ClaimRule.all(), messenger(name)));
+        HomeGroups homes = new HomeGroups(source, clock, TIMING, rules);
+        entries.put(name, new ClaimCoordinator(blackboard, homes, clock, TIMING, rules, messenger(name)));
     }
 
     CompletableFuture<Optional<CallResult>> claim(final String entry, final String attempt) {
