Rollout: tests of controllers, judge, ledger, sealer and shares

Leaving a node out of a test left out its calls of the old version too. With all old targets on one node there was then nothing to compare with, and a version that failed every call was never found. Only the new version's calls are left out now.

The latency of the first 24 calls of a target is left out, over all routes; ten for each route were too few for lookups and more than needed for rare routes.

--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/CallCounts.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/CallCounts.java
@@ -13,27 +13,23 @@
  */
 final class CallCounts {
 
-    private static final int COLD_CALLS = 10;
-
     private final long[] buckets = new long[Evidence.BUCKETS];
     private long requests;
     private long failures;
-    private long calls;
 
     /**
-     * Counts a call. The latency of the first calls is left out, since they find a cold target; so are first calls that
-     * ran into their deadline.
+     * Counts a call. Of calls that find a cold target the latency is left out; those that ran into their deadline are
+     * left out whole.
      *
      * @param result how the call ended, not null.
      * @param latencyMs its latency in milliseconds, zero or more.
+     * @param cold whether the target was cold.
      */
-    synchronized void add(final CallResult result, final long latencyMs) {
+    synchronized void add(final CallResult result, final long latencyMs, final boolean cold) {
         CallVerdict verdict = CallVerdict.of(result);
         if (verdict == CallVerdict.IGNORED) {
             return;
         }
-        boolean cold = calls < COLD_CALLS;
-        calls++;
         if (cold && result.reason() == Reason.DEADLINE) {
             return;
         }
@@ -42,11 +38,6 @@
         buckets[bucketOf(latencyMs)] += cold ? 0 : 1;
     }
 
-    /** Makes the next calls count as first ones, because the target was started anew. */
-    synchronized void restartCold() {
-        calls = 0;
-    }
-
     /**
      * Makes an immutable copy.
      *
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/EvidenceLedger.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/EvidenceLedger.java
@@ -40,6 +40,7 @@
     private final Clock clock;
     private final AtomicLong sequence = new AtomicLong();
     private final Map<Subject, CallCounts> counts = new ConcurrentHashMap<>();
+    private final Map<VersionKey, ColdStart> coldStarts = new ConcurrentHashMap<>();
     private final Map<Subject, Publication> published = new HashMap<>();
     private volatile Set<String> movingServices = Set.of();
     private long publishedAtMs = Long.MIN_VALUE / 2;
@@ -79,8 +80,11 @@
         if (!movingServices.contains(service)) {
             return;
         }
+        boolean cold = coldStarts
+                .computeIfAbsent(new VersionKey(service, targetVersion), key -> new ColdStart())
+                .next();
         Subject subject = new Subject(service, targetVersion, route);
-        counts.computeIfAbsent(subject, key -> new CallCounts()).add(result, latencyMs);
+        counts.computeIfAbsent(subject, key -> new CallCounts()).add(result, latencyMs, cold);
     }
 
     /**
@@ -90,10 +94,9 @@
      * @param targetVersion its version, not null.
      */
     public void targetStarted(final String service, final String targetVersion) {
-        counts.forEach((subject, present) -> {
-            if (subject.service().equals(service) && subject.targetVersion().equals(targetVersion)) {
-                present.restartCold();
-            }
+        coldStarts.computeIfPresent(new VersionKey(service, targetVersion), (key, present) -> {
+            present.restart();
+            return present;
         });
     }
 
@@ -113,6 +116,7 @@
 
     private void dropOthers(final Set<String> moving) {
         counts.keySet().removeIf(subject -> !moving.contains(subject.service()));
+        coldStarts.keySet().removeIf(version -> !moving.contains(version.service()));
         published.keySet().removeIf(subject -> !moving.contains(subject.service()));
         for (Entry entry : blackboard.entries(Section.EVIDENCE)) {
             if (!moving.contains(((Evidence) entry.value()).service())) {
@@ -136,6 +140,9 @@
     /** What one set of counts is about. Immutable and thread-safe. */
     private record Subject(String service, String targetVersion, String route) {}
 
+    /** A version of a service. Immutable and thread-safe. */
+    private record VersionKey(String service, String targetVersion) {}
+
     /** The latest entry published. Immutable and thread-safe. */
     private record Publication(long atMs, Evidence evidence) {}
 }
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/LocalCounts.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/LocalCounts.java
@@ -22,6 +22,7 @@
     private final Move move;
     private final VersionJudge judge = SequentialJudge.of(LocalFaultDetector.ERROR_RATE);
     private final Map<Subject, CallCounts> counts = new ConcurrentHashMap<>();
+    private final Map<Subject, ColdStart> coldStarts = new ConcurrentHashMap<>();
     private final Map<Subject, Evidence> judged = new HashMap<>();
 
     /**
@@ -51,8 +52,11 @@
             final String route,
             final CallResult result,
             final long latencyMs) {
+        boolean cold = coldStarts
+                .computeIfAbsent(new Subject(gateNode, targetVersion, ""), key -> new ColdStart())
+                .next();
         counts.computeIfAbsent(new Subject(gateNode, targetVersion, route), key -> new CallCounts())
-                .add(result, latencyMs);
+                .add(result, latencyMs, cold);
     }
 
     /**
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/NodeCounts.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/NodeCounts.java
@@ -5,7 +5,9 @@
 import java.util.TreeMap;
 
 /**
- * Sums of one block over all nodes, and over all but each one. Confined to one thread.
+ * Sums of one block over all nodes, and with the new version's calls on each one node left out.
+ *
+ * <p>The old version's calls are never left out: they may all be on that node. Confined to one thread.
  */
 final class NodeCounts {
 
@@ -30,7 +32,7 @@
     void add(final Evidence evidence, final boolean newVersion) {
         all.add(evidence, newVersion);
         withoutNode.forEach((node, counts) -> {
-            if (!node.equals(evidence.node())) {
+            if (!newVersion || !node.equals(evidence.node())) {
                 counts.add(evidence, newVersion);
             }
         });
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/ProportionTest.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/ProportionTest.java
@@ -22,7 +22,7 @@
     private static final double HIGHEST_RATE = 0.98;
     private static final double FIRST_BLOCK_PRIOR = 0.2;
     private static final double LATER_BLOCKS_PRIOR = 0.8;
-    private static final double PRIOR_DECAY_BLOCKS = 200;
+    private static final double PRIOR_DECAY_BLOCKS = 50;
     private static final double RATE_MEMORY = 0.9;
     private static final double PRIOR_EVENTS = 0.2;
     private static final double PRIOR_TRIALS = 100;
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/RolloutStep.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/RolloutStep.java
@@ -7,46 +7,40 @@
  *
  * <p>With much traffic most of the time goes to the first step, since a fault that shows late reaches few requests
  * there. With little traffic the first step sees next to nothing, and most of the time goes to {@link #HALF}, where few
- * requests tell most. {@link #MOST} and {@link #NEARLY_ALL} keep a remainder on the old version: without it there would
- * be nothing to judge the new one against, and a fault of a shared dependency would look like one of the version.
- * Immutable and thread-safe.
+ * requests tell most. The weights are those of each {@link TrafficLevel} in order.
+ *
+ * <p>{@link #MOST} and {@link #NEARLY_ALL} keep a remainder on the old version: without it there would be nothing to
+ * judge the new one against, and a fault of a shared dependency would look like one of the version. Immutable and
+ * thread-safe.
  */
 public enum RolloutStep {
     /** First requests. */
-    TRACE(8_000, Stage.SHIFTING, 8, 57, 4_000),
+    TRACE(8_000, Stage.SHIFTING, 4_000, 4, 57, 66),
     /** Small share. */
-    SMALL(50_000, Stage.SHIFTING, 8, 6, 4_000),
+    SMALL(50_000, Stage.SHIFTING, 4_000, 4, 6, 5),
     /** A quarter. */
-    QUARTER(250_000, Stage.SHIFTING, 8, 6, 4_000),
+    QUARTER(250_000, Stage.SHIFTING, 4_000, 8, 6, 3),
     /** Half. */
-    HALF(500_000, Stage.SHIFTING, 46, 7, 4_000),
+    HALF(500_000, Stage.SHIFTING, 4_000, 58, 7, 4),
     /** All but a remainder that is large enough to compare with. */
-    MOST(900_000, Stage.SHIFTING, 14, 11, 4_000),
+    MOST(900_000, Stage.SHIFTING, 4_000, 12, 11, 9),
     /** All but a small remainder. */
-    NEARLY_ALL(980_000, Stage.WATCHING, 6, 3, 4_000),
+    NEARLY_ALL(980_000, Stage.WATCHING, 4_000, 4, 3, 3),
     /** All; waits for the seal. */
-    WHOLE(RolloutProgress.WHOLE_SHARE_PARTS, Stage.WATCHING, 0, 0, 0);
+    WHOLE(RolloutProgress.WHOLE_SHARE_PARTS, Stage.WATCHING, 0, 0, 0, 0);
 
     private static final int MARGIN_WEIGHT = 10;
-    private static final double MUCH_TRAFFIC_PER_SECOND = 20;
 
     private final int shareParts;
     private final Stage stage;
-    private final int littleTrafficWeight;
-    private final int muchTrafficWeight;
     private final long floorMs;
+    private final int[] weights;
 
-    RolloutStep(
-            final int shareParts,
-            final Stage stage,
-            final int littleTrafficWeight,
-            final int muchTrafficWeight,
-            final long floorMs) {
+    RolloutStep(final int shareParts, final Stage stage, final long floorMs, final int... weights) {
         this.shareParts = shareParts;
         this.stage = stage;
-        this.littleTrafficWeight = littleTrafficWeight;
-        this.muchTrafficWeight = muchTrafficWeight;
         this.floorMs = floorMs;
+        this.weights = weights;
     }
 
     /**
@@ -150,15 +144,11 @@
     }
 
     private long pacedMs(final long remainingMs, final double requestsPerSecond) {
-        boolean muchTraffic = requestsPerSecond >= MUCH_TRAFFIC_PER_SECOND;
-        int weights = MARGIN_WEIGHT;
+        int level = TrafficLevel.of(requestsPerSecond).ordinal();
+        int total = MARGIN_WEIGHT;
         for (int index = ordinal(); index < values().length; index++) {
-            weights += values()[index].weight(muchTraffic);
+            total += values()[index].weights[level];
         }
-        return remainingMs * weight(muchTraffic) / weights;
-    }
-
-    private int weight(final boolean muchTraffic) {
-        return muchTraffic ? muchTrafficWeight : littleTrafficWeight;
+        return remainingMs * weights[level] / total;
     }
 }
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/SequentialJudge.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/SequentialJudge.java
@@ -25,7 +25,7 @@
     private static final double DOUBT_ERROR_RATE = 0.01;
     private static final int EXPECTED_ROUTES = 4;
     private static final long CONTROL_REQUESTS = 40;
-    private static final int LONGEST_BLOCK_ROUNDS = 20;
+    private static final int LONGEST_BLOCK_ROUNDS = 40;
 
     private final double faultyBound;
     private final double doubtfulBound;
--- /dev/null
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/rollout/EvidenceLedgerTest.java
@@ -0,0 +1,106 @@
+package org.sequoiashunt.rollout;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.sequoiashunt.blackboard.Entry;
+import org.sequoiashunt.blackboard.Section;
+import org.sequoiashunt.call.CallResult;
+import org.sequoiashunt.call.Reason;
+
+class EvidenceLedgerTest {
+
+    private final RolloutFixture fixture = new RolloutFixture();
+    private final RolloutNode node = new RolloutNode(fixture, "node-1", "ha-noi-a", new FakeMoveRegister(), 3);
+    private final EvidenceLedger ledger = node.ledger;
+
+    @BeforeEach
+    void commit() {
+        fixture.commit(
+                node.blackboard, 1, RolloutFixture.configuration(RolloutFixture.START_MS + RolloutFixture.WINDOW_MS));
+        ledger.tick();
+    }
+
+    @Test
+    void publishesCountsAtMostOnceASecond() {
+        long entries = 0;
+        for (int step = 0; step < 100; step++) {
+            node.call(RolloutFixture.TO, 500);
+            long before = node.blackboard.changeCount(Section.EVIDENCE);
+            fixture.clock.advance(100);
+            ledger.tick();
+            entries += node.blackboard.changeCount(Section.EVIDENCE) - before;
+        }
+
+        assertEquals(10, entries);
+        assertEquals(100, evidence().requests());
+        assertEquals(100, evidence().failures());
+    }
+
+    @Test
+    void leavesLatenciesOfAColdTargetOut() {
+        for (int call = 0; call < 30; call++) {
+            node.call(RolloutFixture.TO, 200);
+        }
+        publish();
+        assertEquals(6, latencies());
+
+        ledger.targetStarted(RolloutFixture.SERVICE, RolloutFixture.TO);
+        node.call(RolloutFixture.TO, 200);
+        publish();
+
+        assertEquals(6, latencies());
+        assertEquals(31, evidence().requests());
+    }
+
+    @Test
+    void ignoresCallsThatSayNothingAboutTheTarget() {
+        for (Reason reason : List.of(Reason.CANCELLED, Reason.DRAINING, Reason.NO_TARGET)) {
+            ledger.record(RolloutFixture.SERVICE, RolloutFixture.TO, "reserve", CallResult.notRun(reason), 1);
+        }
+        ledger.record(
+                RolloutFixture.SERVICE, RolloutFixture.TO, "reserve", CallResult.notRun(Reason.CONNECTION_FAILED), 1);
+        publish();
+
+        assertEquals(1, evidence().requests());
+        assertEquals(1, evidence().failures());
+    }
+
+    @Test
+    void dropsEvidenceWithoutAMoveAndKeepsItsSequenceGrowing() {
+        node.call(RolloutFixture.TO, 200);
+        publish();
+        Entry before = node.blackboard.entries(Section.EVIDENCE).get(0);
+        fixture.commit(node.blackboard, 2, RolloutFixture.configuration(Optional.empty()));
+        ledger.tick();
+        node.call(RolloutFixture.TO, 200);
+        publish();
+        assertEquals(List.of(), node.blackboard.entries(Section.EVIDENCE));
+
+        fixture.commit(node.blackboard, 3, RolloutFixture.configuration(RolloutFixture.START_MS + 500_000));
+        ledger.tick();
+        node.call(RolloutFixture.TO, 200);
+        publish();
+
+        Entry after = node.blackboard.entries(Section.EVIDENCE).get(0);
+        assertTrue(after.version().isNewerThan(before.version()));
+        assertEquals(1, evidence().requests());
+    }
+
+    private void publish() {
+        fixture.clock.advance(EvidenceLedger.PUBLISH_INTERVAL_MS);
+        ledger.tick();
+    }
+
+    private Evidence evidence() {
+        return node.blackboard.values(Section.EVIDENCE, Evidence.class).get(0);
+    }
+
+    private long latencies() {
+        return evidence().latencyBuckets().stream().mapToLong(Long::longValue).sum();
+    }
+}
--- /dev/null
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/rollout/LocalFaultDetectorTest.java
@@ -0,0 +1,81 @@
+package org.sequoiashunt.rollout;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.sequoiashunt.blackboard.Blackboard;
+import org.sequoiashunt.blackboard.Entry;
+import org.sequoiashunt.blackboard.Section;
+import org.sequoiashunt.call.Body;
+import org.sequoiashunt.call.CallAnswer;
+import org.sequoiashunt.call.CallResult;
+
+class LocalFaultDetectorTest {
+
+    private final RolloutFixture fixture = new RolloutFixture();
+    private final Blackboard blackboard = new Blackboard();
+    private final LocalStops stops = new LocalStops();
+    private final LocalFaultDetector detector = LocalFaultDetector.of("entry-1", blackboard, stops, fixture.clock);
+
+    @BeforeEach
+    void start() {
+        fixture.commit(blackboard, 1, RolloutFixture.configuration(RolloutFixture.START_MS + RolloutFixture.WINDOW_MS));
+        RolloutProgress progress =
+                new RolloutProgress(RolloutFixture.move(), RolloutFixture.SERVICE, Stage.SHIFTING, 50_000, "");
+        blackboard.merge(Entry.of(progress.move(), "node-1", progress.entryVersion(), progress));
+        detector.tick();
+    }
+
+    @Test
+    void stopsAndTakesBackAtOnceOnAClearFault() {
+        run(2, 500, 500);
+
+        assertTrue(stops.isStopped(RolloutFixture.move()));
+        assertEquals(Stage.TAKEN_BACK, progress().stage());
+        assertTrue(
+                progress().reason().contains("seen by entry-1 alone"),
+                progress().reason());
+    }
+
+    @Test
+    void leavesASoundVersionAlone() {
+        run(200, 200, 200);
+
+        assertFalse(stops.isStopped(RolloutFixture.move()));
+        assertEquals(Stage.SHIFTING, progress().stage());
+    }
+
+    @Test
+    void leavesAVersionAloneThatFailsOnOneNodeOnly() {
+        run(200, 500, 200);
+
+        assertEquals(Stage.SHIFTING, progress().stage());
+    }
+
+    private void run(final int seconds, final int firstStatus, final int secondStatus) {
+        for (int step = 0; step < 4 * seconds; step++) {
+            record("node-1", RolloutFixture.TO, firstStatus);
+            record("node-2", RolloutFixture.TO, secondStatus);
+            for (int call = 0; call < 40; call++) {
+                record("node-1", RolloutFixture.FROM, 200);
+            }
+            fixture.clock.advance(250);
+            detector.tick();
+        }
+    }
+
+    private void record(final String gateNode, final String targetVersion, final int status) {
+        CallResult result = CallResult.complete(new CallAnswer(status, List.of(), Body.EMPTY));
+        detector.record(gateNode, RolloutFixture.SERVICE, targetVersion, RolloutFixture.ROUTE, result, 5);
+    }
+
+    private RolloutProgress progress() {
+        return blackboard
+                .value(Section.ROLLOUT, RolloutFixture.move(), RolloutProgress.class)
+                .orElseThrow();
+    }
+}
--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/rollout/RolloutControllerTest.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/rollout/RolloutControllerTest.java
@@ -3,70 +3,199 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
-import java.util.SplittableRandom;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.sequoiashunt.blackboard.Blackboard;
-import org.sequoiashunt.blackboard.Section;
+import org.sequoiashunt.configuration.Move;
 
 class RolloutControllerTest {
 
+    private static final Judgement FAULTY = new Judgement(Judgement.Finding.FAULTY, "route reserve failed 31 of 120");
+
     private final RolloutFixture fixture = new RolloutFixture();
-    private final Blackboard blackboard = new Blackboard();
     private final FakeMoveRegister register = new FakeMoveRegister();
     private final long finishByMs = RolloutFixture.START_MS + RolloutFixture.WINDOW_MS;
-    private Judgement judgement = Judgement.SOUND;
-    private RolloutSealer sealer;
-    private RolloutController controller;
+    private final RolloutNode node = new RolloutNode(fixture, "node-1", "ha-noi-a", register, 1);
 
     @BeforeEach
     void start() {
-        fixture.commit(blackboard, 1, RolloutFixture.configuration(finishByMs));
-        fixture.join(blackboard, "node-1", "ha-noi-a", RolloutFixture.FROM, RolloutFixture.TO);
-        sealer = RolloutSealer.of("node-1", blackboard, register, fixture.clock, new SplittableRandom(1));
-        ServingMembers serving = ServingMembers.of(blackboard, fixture.clock);
-        controller = RolloutController.of(
-                "node-1", "ha-noi-a", blackboard, serving, sealer, () -> block -> judgement, fixture.clock);
+        fixture.commit(node.blackboard, 1, RolloutFixture.configuration(finishByMs));
+        fixture.join(node.blackboard, "node-1", "ha-noi-a", RolloutFixture.FROM, RolloutFixture.TO);
     }
 
     @Test
     void finishesInTimeWithStore() {
         runUntil(finishByMs);
 
-        assertEquals(Stage.SEALED_DONE, progress().orElseThrow().stage());
+        assertEquals(Stage.SEALED_DONE, node.stage());
         assertEquals(Stage.SEALED_DONE, register.held.get(RolloutFixture.move()).stage());
     }
 
     @Test
-    void reachesWholeShareInTimeWithoutStore() {
+    void goesThroughEveryStepAndHoldsEachForItsFloor() {
+        List<Integer> shares = new ArrayList<>();
+        List<Long> times = new ArrayList<>();
+        while (fixture.clock.nowMs() < finishByMs) {
+            step();
+            if (shares.isEmpty() || shares.get(shares.size() - 1) != node.share()) {
+                shares.add(node.share());
+                times.add(fixture.clock.nowMs());
+            }
+        }
+        shares.remove(Integer.valueOf(0));
+
+        assertEquals(List.of(8_000, 50_000, 250_000, 500_000, 900_000, 980_000, 1_000_000), shares);
+        for (int index = 2; index < times.size(); index++) {
+            assertTrue(times.get(index) - times.get(index - 1) >= RolloutStep.TRACE.floorMs());
+        }
+    }
+
+    @Test
+    void reachesWholeShareInTimeWithoutStoreAndSealsWhenItIsBack() {
         register.down = true;
+        runUntil(finishByMs);
+        assertEquals(Stage.WATCHING, node.stage());
+        assertEquals(RolloutProgress.WHOLE_SHARE_PARTS, node.share());
+
+        register.down = false;
+        runUntil(finishByMs + 15_000);
+
+        assertEquals(Stage.SEALED_DONE, node.stage());
+    }
+
+    @Test
+    void sealsTakeBackWithItsReason() {
+        runUntil(RolloutFixture.START_MS + 5_000);
+        node.judgement = FAULTY;
+        runUntil(RolloutFixture.START_MS + 8_000);
+
+        assertEquals(Stage.SEALED_TAKEN_BACK, node.stage());
+        assertTrue(node.progress().orElseThrow().reason().startsWith("taken back at 0.8 %: route reserve failed"));
+    }
+
+    @Test
+    void takesBackFromWatch() {
+        while (node.progress().isEmpty() || node.stage() != Stage.WATCHING) {
+            step();
+        }
+        node.judgement = FAULTY;
+        runUntil(fixture.clock.nowMs() + 3_000);
+
+        assertEquals(Stage.SEALED_TAKEN_BACK, node.stage());
+    }
+
+    @Test
+    void takesBackWhatIsStillInDoubtWhenTheTimeIsUp() {
+        node.judgement = new Judgement(Judgement.Finding.DOUBTFUL, "route reserve failed 3 of 12");
+        runUntil(finishByMs);
+
+        assertEquals(Stage.SEALED_TAKEN_BACK, node.stage());
+    }
+
+    @Test
+    void waitsForATargetOfTheNewVersion() {
+        fixture.join(node.blackboard, "node-1", "ha-noi-a", RolloutFixture.FROM);
+        runUntil(RolloutFixture.START_MS + 60_000);
+        assertEquals(Optional.empty(), node.progress());
+
+        fixture.join(node.blackboard, "node-1", "ha-noi-a", RolloutFixture.FROM, RolloutFixture.TO);
+        runUntil(finishByMs);
+
+        assertEquals(Stage.SEALED_DONE, node.stage());
+    }
+
+    @Test
+    void saysThatItIsLateAndStillHoldsTheFloors() {
+        long startMs = finishByMs + 1_000;
+        fixture.clock.advance(startMs - fixture.clock.nowMs());
+        runUntil(startMs + RolloutStep.TRACE.floorMs() - 1_000);
+        assertEquals(RolloutStep.TRACE.shareParts(), node.share());
+        assertTrue(node.progress().orElseThrow().reason().contains("late: finishBy has passed"));
+
+        runUntil(startMs + RolloutStep.TRACE.floorsAheadMs() + 5_000);
+
+        assertEquals(Stage.SEALED_DONE, node.stage());
+    }
+
+    @Test
+    void recommitThatKeepsTheMoveGoesOn() {
+        runUntil(RolloutFixture.START_MS + 100_000);
+        int share = node.share();
+        fixture.commit(node.blackboard, 2, RolloutFixture.configuration(finishByMs));
+        step();
+
+        assertEquals(share, node.share());
+        assertTrue(share > RolloutStep.TRACE.shareParts());
+    }
+
+    @Test
+    void commitThatRemovesTheMoveStopsIt() {
+        runUntil(RolloutFixture.START_MS + 5_000);
+        fixture.commit(node.blackboard, 2, RolloutFixture.configuration(Optional.empty()));
+        runUntil(finishByMs);
+
+        assertEquals(RolloutStep.TRACE.shareParts(), node.share());
+    }
+
+    @Test
+    void committingTheSameMoveAgainLeavesItTakenBackAndANewTimeIsANewMove() {
+        runUntil(RolloutFixture.START_MS + 5_000);
+        node.judgement = FAULTY;
+        runUntil(RolloutFixture.START_MS + 8_000);
+        node.judgement = Judgement.SOUND;
+        fixture.commit(node.blackboard, 2, RolloutFixture.configuration(finishByMs));
+        runUntil(finishByMs);
+        assertEquals(Stage.SEALED_TAKEN_BACK, node.stage());
+
+        Move again = new Move(RolloutFixture.FROM, RolloutFixture.TO, finishByMs + RolloutFixture.WINDOW_MS);
+        fixture.commit(node.blackboard, 3, RolloutFixture.configuration(Optional.of(again)));
+        runUntil(again.finishByMs());
 
+        String identity = again.identity(RolloutFixture.SERVICE);
+        assertEquals(Stage.SEALED_DONE, node.progress(identity).orElseThrow().stage());
+    }
+
+    @Test
+    void learnsAnOutcomeFromTheStoreBeforeItStarts() {
+        RolloutProgress sealed = new RolloutProgress(
+                RolloutFixture.move(), RolloutFixture.SERVICE, Stage.SEALED_TAKEN_BACK, 0, "taken back");
+        register.held.put(RolloutFixture.move(), sealed);
         runUntil(finishByMs);
 
-        assertEquals(Stage.WATCHING, progress().orElseThrow().stage());
-        assertEquals(RolloutProgress.WHOLE_SHARE_PARTS, progress().orElseThrow().shareParts());
+        assertEquals(sealed, node.progress().orElseThrow());
     }
 
     @Test
-    void sealsTakeBack() {
+    void targetsGoneWhileTheirNodeServesAreAFault() {
+        runUntil(RolloutFixture.START_MS + 5_000);
+        fixture.join(node.blackboard, "node-1", "ha-noi-a", RolloutFixture.FROM);
         runUntil(RolloutFixture.START_MS + 10_000);
-        judgement = new Judgement(Judgement.Finding.FAULTY, "route reserve failed 31 of 120 requests on 2026.12");
-        runUntil(RolloutFixture.START_MS + 13_000);
 
-        assertEquals(Stage.SEALED_TAKEN_BACK, progress().orElseThrow().stage());
-        assertTrue(progress().orElseThrow().reason().startsWith("taken back at 0.8 %: route reserve failed"));
+        assertEquals(Stage.SEALED_TAKEN_BACK, node.stage());
+        assertTrue(node.progress().orElseThrow().reason().contains("all targets of 2026.12 are gone"));
     }
 
-    private Optional<RolloutProgress> progress() {
-        return blackboard.value(Section.ROLLOUT, RolloutFixture.move(), RolloutProgress.class);
+    @Test
+    void targetsGoneWithTheirNodeAreNoFault() {
+        fixture.join(node.blackboard, "node-1", "ha-noi-a", RolloutFixture.FROM);
+        fixture.join(node.blackboard, "node-2", "ha-noi-b", RolloutFixture.TO);
+        runUntil(RolloutFixture.START_MS + 5_000);
+        fixture.leave(node.blackboard, "node-2", "ha-noi-b");
+        runUntil(RolloutFixture.START_MS + 15_000);
+
+        assertEquals(Stage.SHIFTING, node.stage());
     }
 
     private void runUntil(final long untilMs) {
         while (fixture.clock.nowMs() < untilMs) {
-            fixture.clock.advance(250);
-            controller.tick();
-            sealer.runOnce();
+            step();
         }
     }
+
+    private void step() {
+        fixture.clock.advance(250);
+        node.tick();
+    }
 }
--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/rollout/RolloutFixture.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/rollout/RolloutFixture.java
@@ -66,6 +66,12 @@
         blackboard.merge(Entry.of(node, node, EntryVersion.of(1, ++sequence), member));
     }
 
+    void leave(final Blackboard blackboard, final String node, final String failureDomain) {
+        NodeAddress address = new NodeAddress("127.0.0.1", 7000);
+        Member member = new Member(node, failureDomain, "bac-bo", address, MemberState.LEFT, List.of(), 1);
+        blackboard.merge(Entry.of(node, node, EntryVersion.of(1, ++sequence), member));
+    }
+
     static void copy(final Blackboard source, final Blackboard destination) {
         for (Section section : Section.values()) {
             source.entries(section).forEach(destination::merge);
--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/rollout/TrialSummary.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/rollout/TrialSummary.java
@@ -3,6 +3,8 @@
 import java.io.PrintStream;
 import java.util.List;
 import java.util.Locale;
+import java.util.function.Predicate;
+import java.util.function.ToLongFunction;
 
 /**
  * Figures over all trials of one kind under one policy. Immutable and thread-safe.
@@ -13,8 +15,9 @@
  */
 record TrialSummary(TrialPolicy policy, VersionKind kind, List<TrialResult> results) {
 
-    private static final String HEADER = "%-18s %-21s %7s %8s %8s %9s %9s %9s %9s %9s %9s%n";
-    private static final String LINE = "%-18s %-21s %6.1f%% %7.1f%% %7.1f%% %8.2f%% %9.1f %9.1f %8.1f%% %9.1f %9.1f%n";
+    private static final String HEADER = "%-18s %-21s %7s %8s %7s %8s %8s %8s %9s %8s %7s %7s%n";
+    private static final String LINE =
+            "%-18s %-21s %6.1f%% %7.1f%% %6.1f%% %7.2f%% %8.1f %8.1f %8.2f%% %7.1f%% %7.1f %7.1f%n";
     private static final double PERCENT = 100;
     private static final double MS_PER_SECOND = 1_000;
 
@@ -40,6 +43,7 @@
                 "before",
                 "after",
                 "after 2s",
+                "share 2s",
                 "none 2s",
                 "p50 s",
                 "p95 s");
@@ -51,33 +55,34 @@
      * @param out where to print, not null.
      */
     void print(final PrintStream out) {
-        long requestsBefore =
-                results.stream().mapToLong(TrialResult::requestsBefore).sum();
-        long newBefore = results.stream().mapToLong(TrialResult::newBefore).sum();
         double[] delays = delaysSeconds();
         out.printf(
                 Locale.ROOT,
                 LINE,
                 policy.name().toLowerCase(Locale.ROOT),
                 kind.name().toLowerCase(Locale.ROOT),
-                percent(results.stream().filter(TrialResult::done).count()),
-                percent(results.stream().filter(TrialResult::inTime).count()),
-                percent(results.stream().filter(TrialResult::takenBack).count()),
-                requestsBefore == 0 ? 0 : PERCENT * newBefore / requestsBefore,
-                results.stream().mapToLong(TrialResult::newAfter).average().orElse(0),
-                results.stream()
-                        .mapToLong(TrialResult::newAfterTwoSeconds)
-                        .average()
-                        .orElse(0),
-                percent(results.stream()
-                        .filter(result -> result.newAfterTwoSeconds() == 0)
-                        .count()),
+                percent(TrialResult::done),
+                percent(TrialResult::inTime),
+                percent(TrialResult::takenBack),
+                ofBad(PERCENT * sum(TrialResult::newBefore) / sum(TrialResult::requestsBefore)),
+                ofBad(sum(TrialResult::newAfter) / results.size()),
+                ofBad(sum(TrialResult::newAfterTwoSeconds) / results.size()),
+                ofBad(PERCENT * sum(TrialResult::newAfterTwoSeconds) / sum(TrialResult::requests)),
+                ofBad(percent(result -> result.newAfterTwoSeconds() == 0)),
                 quantile(delays, 0.5),
                 quantile(delays, 0.95));
     }
 
-    private double percent(final long count) {
-        return PERCENT * count / results.size();
+    private double ofBad(final double figure) {
+        return kind.isBad() ? figure : Double.NaN;
+    }
+
+    private double sum(final ToLongFunction<TrialResult> figure) {
+        return results.stream().mapToLong(figure).sum();
+    }
+
+    private double percent(final Predicate<TrialResult> condition) {
+        return PERCENT * results.stream().filter(condition).count() / results.size();
     }
 
     private double[] delaysSeconds() {
