Rollout: spend a move's time by the requests that it gets

With much traffic the first step now has 78 % of the time and the later ones little more than their floors; with little traffic half and half has most of it. What counts is the number of requests over the whole move, not the rate.

--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/MoveRun.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/MoveRun.java
@@ -121,7 +121,7 @@
     private void stepUpIfDue(final RolloutProgress progress, final long nowMs) {
         RolloutStep step = RolloutStep.of(progress);
         boolean waiting = evidence.isDoubtful() || evidence.isCutOff(nowMs);
-        if (!pacer.isDue(step, waiting, evidence.requestsPerSecond(nowMs), nowMs)) {
+        if (!pacer.isDue(step, waiting, expectedRequests(nowMs), nowMs)) {
             return;
         }
         if (step == RolloutStep.WHOLE) {
@@ -133,6 +133,11 @@
         }
     }
 
+    private double expectedRequests(final long nowMs) {
+        long windowMs = Math.max(0, move.finishByMs() - begunMs);
+        return evidence.requestsPerSecond(nowMs) * windowMs / 1_000;
+    }
+
     private void takeBack(final RolloutProgress progress, final String why) {
         long seconds = (clock.nowMs() - sharedSinceMs) / 1_000;
         write(progress.takenBack(why + "; " + seconds + " s after the start"));
@@ -145,8 +150,7 @@
     private RolloutProgress progress(final Stage stage, final RolloutStep step) {
         long nowMs = clock.nowMs();
         String prefix = stage == Stage.SEALED_DONE ? "done" : "at " + ShareText.percent(step.shareParts());
-        String reason = prefix + "; " + evidence.describe(nowMs)
-                + pacer.describe(step, evidence.requestsPerSecond(nowMs), nowMs);
+        String reason = prefix + "; " + evidence.describe(nowMs) + pacer.describe(step, expectedRequests(nowMs), nowMs);
         return new RolloutProgress(identity, service, stage, step.shareParts(), reason);
     }
 
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/RolloutStep.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/RolloutStep.java
@@ -15,17 +15,17 @@
  */
 public enum RolloutStep {
     /** First requests. */
-    TRACE(8_000, Stage.SHIFTING, 4_000, 4, 57, 66),
+    TRACE(8_000, Stage.SHIFTING, 4_000, 4, 52, 78),
     /** Small share. */
-    SMALL(50_000, Stage.SHIFTING, 4_000, 4, 6, 5),
+    SMALL(50_000, Stage.SHIFTING, 4_000, 4, 4, 1),
     /** A quarter. */
-    QUARTER(250_000, Stage.SHIFTING, 4_000, 8, 6, 3),
+    QUARTER(250_000, Stage.SHIFTING, 4_000, 8, 6, 1),
     /** Half. */
-    HALF(500_000, Stage.SHIFTING, 4_000, 58, 7, 4),
+    HALF(500_000, Stage.SHIFTING, 4_000, 66, 16, 2),
     /** All but a remainder that is large enough to compare with. */
-    MOST(900_000, Stage.SHIFTING, 4_000, 12, 11, 9),
+    MOST(900_000, Stage.SHIFTING, 4_000, 6, 8, 6),
     /** All but a small remainder. */
-    NEARLY_ALL(980_000, Stage.WATCHING, 4_000, 4, 3, 3),
+    NEARLY_ALL(980_000, Stage.WATCHING, 4_000, 2, 4, 2),
     /** All; waits for the seal. */
     WHOLE(RolloutProgress.WHOLE_SHARE_PARTS, Stage.WATCHING, 0, 0, 0, 0);
 
@@ -101,11 +101,11 @@
      *
      * @param remainingMs time from the start of this step until the move must be finished, in milliseconds; may be
      *     negative.
-     * @param requestsPerSecond the service's rate as far as it is known, zero or more.
+     * @param expectedRequests requests over the whole move as far as is known, zero or more.
      * @return milliseconds.
      */
-    public long holdMs(final long remainingMs, final double requestsPerSecond) {
-        return Math.max(floorMs, pacedMs(remainingMs, requestsPerSecond));
+    public long holdMs(final long remainingMs, final double expectedRequests) {
+        return Math.max(floorMs, pacedMs(remainingMs, expectedRequests));
     }
 
     /**
@@ -136,15 +136,15 @@
      *
      * @param remainingMs time from the start of this step until the move must be finished, in milliseconds; may be
      *     negative.
-     * @param requestsPerSecond the service's rate as far as it is known, zero or more.
+     * @param expectedRequests requests over the whole move as far as is known, zero or more.
      * @return true if its part of the time would be shorter than the floor.
      */
-    public boolean isCompressed(final long remainingMs, final double requestsPerSecond) {
-        return pacedMs(remainingMs, requestsPerSecond) < floorMs;
+    public boolean isCompressed(final long remainingMs, final double expectedRequests) {
+        return pacedMs(remainingMs, expectedRequests) < floorMs;
     }
 
-    private long pacedMs(final long remainingMs, final double requestsPerSecond) {
-        int level = TrafficLevel.of(requestsPerSecond).ordinal();
+    private long pacedMs(final long remainingMs, final double expectedRequests) {
+        int level = TrafficLevel.of(expectedRequests).ordinal();
         int total = MARGIN_WEIGHT;
         for (int index = ordinal(); index < values().length; index++) {
             total += values()[index].weights[level];
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/StepPacer.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/StepPacer.java
@@ -53,13 +53,13 @@
      *
      * @param step the present step, not null.
      * @param waiting whether there is reason to hold the step longer.
-     * @param requestsPerSecond the service's rate as far as it is known, zero or more.
+     * @param expectedRequests requests over the whole move as far as is known, zero or more.
      * @param nowMs the current time in milliseconds.
      * @return true if the step has been held long enough.
      */
-    boolean isDue(final RolloutStep step, final boolean waiting, final double requestsPerSecond, final long nowMs) {
+    boolean isDue(final RolloutStep step, final boolean waiting, final double expectedRequests, final long nowMs) {
         long remainingMs = finishByMs - beganMs;
-        long holdMs = step.holdMs(remainingMs, requestsPerSecond);
+        long holdMs = step.holdMs(remainingMs, expectedRequests);
         if (waiting) {
             long spareMs = remainingMs - AHEAD_FACTOR * step.floorsAheadMs();
             holdMs = Math.max(holdMs, Math.min(WAITING_FACTOR * holdMs, spareMs));
@@ -71,16 +71,16 @@
      * Describes the pace for operators.
      *
      * @param step the step that begins, not null.
-     * @param requestsPerSecond the service's rate as far as it is known, zero or more.
+     * @param expectedRequests requests over the whole move as far as is known, zero or more.
      * @param nowMs the current time in milliseconds.
      * @return part of a sentence, empty if there is time enough.
      */
-    String describe(final RolloutStep step, final double requestsPerSecond, final long nowMs) {
+    String describe(final RolloutStep step, final double expectedRequests, final long nowMs) {
         long remainingMs = finishByMs - nowMs;
         if (step.isLate(remainingMs)) {
             return remainingMs < 0 ? "; late: finishBy has passed" : "; late: too little time before finishBy";
         }
-        return step.isCompressed(remainingMs, requestsPerSecond)
+        return step.isCompressed(remainingMs, expectedRequests)
                 ? "; steps shortened to their floor, as finishBy is near"
                 : "";
     }
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/TrafficLevel.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/TrafficLevel.java
@@ -1,7 +1,7 @@
 package org.sequoiashunt.rollout;
 
 /**
- * How much traffic a service has, which decides how a move's time is best spent.
+ * How many requests a service gets over a move, which decides how the move's time is best spent.
  *
  * <p>Immutable and thread-safe.
  */
@@ -9,26 +9,26 @@
     /** Too little for the small steps to see anything. */
     LITTLE(0),
     /** Enough for the small steps; the large ones need some seconds. */
-    SOME(20),
+    SOME(4_000),
     /** The large steps see enough within their floors. */
-    MUCH(100);
+    MUCH(20_000);
 
-    private final double leastRequestsPerSecond;
+    private final double leastRequests;
 
-    TrafficLevel(final double leastRequestsPerSecond) {
-        this.leastRequestsPerSecond = leastRequestsPerSecond;
+    TrafficLevel(final double leastRequests) {
+        this.leastRequests = leastRequests;
     }
 
     /**
-     * Returns the level of a rate.
+     * Returns the level of a move.
      *
-     * @param requestsPerSecond the rate, zero or more.
+     * @param expectedRequests requests from the start of the move until it must be finished, zero or more.
      * @return the level, never null.
      */
-    static TrafficLevel of(final double requestsPerSecond) {
+    static TrafficLevel of(final double expectedRequests) {
         TrafficLevel level = LITTLE;
         for (TrafficLevel candidate : values()) {
-            if (requestsPerSecond >= candidate.leastRequestsPerSecond) {
+            if (expectedRequests >= candidate.leastRequests) {
                 level = candidate;
             }
         }
--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/rollout/RolloutTrial.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/rollout/RolloutTrial.java
@@ -50,9 +50,9 @@
     private long doneMs = -1;
     private long takenBackMs = -1;
 
-    RolloutTrial(final VersionKind kind, final TrialPolicy policy, final long seed) {
+    RolloutTrial(final VersionKind kind, final TrialPolicy policy, final int fixedRate, final long seed) {
         SplittableRandom random = new SplittableRandom(seed);
-        this.workload = Workload.draw(random);
+        this.workload = Workload.draw(random, fixedRate);
         VersionKind.Behaviour behaviour = kind.draw(random, workload);
         this.configuration = configuration();
         TrialRegister register = new TrialRegister(kind == VersionKind.GOOD_STORE_OUTAGE);
--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/rollout/RolloutTrialCommand.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/rollout/RolloutTrialCommand.java
@@ -27,6 +27,12 @@
     @Parameter(names = "--kind", description = "Only this kind of version")
     private VersionKind onlyKind;
 
+    @Parameter(names = "--rate", description = "Requests a second in every trial; drawn if zero")
+    private int rate;
+
+    @Parameter(names = "--bad", description = "Only bad versions")
+    private boolean onlyBad;
+
     @Parameter(names = "--verbose", description = "Print each trial that ended wrongly, or all of a single kind")
     private boolean verbose;
 
@@ -51,7 +57,9 @@
         TrialSummary.printHeader(out);
         for (TrialPolicy policy : TrialPolicy.values()) {
             for (VersionKind kind : VersionKind.values()) {
-                boolean wanted = (onlyPolicy == null || onlyPolicy == policy) && (onlyKind == null || onlyKind == kind);
+                boolean wanted = (onlyPolicy == null || onlyPolicy == policy)
+                        && (onlyKind == null || onlyKind == kind)
+                        && (!onlyBad || kind.isBad());
                 if (wanted) {
                     runKind(out, policy, kind);
                 }
@@ -62,7 +70,7 @@
     private void runKind(final PrintStream out, final TrialPolicy policy, final VersionKind kind) {
         List<TrialResult> results = IntStream.range(0, trials)
                 .parallel()
-                .mapToObj(trial -> new RolloutTrial(kind, policy, seed + trial).run())
+                .mapToObj(trial -> new RolloutTrial(kind, policy, rate, seed + trial).run())
                 .toList();
         new TrialSummary(policy, kind, results).print(out);
         if (verbose) {
--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/rollout/Workload.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/rollout/Workload.java
@@ -26,12 +26,14 @@
      * Draws a service of either user, with a rate and a window.
      *
      * @param random the source of chance, not null.
+     * @param fixedRate the rate in requests a second, or zero to draw one.
      * @return the workload, never null.
      */
-    static Workload draw(final RandomGenerator random) {
+    static Workload draw(final RandomGenerator random, final int fixedRate) {
         Workload size = SERVICES.get(random.nextInt(SERVICES.size()));
         int rate = RATES[random.nextInt(RATES.length)];
+        int usedRate = fixedRate > 0 ? fixedRate : rate;
         long windowMs = WINDOWS_MS[random.nextInt(WINDOWS_MS.length)];
-        return new Workload(size.service, size.targets, size.slots, rate, windowMs);
+        return new Workload(size.service, size.targets, size.slots, usedRate, windowMs);
     }
 }
