Split link and ledger into smaller classes; close accepted connections after a pause

A process that was frozen closes every accepted connection before it reads what waited there, and peers ask after their calls on new ones. A single call that is too old by its stamp is refused as not run, and its connection stays: on a slow path, closing it would make every other call on it start again.

--- /dev/null
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/Admission.java
@@ -0,0 +1,13 @@
+package org.sequoiashunt.link;
+
+/** Whether a call that arrived is run. Immutable and thread-safe. */
+enum Admission {
+    /** The call is new and is to be run. */
+    RUN,
+    /** The call is running or has ended. */
+    KNOWN,
+    /** The sender was told that the call is not run. */
+    REVOKED,
+    /** Too many calls are remembered. */
+    FULL
+}
--- /dev/null
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/LinkCalls.java
@@ -0,0 +1,138 @@
+package org.sequoiashunt.link;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.sequoiashunt.call.CallResult;
+import org.sequoiashunt.call.Reason;
+import org.sequoiashunt.link.LinkCounters.Count;
+import org.sequoiashunt.link.wire.FrameProto.CallAcknowledge;
+import org.sequoiashunt.link.wire.FrameProto.CallEnd;
+import org.sequoiashunt.link.wire.FrameProto.CallState;
+import org.sequoiashunt.link.wire.FrameProto.Frame;
+
+/**
+ * Frames about the calls of one link: writes requests, questions, cancellations and acknowledgements, and reads
+ * answers.
+ *
+ * <p>Confined to the thread of its link, but for {@link #inFlight()}, which is thread-safe.
+ */
+final class LinkCalls {
+
+    private static final int ACKNOWLEDGE_BATCH = 64;
+
+    private final LinkContext context;
+    private final InFlightCalls inFlight;
+    private final List<String> unacknowledged = new ArrayList<>();
+    private long lastAcknowledgedMs;
+
+    LinkCalls(final LinkContext context) {
+        this.context = context;
+        this.inFlight = new InFlightCalls(context.limits());
+    }
+
+    InFlightCalls inFlight() {
+        return inFlight;
+    }
+
+    /**
+     * Sends the calls that wait, as far as the connection takes them.
+     *
+     * @param connection an open connection.
+     */
+    void writeWaiting(final LinkConnection connection) {
+        Optional<InFlightCall> call = nextWaiting(connection);
+        while (call.isPresent()) {
+            writeStart(call.get(), connection);
+            call = nextWaiting(connection);
+        }
+    }
+
+    /**
+     * Asks after the calls that were sent on an earlier connection.
+     *
+     * @param connection a connection that has just been opened.
+     */
+    void ask(final LinkConnection connection) {
+        for (InFlightCall call : inFlight.connectionOpened(connection.peer())) {
+            context.counters().increment(Count.CALLS_ASKED);
+            connection.write(Frames.query(call.number(), call.request().callId(), remainingMs(call)));
+        }
+    }
+
+    void cancel(final InFlightCall call, final LinkConnection connection) {
+        if (inFlight.remove(call)) {
+            writeCancel(call, connection);
+        }
+    }
+
+    void expire(final LinkConnection connection) {
+        for (InFlightCall call : inFlight.expire(context.clock().nowMs())) {
+            writeCancel(call, connection);
+        }
+    }
+
+    void receive(final CallEnd end) throws LinkProtocolException {
+        inFlight.end(end.getNumber(), end.getCallId(), CallCodec.decode(end));
+        unacknowledged.add(end.getCallId());
+    }
+
+    void receive(final CallState state) throws LinkProtocolException {
+        switch (state.getState()) {
+            case RUNNING -> {
+                if (inFlight.found(state.getNumber(), state.getCallId())) {
+                    context.counters().increment(Count.CALLS_RESUMED);
+                }
+            }
+            case NOT_RECEIVED ->
+                inFlight.end(state.getNumber(), state.getCallId(), CallResult.notRun(Reason.CONNECTION_FAILED));
+            case LOST ->
+                inFlight.end(state.getNumber(), state.getCallId(), CallResult.unknown(Reason.CONNECTION_FAILED));
+            default -> throw new LinkProtocolException(Refusal.MALFORMED, "call in no known state");
+        }
+    }
+
+    /**
+     * Acknowledges the answers received, several at a time.
+     *
+     * @param connection an open connection.
+     */
+    void writeAcknowledge(final LinkConnection connection) {
+        long nowMs = context.clock().nowMs();
+        boolean due = nowMs - lastAcknowledgedMs >= context.limits().pingIntervalMs();
+        if (unacknowledged.size() >= ACKNOWLEDGE_BATCH || due && !unacknowledged.isEmpty()) {
+            lastAcknowledgedMs = nowMs;
+            connection.write(Frame.newBuilder()
+                    .setCallAcknowledge(CallAcknowledge.newBuilder().addAllCallIds(unacknowledged))
+                    .build());
+            unacknowledged.clear();
+        }
+    }
+
+    private Optional<InFlightCall> nextWaiting(final LinkConnection connection) {
+        return connection.isWritable() ? inFlight.nextWaiting() : Optional.empty();
+    }
+
+    private void writeStart(final InFlightCall call, final LinkConnection connection) {
+        Frame frame = Frames.of(CallCodec.encode(
+                call.number(),
+                call.request(),
+                connection.freshness(call.request().deadlineMs())));
+        if (frame.getSerializedSize() > context.limits().maximumFrameBytes()) {
+            inFlight.remove(call);
+            call.future().complete(CallResult.notRun(Reason.TOO_LARGE));
+        } else if (inFlight.markSent(call, connection.peer())) {
+            connection.write(frame);
+        }
+    }
+
+    private void writeCancel(final InFlightCall call, final LinkConnection connection) {
+        if (connection != null && connection.isOpen()) {
+            connection.write(Frames.cancel(call.request().callId(), remainingMs(call)));
+        }
+    }
+
+    private long remainingMs(final InFlightCall call) {
+        return Math.max(0, call.request().deadlineMs() - context.clock().nowMs());
+    }
+}
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/LinkConnection.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/LinkConnection.java
@@ -1,11 +1,16 @@
 package org.sequoiashunt.link;
 
+import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import org.sequoiashunt.link.wire.FrameProto.Frame;
 import org.sequoiashunt.link.wire.FrameProto.Freshness;
+import org.sequoiashunt.peer.NodeAddress;
 
 /**
  * One TCP connection of a link, on the side that opened it.
@@ -31,6 +36,28 @@
         this.health = new LinkHealth(context.limits(), context.clock().nowMs());
     }
 
+    void open(final NodeAddress address) {
+        Bootstrap bootstrap = new Bootstrap()
+                .group(context.threads().opening())
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int)
+                        context.limits().openTimeoutMs())
+                .option(ChannelOption.ALLOCATOR, context.threads().allocator())
+                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, FramePipeline.waterMark(context.limits()))
+                .handler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(final SocketChannel opened) {
+                        addHandlers(opened);
+                    }
+                });
+        bootstrap.connect(address.host(), address.port()).addListener(connected -> {
+            if (!connected.isSuccess()) {
+                link.connectionClosed(this);
+            }
+        });
+    }
+
     void received() {
         health.received(context.clock().nowMs());
     }
@@ -143,6 +170,13 @@
         abandon();
     }
 
+    private void addHandlers(final SocketChannel opened) {
+        InboundProgress progress = new InboundProgress(
+                context.limits().frameTimeLimitMs(), context.clock().nowMs());
+        FramePipeline.addHandlers(opened, context, progress, this::received);
+        opened.pipeline().addLast(this);
+    }
+
     private void introduce(final Frame frame) throws LinkProtocolException {
         if (!frame.hasHello()) {
             throw new LinkProtocolException(Refusal.UNEXPECTED, "frame before introduction");
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/LinkServer.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/LinkServer.java
@@ -28,13 +28,14 @@
 public final class LinkServer implements AutoCloseable {
 
     private static final int BACKLOG = 1_024;
-    private static final long SWEEP_INTERVAL_MS = 1_000;
+    private static final long SWEEP_INTERVAL_MS = 250;
     private static final long CLOSE_TIMEOUT_MS = 2_000;
 
     private final LinkContext context;
     private final ServedCalls calls;
     private final ControlReceiver receiver;
     private final PendingBudget budget;
+    private final PauseDetector pauses;
     private final Map<Channel, ServerConnection> connections = new ConcurrentHashMap<>();
     private Channel listener;
     private Future<?> sweeping;
@@ -44,6 +45,8 @@
         this.calls = new ServedCalls(handler, context.limits(), context.clock(), context.counters());
         this.receiver = Objects.requireNonNull(receiver, "receiver");
         this.budget = new PendingBudget(context.limits().pendingBytes());
+        this.pauses = new PauseDetector(
+                context.limits().frameAgeLimitMs(), context.clock().nowMs());
     }
 
     /**
@@ -129,6 +132,7 @@
         InboundProgress progress = new InboundProgress(
                 context.limits().frameTimeLimitMs(), context.clock().nowMs());
         ServerConnection connection = new ServerConnection(context, calls, receiver, progress, budget);
+        channel.pipeline().addLast(new PauseHandler(this::closeAfterPause));
         connections.put(channel, connection);
         channel.closeFuture().addListener(closed -> connections.remove(channel));
         FramePipeline.addHandlers(channel, context, progress, connection::afterRead);
@@ -136,7 +140,14 @@
     }
 
     private void sweep() {
+        closeAfterPause();
         calls.expire();
         connections.values().forEach(ServerConnection::sweep);
     }
+
+    private void closeAfterPause() {
+        if (pauses.check(context.clock().nowMs())) {
+            connections.values().forEach(connection -> connection.refuse(Refusal.PAUSED));
+        }
+    }
 }
--- /dev/null
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/PauseHandler.java
@@ -0,0 +1,20 @@
+package org.sequoiashunt.link;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+
+/** Looks for a pause of this process before bytes are read. Confined to the thread of its connection. */
+final class PauseHandler extends ChannelInboundHandlerAdapter {
+
+    private final Runnable beforeRead;
+
+    PauseHandler(final Runnable beforeRead) {
+        this.beforeRead = beforeRead;
+    }
+
+    @Override
+    public void channelRead(final ChannelHandlerContext context, final Object message) {
+        beforeRead.run();
+        context.fireChannelRead(message);
+    }
+}
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/Refusal.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/Refusal.java
@@ -24,6 +24,8 @@
     NOT_READ("not-read"),
     /** A call reached this node so late that its sender may have given up. */
     STALE("stale"),
+    /** This process was not running for a while, so what the connection still holds is old. */
+    PAUSED("paused"),
     /** An answer carries the number of another call. */
     WRONG_NUMBER("wrong-number"),
     /** A body is not as long as announced. */
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/ServedCalls.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/ServedCalls.java
@@ -8,9 +8,6 @@
 import org.sequoiashunt.call.CallRequest;
 import org.sequoiashunt.call.CallResult;
 import org.sequoiashunt.call.Reason;
-import org.sequoiashunt.link.CallLedger.Admission;
-import org.sequoiashunt.link.CallLedger.ResultReceiver;
-import org.sequoiashunt.link.CallLedger.Standing;
 import org.sequoiashunt.link.wire.FrameProto.CallAcknowledge;
 import org.sequoiashunt.link.wire.FrameProto.CallCancel;
 import org.sequoiashunt.link.wire.FrameProto.CallQuery;
@@ -48,18 +45,16 @@
      *
      * @param start the call.
      * @param receiver where to send the result.
-     * @throws LinkProtocolException if the call is too old or cut; it is then never run.
+     * @throws LinkProtocolException if the call is cut; it is then never run.
      */
     void start(final CallStart start, final ResultReceiver receiver) throws LinkProtocolException {
         long nowMs = clock.nowMs();
         long remainingMs = remainingMs(start.getFreshness().getRemainingMs());
         FrameAge age = FrameAge.of(
                 nowMs, start.getFreshness().getStamp(), start.getFreshness().getStampAgeMs());
-        if (age.exceeds(limits.frameAgeLimitMs())) {
-            throw new LinkProtocolException(Refusal.STALE, "call is up to " + age.upperBoundMs() + " ms old");
-        }
         CallRequest request = CallCodec.decode(start, age.deadlineMs(nowMs, remainingMs));
-        if (request.deadlineMs() <= nowMs) {
+        if (age.exceeds(limits.frameAgeLimitMs()) || request.deadlineMs() <= nowMs) {
+            counters.refuse(Refusal.STALE);
             receiver.callEnded(start.getNumber(), request.callId(), CallResult.notRun(Reason.DEADLINE));
             return;
         }
@@ -79,7 +74,7 @@
      * @return the state to report, or empty if the result was sent.
      */
     Optional<CallState> query(final CallQuery query, final ResultReceiver receiver) {
-        Standing standing = ledger.ask(
+        CallStanding standing = ledger.ask(
                 query.getCallId(), query.getNumber(), clock.nowMs() + remainingMs(query.getRemainingMs()), receiver);
         if (standing.result().isPresent()) {
             receiver.callEnded(
@@ -129,7 +124,7 @@
 
     private void ended(final String callId, final CallResult result, final Throwable failure) {
         CallResult known = result != null ? result : CallResult.unknown(unknownReason(failure));
-        ledger.end(callId, known).ifPresent(CallLedger.Delivery::deliver);
+        ledger.end(callId, known).ifPresent(ResultDelivery::deliver);
     }
 
     private static Reason unknownReason(final Throwable failure) {
@@ -159,7 +154,7 @@
         return Math.max(0, Math.min(announcedMs, LONGEST_CALL_MS));
     }
 
-    private static CallState.State wireState(final Standing.State state) {
+    private static CallState.State wireState(final CallStanding.State state) {
         return switch (state) {
             case NOT_RECEIVED -> CallState.State.NOT_RECEIVED;
             case RUNNING -> CallState.State.RUNNING;
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/ServerConnection.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/ServerConnection.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.TimeUnit;
 import org.sequoiashunt.call.CallResult;
 import org.sequoiashunt.call.Reason;
-import org.sequoiashunt.link.CallLedger.ResultReceiver;
 import org.sequoiashunt.link.LinkCounters.Count;
 import org.sequoiashunt.link.wire.FrameProto.Frame;
 import org.sequoiashunt.link.wire.FrameProto.Hello;
@@ -183,7 +182,12 @@
         }
     }
 
-    private void refuse(final Refusal refusal) {
+    /**
+     * Counts the reason and closes the connection; nothing more is read from it.
+     *
+     * @param refusal the reason.
+     */
+    void refuse(final Refusal refusal) {
         if (!refused) {
             context.counters().refuse(refusal);
         }
--- /dev/null
+++ b/sequoiashunt-link/src/test/java/org/sequoiashunt/link/PauseTest.java
@@ -0,0 +1,46 @@
+package org.sequoiashunt.link;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import org.sequoiashunt.link.wire.FrameProto.Frame;
+import org.sequoiashunt.link.wire.FrameProto.Freshness;
+import org.sequoiashunt.time.SteppedClock;
+
+/** A process that was frozen does not act on what waited in its buffers. */
+class PauseTest {
+
+    private static final LinkLimits LIMITS = LinkLimits.standard();
+
+    @Test
+    void aGapBetweenTwoChecksIsAPause() {
+        PauseDetector pauses = new PauseDetector(LIMITS.frameAgeLimitMs(), 0);
+        assertFalse(pauses.check(LIMITS.frameAgeLimitMs()));
+        assertTrue(pauses.check(2 * LIMITS.frameAgeLimitMs() + 1));
+        assertFalse(pauses.check(2 * LIMITS.frameAgeLimitMs() + 2));
+    }
+
+    @Test
+    void aServerThatWasPausedClosesItsConnectionsUnread() throws Exception {
+        SteppedClock clock = SteppedClock.of(1_000_000);
+        try (LinkFixture fixture = new LinkFixture(LIMITS, clock)) {
+            fixture.warmUp();
+            try (RawPeer peer = RawPeer.connect(fixture.address())) {
+                peer.write(Frames.hello(new LinkIdentity("peer", 1), 0));
+                Frame hello = peer.read();
+                clock.advance(LIMITS.frameAgeLimitMs() + 1);
+                Freshness freshness = Freshness.newBuilder()
+                        .setStamp(hello.getHello().getStamp())
+                        .setStampAgeMs(LIMITS.frameAgeLimitMs())
+                        .setRemainingMs(60_000)
+                        .build();
+                peer.write(Frames.of(CallCodec.encode(1, LinkFixture.request("call", 60_000), freshness)));
+                assertTrue(peer.isClosedByPeer());
+            }
+            assertTrue(fixture.serverCounters.read(Refusal.PAUSED) > 0);
+            assertEquals(0, fixture.handler.runs.size());
+        }
+    }
+}
