Answers to slow readers stay in the ledger; both sides under random schedules

An answer that a peer is too slow to take is no longer queued beside the ledger but fetched from it when the connection takes bytes again, so that the memory of all slow peers together stays under the ledger's bound.

--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/Link.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/Link.java
@@ -28,7 +28,7 @@
     Link(final NodeAddress address, final LinkContext context, final ReconnectDelay reconnectDelay) {
         this.address = address;
         this.context = context;
-        this.calls = new LinkCalls(context);
+        this.calls = new LinkCalls(context.limits(), context.clock(), context.counters());
         this.control = new ControlQueue(context.counters());
         this.reconnectDelay = reconnectDelay;
         this.lastUsedMs = context.clock().nowMs();
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/LinkCalls.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/LinkCalls.java
@@ -10,6 +10,7 @@
 import org.sequoiashunt.link.wire.FrameProto.CallEnd;
 import org.sequoiashunt.link.wire.FrameProto.CallState;
 import org.sequoiashunt.link.wire.FrameProto.Frame;
+import org.sequoiashunt.time.Clock;
 
 /**
  * Frames about the calls of one link: writes requests, questions, cancellations and acknowledgements, and reads
@@ -21,14 +22,18 @@
 
     private static final int ACKNOWLEDGE_BATCH = 64;
 
-    private final LinkContext context;
+    private final LinkLimits limits;
+    private final Clock clock;
+    private final LinkCounters counters;
     private final InFlightCalls inFlight;
     private final List<String> unacknowledged = new ArrayList<>();
     private long lastAcknowledgedMs;
 
-    LinkCalls(final LinkContext context) {
-        this.context = context;
-        this.inFlight = new InFlightCalls(context.limits());
+    LinkCalls(final LinkLimits limits, final Clock clock, final LinkCounters counters) {
+        this.limits = limits;
+        this.clock = clock;
+        this.counters = counters;
+        this.inFlight = new InFlightCalls(limits);
     }
 
     InFlightCalls inFlight() {
@@ -55,7 +60,7 @@
      */
     void ask(final LinkConnection connection) {
         for (InFlightCall call : inFlight.connectionOpened(connection.peer())) {
-            context.counters().increment(Count.CALLS_ASKED);
+            counters.increment(Count.CALLS_ASKED);
             connection.write(Frames.query(call.number(), call.request().callId(), remainingMs(call)));
         }
     }
@@ -67,7 +72,7 @@
     }
 
     void expire(final LinkConnection connection) {
-        for (InFlightCall call : inFlight.expire(context.clock().nowMs())) {
+        for (InFlightCall call : inFlight.expire(clock.nowMs())) {
             writeCancel(call, connection);
         }
     }
@@ -81,7 +86,7 @@
         switch (state.getState()) {
             case RUNNING -> {
                 if (inFlight.found(state.getNumber(), state.getCallId())) {
-                    context.counters().increment(Count.CALLS_RESUMED);
+                    counters.increment(Count.CALLS_RESUMED);
                 }
             }
             case NOT_RECEIVED ->
@@ -98,8 +103,8 @@
      * @param connection an open connection.
      */
     void writeAcknowledge(final LinkConnection connection) {
-        long nowMs = context.clock().nowMs();
-        boolean due = nowMs - lastAcknowledgedMs >= context.limits().pingIntervalMs();
+        long nowMs = clock.nowMs();
+        boolean due = nowMs - lastAcknowledgedMs >= limits.pingIntervalMs();
         if (unacknowledged.size() >= ACKNOWLEDGE_BATCH || due && !unacknowledged.isEmpty()) {
             lastAcknowledgedMs = nowMs;
             connection.write(Frame.newBuilder()
@@ -118,7 +123,7 @@
                 call.number(),
                 call.request(),
                 connection.freshness(call.request().deadlineMs())));
-        if (frame.getSerializedSize() > context.limits().maximumFrameBytes()) {
+        if (frame.getSerializedSize() > limits.maximumFrameBytes()) {
             inFlight.remove(call);
             call.future().complete(CallResult.notRun(Reason.TOO_LARGE));
         } else if (inFlight.markSent(call, connection.peer())) {
@@ -133,6 +138,6 @@
     }
 
     private long remainingMs(final InFlightCall call) {
-        return Math.max(0, call.request().deadlineMs() - context.clock().nowMs());
+        return Math.max(0, call.request().deadlineMs() - clock.nowMs());
     }
 }
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/ServerConnection.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/ServerConnection.java
@@ -5,10 +5,13 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.sequoiashunt.call.CallResult;
 import org.sequoiashunt.call.Reason;
 import org.sequoiashunt.link.LinkCounters.Count;
+import org.sequoiashunt.link.wire.FrameProto.CallEnd;
+import org.sequoiashunt.link.wire.FrameProto.CallQuery;
 import org.sequoiashunt.link.wire.FrameProto.Frame;
 import org.sequoiashunt.link.wire.FrameProto.Hello;
 
@@ -19,14 +22,15 @@
  */
 final class ServerConnection extends SimpleChannelInboundHandler<Frame> implements ResultReceiver {
 
-    private static final int MAXIMUM_PARKED = 1_024;
+    private static final int ENVELOPE_BYTES = 16;
+    private static final int MAXIMUM_DEFERRED = 1_024;
 
     private final LinkContext context;
     private final ServedCalls calls;
     private final ControlReceiver receiver;
     private final InboundProgress progress;
     private final PendingBudget budget;
-    private final Deque<Frame> parked = new ArrayDeque<>();
+    private final Deque<CallEnd> deferred = new ArrayDeque<>();
     private Channel channel;
     private LinkIdentity peer;
     private boolean refused;
@@ -57,7 +61,7 @@
     public void channelInactive(final ChannelHandlerContext handlerContext) {
         context.counters().add(Count.CONNECTIONS_ACCEPTED, -1);
         budget.release(progress);
-        parked.clear();
+        deferred.clear();
     }
 
     @Override
@@ -74,8 +78,7 @@
             case PING -> writeSign();
             case CONTROL -> receiveControl(frame);
             case CALL_START -> calls.start(frame.getCallStart(), this);
-            case CALL_QUERY ->
-                calls.query(frame.getCallQuery(), this).ifPresent(state -> writeOrPark(Frames.of(state)));
+            case CALL_QUERY -> query(frame.getCallQuery());
             case CALL_CANCEL -> calls.cancel(frame.getCallCancel());
             case CALL_ACKNOWLEDGE -> calls.acknowledge(frame.getCallAcknowledge());
             default -> throw new LinkProtocolException(Refusal.UNEXPECTED, "frame " + frame.getContentCase());
@@ -84,7 +87,9 @@
 
     @Override
     public void channelWritabilityChanged(final ChannelHandlerContext handlerContext) {
-        writeParked();
+        if (channel.isWritable()) {
+            writeDeferred();
+        }
     }
 
     @Override
@@ -98,13 +103,11 @@
 
     @Override
     public void callEnded(final long number, final String callId, final CallResult result) {
-        Frame frame = Frames.of(CallCodec.encode(number, callId, result));
-        if (frame.getSerializedSize() > context.limits().maximumFrameBytes()) {
-            CallResult tooLarge = CallResult.unknown(Reason.TOO_LARGE).withLoad(result.load());
-            frame = Frames.of(CallCodec.encode(number, callId, tooLarge));
-        }
-        Frame written = frame;
-        channel.eventLoop().execute(() -> writeOrPark(written));
+        CallEnd end = CallCodec.encode(number, callId, result);
+        boolean tooLarge = end.getSerializedSize() > context.limits().maximumFrameBytes() - ENVELOPE_BYTES;
+        CallResult unknown = CallResult.unknown(Reason.TOO_LARGE).withLoad(result.load());
+        CallEnd written = tooLarge ? CallCodec.encode(number, callId, unknown) : end;
+        channel.eventLoop().execute(() -> writeOrDefer(written));
     }
 
     /** Checks the bytes that arrived; a peer that sends a long frame gets a sign of life before its end. */
@@ -158,24 +161,32 @@
         }
     }
 
-    private void writeOrPark(final Frame frame) {
-        if (!channel.isActive()) {
-            return;
-        }
-        parked.addLast(frame);
-        if (parked.size() > MAXIMUM_PARKED) {
-            refuse(Refusal.NOT_READ);
+    private void writeOrDefer(final CallEnd end) {
+        if (channel.isWritable() || end.getBodyLength() == 0) {
+            channel.writeAndFlush(Frames.of(end));
+        } else if (deferred.size() < MAXIMUM_DEFERRED) {
+            deferred.addLast(end.toBuilder().clearBody().clearHeaders().build());
         } else {
-            writeParked();
+            refuse(Refusal.NOT_READ);
         }
     }
 
-    private void writeParked() {
-        while (!parked.isEmpty() && channel.isWritable()) {
-            channel.writeAndFlush(parked.removeFirst());
+    /** Fetches the answers that the peer was too slow to take from where they are retained within a bound. */
+    private void writeDeferred() {
+        List<CallEnd> ends = List.copyOf(deferred);
+        deferred.clear();
+        for (CallEnd end : ends) {
+            query(CallQuery.newBuilder()
+                    .setNumber(end.getNumber())
+                    .setCallId(end.getCallId())
+                    .build());
         }
     }
 
+    private void query(final CallQuery query) {
+        calls.query(query, this).ifPresent(state -> channel.writeAndFlush(Frames.of(state)));
+    }
+
     private void requireHello() {
         if (peer == null && channel.isActive()) {
             refuse(Refusal.NO_HELLO);
--- /dev/null
+++ b/sequoiashunt-link/src/test/java/org/sequoiashunt/link/FaultScheduleTest.java
@@ -0,0 +1,242 @@
+package org.sequoiashunt.link;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+import org.junit.jupiter.api.Test;
+import org.sequoiashunt.call.Body;
+import org.sequoiashunt.call.CallRequest;
+import org.sequoiashunt.call.CallResult;
+import org.sequoiashunt.call.Outcome;
+import org.sequoiashunt.link.LinkCounters.Count;
+import org.sequoiashunt.link.wire.FrameProto.Frame;
+import org.sequoiashunt.link.wire.FrameProto.Freshness;
+import org.sequoiashunt.time.SteppedClock;
+
+/**
+ * Both sides of the protocol under random schedules: connections lost with frames on the way that still arrive later,
+ * or never; gates that restart; deadlines, cancellations and answers at any moment.
+ */
+class FaultScheduleTest {
+
+    private static final int SCHEDULES = 1_500;
+    private static final int STEPS = 250;
+
+    @Test
+    void noCallRunsTwiceAndNotRunIsTrue() throws LinkProtocolException {
+        LinkCounters counters = new LinkCounters();
+        for (int seed = 0; seed < SCHEDULES; seed++) {
+            new Schedule(seed, counters).run();
+        }
+        assertTrue(counters.read(Count.CALLS_RESUMED) > SCHEDULES);
+        assertTrue(counters.read(Refusal.REVOKED) > SCHEDULES);
+        assertTrue(counters.read(Refusal.STALE) > SCHEDULES);
+    }
+
+    /** One schedule: a client, a gate, and the connections between them. */
+    private static final class Schedule {
+        private final int seed;
+        private final RandomGenerator random;
+        private final SteppedClock clientClock = SteppedClock.of(5_000_000);
+        private final SteppedClock gateClock = SteppedClock.of(1_000);
+        private final LinkCounters counters;
+        private final LinkCalls link;
+        private final InFlightCalls calls;
+        private final List<InFlightCall> added = new ArrayList<>();
+        private final Map<String, Integer> runs = new HashMap<>();
+        private final List<Run> running = new ArrayList<>();
+        private final List<Connection> connections = new ArrayList<>();
+        private long incarnation;
+        private ServedCalls gate;
+        private Connection current;
+
+        private Schedule(final int seed, final LinkCounters counters) {
+            this.seed = seed;
+            this.counters = counters;
+            this.link = new LinkCalls(LinkLimits.standard(), clientClock, counters);
+            this.calls = link.inFlight();
+            this.random = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
+        }
+
+        private void run() throws LinkProtocolException {
+            restartGate();
+            reconnect();
+            for (int step = 0; step < STEPS; step++) {
+                act();
+            }
+            for (Connection connection : connections) {
+                while (!connection.toGate.isEmpty()) {
+                    deliverToGate(connection);
+                }
+            }
+            added.forEach(this::check);
+        }
+
+        private void act() throws LinkProtocolException {
+            switch (random.nextInt(20)) {
+                case 0, 1 -> addCall();
+                case 2, 3, 4 -> sendWaiting();
+                case 5, 6, 7, 8 -> deliverToGate(current);
+                case 9 -> deliverToGate(connections.get(random.nextInt(connections.size())));
+                case 10, 11, 12, 13 -> deliverToClient();
+                case 14, 15 -> endRun();
+                case 16, 17 -> advance();
+                case 18 -> reconnect();
+                default -> actRarely();
+            }
+        }
+
+        private void actRarely() {
+            int choice = random.nextInt(6);
+            if (choice == 0) {
+                restartGate();
+            } else if (choice == 1 && !added.isEmpty()) {
+                cancel(added.get(random.nextInt(added.size())));
+            }
+        }
+
+        private void addCall() {
+            String callId = "call-" + added.size();
+            long deadlineMs = clientClock.nowMs() + 100 + random.nextInt(4_000);
+            CallRequest request = LinkFixture.requestUntil(callId, deadlineMs, Body.EMPTY);
+            added.add(calls.add(request, new CompletableFuture<>(), clientClock.nowMs())
+                    .orElseThrow());
+        }
+
+        private void sendWaiting() {
+            Optional<InFlightCall> next = calls.nextWaiting();
+            if (next.isPresent() && calls.markSent(next.get(), current.peer)) {
+                InFlightCall call = next.get();
+                Freshness freshness = Freshness.newBuilder()
+                        .setStamp(current.stampMs)
+                        .setStampAgeMs(clientClock.nowMs() - current.stampReceivedMs)
+                        .setRemainingMs(remainingMs(call))
+                        .build();
+                current.toGate.add(Frames.of(CallCodec.encode(call.number(), call.request(), freshness)));
+            }
+        }
+
+        private void deliverToGate(final Connection connection) throws LinkProtocolException {
+            if (connection.toGate.isEmpty()) {
+                return;
+            }
+            Frame frame = connection.toGate.remove(0);
+            if (connection.gate != gate) {
+                return;
+            }
+            ResultReceiver receiver = (number, callId, result) ->
+                    connection.toClient.add(Frames.of(CallCodec.encode(number, callId, result)));
+            switch (frame.getContentCase()) {
+                case CALL_START -> gate.start(frame.getCallStart(), receiver);
+                case CALL_QUERY ->
+                    gate.query(frame.getCallQuery(), receiver)
+                            .ifPresent(state -> connection.toClient.add(Frames.of(state)));
+                default -> gate.cancel(frame.getCallCancel());
+            }
+        }
+
+        private void deliverToClient() throws LinkProtocolException {
+            if (current.toClient.isEmpty()) {
+                return;
+            }
+            Frame frame = current.toClient.remove(0);
+            if (frame.hasCallEnd()) {
+                link.receive(frame.getCallEnd());
+            } else {
+                link.receive(frame.getCallState());
+            }
+        }
+
+        private void endRun() {
+            if (!running.isEmpty()) {
+                Run run = running.remove(random.nextInt(running.size()));
+                run.future.complete(LinkFixture.answer(Body.of(run.callId.getBytes())));
+            }
+        }
+
+        private void advance() {
+            long stepMs = random.nextInt(random.nextInt(10) == 0 ? 2_000 : 200);
+            clientClock.advance(stepMs);
+            gateClock.advance(stepMs);
+            calls.expire(clientClock.nowMs()).forEach(this::sendCancel);
+            gate.expire();
+        }
+
+        private void reconnect() {
+            calls.connectionLost(clientClock.nowMs());
+            current = new Connection(
+                    gate,
+                    new LinkIdentity("gate", incarnation),
+                    gateClock.nowMs(),
+                    clientClock.nowMs(),
+                    new ArrayList<>(),
+                    new ArrayList<>());
+            connections.add(current);
+            for (InFlightCall call : calls.connectionOpened(current.peer)) {
+                current.toGate.add(Frames.query(call.number(), call.request().callId(), remainingMs(call)));
+            }
+        }
+
+        private void restartGate() {
+            incarnation++;
+            running.clear();
+            gate = new ServedCalls(this::handle, LinkLimits.standard(), gateClock, counters);
+        }
+
+        private CompletableFuture<CallResult> handle(final CallRequest request) {
+            Run run = new Run(request.callId(), new CompletableFuture<>());
+            runs.merge(run.callId, 1, Integer::sum);
+            running.add(run);
+            return run.future;
+        }
+
+        private void cancel(final InFlightCall call) {
+            if (calls.remove(call)) {
+                sendCancel(call);
+            }
+        }
+
+        private void sendCancel(final InFlightCall call) {
+            current.toGate.add(Frames.cancel(call.request().callId(), remainingMs(call)));
+        }
+
+        private long remainingMs(final InFlightCall call) {
+            return Math.max(0, call.request().deadlineMs() - clientClock.nowMs());
+        }
+
+        private void check(final InFlightCall call) {
+            String callId = call.request().callId();
+            int times = runs.getOrDefault(callId, 0);
+            String where = callId + " of schedule " + seed;
+            assertTrue(times <= 1, where);
+            CallResult result = call.future().getNow(null);
+            if (result != null && result.outcome() == Outcome.NOT_RUN) {
+                assertEquals(0, times, where);
+            }
+            if (result != null && result.outcome() == Outcome.COMPLETE) {
+                assertEquals(1, times, where);
+                assertEquals(LinkFixture.answer(Body.of(callId.getBytes())), result, where);
+            }
+        }
+    }
+
+    /** One connection with the frames that are on their way. */
+    private record Connection(
+            ServedCalls gate,
+            LinkIdentity peer,
+            long stampMs,
+            long stampReceivedMs,
+            List<Frame> toGate,
+            List<Frame> toClient) {}
+
+    /** One run of a call at the gate. */
+    private record Run(String callId, CompletableFuture<CallResult> future) {}
+}
--- a/sequoiashunt-link/src/test/java/org/sequoiashunt/link/LinkFixture.java
+++ b/sequoiashunt-link/src/test/java/org/sequoiashunt/link/LinkFixture.java
@@ -90,6 +90,10 @@
     }
 
     static CallRequest request(final String callId, final long timeoutMs, final Body body) {
+        return requestUntil(callId, CLOCK.nowMs() + timeoutMs, body);
+    }
+
+    static CallRequest requestUntil(final String callId, final long deadlineMs, final Body body) {
         return new CallRequest(
                 callId,
                 "registry-desk",
@@ -102,7 +106,7 @@
                 body,
                 false,
                 Optional.of("key-" + callId),
-                CLOCK.nowMs() + timeoutMs);
+                deadlineMs);
     }
 
     static CallResult answer(final Body body) {
