--- a/sequoiashunt-link/src/test/java/org/sequoiashunt/link/LinkFaultTest.java
+++ b/sequoiashunt-link/src/test/java/org/sequoiashunt/link/LinkFaultTest.java
@@ -110,6 +110,7 @@
     @Test
     void anAnswerWithTheNumberOfAnotherCallReachesNoCaller() throws Exception {
         try (ServerSocket listener = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            listener.setSoTimeout((int) LinkFixture.WAIT_MS);
             NodeAddress address = new NodeAddress("127.0.0.1", listener.getLocalPort());
             CompletableFuture<CallResult> call = fixture.client.call(address, LinkFixture.request("call", 20_000));
             try (RawPeer peer = new RawPeer(listener.accept())) {
@@ -132,6 +133,7 @@
     @Test
     void aBodyCutInItsFrameReachesNoCaller() throws Exception {
         try (ServerSocket listener = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            listener.setSoTimeout((int) LinkFixture.WAIT_MS);
             NodeAddress address = new NodeAddress("127.0.0.1", listener.getLocalPort());
             CompletableFuture<CallResult> call = fixture.client.call(address, LinkFixture.request("call", 2_000));
             try (RawPeer peer = new RawPeer(listener.accept())) {
