Texts of the operators' command, held by approval tests

A value of the store that cannot be read hides only its own move or failure domain; a failure domain that runs a newer version than the accepted one is told apart.

--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/store/MemoryStore.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/store/MemoryStore.java
@@ -205,7 +205,7 @@
 
     private void admit() throws StoreException {
         if (!available) {
-            throw new StoreException("the store is unavailable", false);
+            throw new StoreException("outage of the store", false);
         }
     }
 
--- a/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/CommitText.java
+++ b/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/CommitText.java
@@ -34,7 +34,7 @@
                             .append(MoveText.title(service.service(), move))
                             .append(": due ")
                             .append(Texts.time(move.finishByMs()))
-                            .append('\n'));
+                            .append(move.finishByMs() <= record.atMs() ? ", which has passed already\n" : "\n"));
         }
         return text.toString();
     }
--- a/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/DomainStatus.java
+++ b/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/DomainStatus.java
@@ -65,6 +65,8 @@
     enum State {
         /** Every node that serves has it. */
         IN_FORCE,
+        /** Every node that serves has a newer one, which nodes never give up. */
+        NEWER,
         /** Some nodes have it. */
         PARTLY,
         /** No node has it. */
@@ -73,7 +75,10 @@
         NO_REPORT;
 
         private static State of(final DomainSummary summary, final long acceptedVersion) {
-            if (summary.lowestVersion() >= acceptedVersion) {
+            if (summary.lowestVersion() > acceptedVersion) {
+                return NEWER;
+            }
+            if (summary.lowestVersion() == acceptedVersion) {
                 return IN_FORCE;
             }
             return summary.highestVersion() >= acceptedVersion ? PARTLY : NOT_IN_FORCE;
--- a/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/Explanation.java
+++ b/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/Explanation.java
@@ -54,7 +54,7 @@
                 text,
                 "target: nearest first, own failure domain, then region, then the other;"
                         + " the less loaded of two picked at random");
-        appendLine(text, "timeout: " + matched.timeoutMs() + " ms for all attempts together");
+        appendLine(text, "timeout: " + matched.timeoutMs() + " ms for the whole call");
         appendLine(text, "idempotent: " + idempotence(matched));
         appendLine(text, "home groups: " + homeGroups());
         return text.toString();
@@ -79,8 +79,9 @@
                             + " by growing shares; name the store to see where the move stands");
             return;
         }
-        int share = progress.get().newVersionShareParts();
-        appendLine(text, "version: " + versions(move, share));
+        boolean known = progress.get().state() != MoveStatus.State.UNREADABLE;
+        String versions = versions(move, progress.get().newVersionShareParts());
+        appendLine(text, "version: " + (known ? versions : "not known"));
         appendLine(text, "move: " + MoveText.line(progress.get()));
     }
 
--- a/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/ManifestFile.java
+++ b/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/ManifestFile.java
@@ -23,6 +23,8 @@
             return ManifestReader.read(file, stream.readNBytes(ManifestReader.MAXIMUM_BYTES + 1));
         } catch (NoSuchFileException exception) {
             throw new IOException("there is no file '" + file + "'", exception);
+        } catch (IOException exception) {
+            throw new IOException("'" + file + "' cannot be read: " + exception.getMessage(), exception);
         }
     }
 
--- a/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/MoveStatus.java
+++ b/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/MoveStatus.java
@@ -51,6 +51,11 @@
         return of(service, move, state, latest.shareParts(), latest.atMs(), lateByMs, latest.reason());
     }
 
+    /** Creates the status of a move whose progress in the store cannot be read. */
+    static MoveStatus unreadable(final String service, final Move move, final String reason) {
+        return of(service, move, State.UNREADABLE, 0, 0, 0, reason);
+    }
+
     /** Returns this status for a move that the configuration in force does not contain any more. */
     MoveStatus outOfForce() {
         if (!state.isOpen() && state != State.WATCHED) {
@@ -62,7 +67,7 @@
     /** Returns the share of requests that take the new version now, in parts per million. */
     int newVersionShareParts() {
         return switch (state) {
-            case NOT_STARTED, TAKEN_BACK, REPLACED -> 0;
+            case NOT_STARTED, TAKEN_BACK, REPLACED, UNREADABLE -> 0;
             case IN_PROGRESS -> shareParts;
             case WATCHED, DONE -> RolloutProgress.WHOLE_SHARE_PARTS;
         };
@@ -102,7 +107,9 @@
         /** Finished; the old version keeps the traffic. */
         TAKEN_BACK(false),
         /** A later commit replaced the move before it was finished. */
-        REPLACED(false);
+        REPLACED(false),
+        /** The store holds progress that cannot be read. */
+        UNREADABLE(false);
 
         private final boolean open;
 
--- a/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/MoveText.java
+++ b/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/MoveText.java
@@ -26,6 +26,7 @@
             case WATCHED -> "in progress, all traffic since " + Texts.time(status.sinceMs()) + " and under watch" + due;
             case DONE -> "done at " + Texts.time(status.sinceMs()) + due;
             case TAKEN_BACK -> "taken back at " + Texts.time(status.sinceMs());
+            case UNREADABLE -> "not known" + due;
             case REPLACED -> "replaced by a later commit at " + Texts.share(status.shareParts()) + " of the traffic";
         };
     }
--- a/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/Operator.java
+++ b/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/Operator.java
@@ -8,6 +8,7 @@
 import java.util.Objects;
 import org.sequoiashunt.configuration.ConfigurationException;
 import org.sequoiashunt.manifest.ManifestException;
+import org.sequoiashunt.platform.UnreadableValueException;
 import org.sequoiashunt.store.StoreException;
 
 /**
@@ -72,7 +73,7 @@
     private CommandResult runGuarded(final Command command) throws UsageException {
         try {
             return command.run(environment);
-        } catch (ManifestException | ConfigurationException | IOException exception) {
+        } catch (ManifestException | ConfigurationException | UnreadableValueException | IOException exception) {
             return CommandResult.failed(ExitCode.REFUSED, exception.getMessage() + "\n");
         } catch (StoreException exception) {
             return CommandResult.failed(
--- a/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/StatusReport.java
+++ b/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/StatusReport.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import org.sequoiashunt.configuration.ConfigurationException;
 import org.sequoiashunt.configuration.ServiceConfiguration;
@@ -56,7 +57,8 @@
             throws StoreException {
         Map<String, Optional<DomainSummary>> known = new TreeMap<>();
         record.groups().values().forEach(domains -> domains.forEach(domain -> known.put(domain, Optional.empty())));
-        view.domains().forEach(summary -> known.put(summary.failureDomain(), Optional.of(summary)));
+        view.domains(Set.copyOf(known.keySet()))
+                .forEach(summary -> known.put(summary.failureDomain(), Optional.of(summary)));
         List<DomainStatus> statuses = new ArrayList<>();
         known.forEach((domain, summary) -> statuses.add(DomainStatus.of(domain, summary, record.version(), nowMs)));
         return statuses;
--- a/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/StatusText.java
+++ b/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/StatusText.java
@@ -34,6 +34,7 @@
         String nodes = Texts.count(domain.members(), "node");
         return switch (domain.state()) {
             case IN_FORCE -> "version " + version + " in force, " + nodes;
+            case NEWER -> "a newer version in force, the lowest is " + domain.lowestVersion() + ", " + nodes;
             case PARTLY ->
                 "version " + version + " in force in part, the lowest is " + domain.lowestVersion() + ", " + nodes;
             case NOT_IN_FORCE -> "version " + version + " NOT in force, " + highest(domain) + ", " + nodes;
--- a/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/StoreView.java
+++ b/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/StoreView.java
@@ -1,5 +1,7 @@
 package org.sequoiashunt.operator;
 
+import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -12,6 +14,7 @@
 import org.sequoiashunt.platform.CommitRecord;
 import org.sequoiashunt.platform.StoredDomainRegister;
 import org.sequoiashunt.platform.StoredMoveRegister;
+import org.sequoiashunt.platform.UnreadableValueException;
 import org.sequoiashunt.store.Store;
 import org.sequoiashunt.store.StoreException;
 
@@ -62,15 +65,31 @@
         return Optional.of(known);
     }
 
+    /** Tells where a move stands; a value that cannot be read does not hide the other moves. */
     MoveStatus move(final String service, final Move move) throws StoreException {
-        return MoveStatus.of(
-                service,
-                move,
-                moves.readHistory(move.identity(service)),
-                environment.clock().nowMs());
+        long nowMs = environment.clock().nowMs();
+        try {
+            return MoveStatus.of(service, move, moves.readHistory(move.identity(service)), nowMs);
+        } catch (UnreadableValueException exception) {
+            return MoveStatus.unreadable(service, move, exception.getMessage());
+        }
     }
 
-    List<DomainSummary> domains() throws StoreException {
-        return domains.readAll();
+    /** Reads all summaries, or the readable ones of the domains named if one cannot be read. */
+    List<DomainSummary> domains(final Collection<String> named) throws StoreException {
+        try {
+            return domains.readAll();
+        } catch (UnreadableValueException exception) {
+            environment.notices().accept(exception.getMessage());
+        }
+        List<DomainSummary> readable = new ArrayList<>();
+        for (String domain : named) {
+            try {
+                domains.read(domain).ifPresent(readable::add);
+            } catch (UnreadableValueException exception) {
+                environment.notices().accept(domain + " is shown without its report");
+            }
+        }
+        return readable;
     }
 }
--- /dev/null
+++ b/sequoiashunt-operator/src/test/java/org/sequoiashunt/operator/CommitCommandTest.java
@@ -0,0 +1,85 @@
+package org.sequoiashunt.operator;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.approvaltests.reporters.QuietReporter;
+import org.approvaltests.reporters.UseReporter;
+import org.junit.jupiter.api.Test;
+import org.sequoiashunt.store.StoreKeys;
+
+@UseReporter(QuietReporter.class)
+final class CommitCommandTest {
+
+    private final OperatorFixture fixture = new OperatorFixture();
+
+    @Test
+    void committedVersionAndItsMovesAreNamed() {
+        fixture.verify(fixture.commit("first", "c-1"), fixture.commit("second", "c-2", "--expect", "1"));
+    }
+
+    @Test
+    void identityIsMadeUpAndAnnouncedBeforeTheCommit() {
+        fixture.verify(fixture.run(
+                "commit",
+                OperatorFixture.file("first"),
+                "--author",
+                "a",
+                "--message",
+                "line\nbreak",
+                "--store",
+                "[::1]:9"));
+    }
+
+    @Test
+    void repetitionAndIdenticalContentChangeNothing() {
+        fixture.commit("first", "c-1");
+        fixture.verify(fixture.commit("first", "c-1"), fixture.commit("first", "c-2"));
+    }
+
+    @Test
+    void outdatedExpectationNamesTheWinner() {
+        fixture.commit("first", "c-1");
+        fixture.commit("second", "c-2");
+        fixture.verify(fixture.commit("third", "c-3", "--expect", "1"));
+    }
+
+    @Test
+    void lostRaceNamesTheWinner() {
+        fixture.commit("first", "c-1");
+        AtomicBoolean raced = new AtomicBoolean();
+        fixture.store.addListener(key -> {
+            if (key.equals(StoreKeys.VERSIONS + "2-c-2") && raced.compareAndSet(false, true)) {
+                fixture.commit("third", "c-3");
+            }
+        });
+        fixture.verify(fixture.commit("second", "c-2"));
+    }
+
+    @Test
+    void lostAnswersAreResolved() {
+        fixture.store.loseAnswers(Integer.MAX_VALUE);
+        fixture.verify(fixture.commit("first", "c-1"));
+    }
+
+    @Test
+    void outageBeforeTheHeadIsWrittenCommitsNothing() {
+        fixture.store.setAvailable(false);
+        fixture.verify(fixture.commit("first", "c-1"));
+    }
+
+    @Test
+    void outageAfterTheHeadIsWrittenIsToldAndRepeatable() {
+        fixture.store.loseAnswers(Integer.MAX_VALUE);
+        fixture.store.addListener(key -> fixture.store.setAvailable(!key.equals(StoreKeys.HEAD)));
+        CommandResult notKnown = fixture.commit("first", "c-1");
+        fixture.store.setAvailable(true);
+        fixture.verify(notKnown, fixture.commit("first", "c-1"));
+    }
+
+    @Test
+    void invalidManifestTouchesNothing() {
+        assertEquals(ExitCode.REFUSED, fixture.commit("invalid", "c-1").code());
+        assertEquals(0, fixture.store.reads() + fixture.store.writes());
+    }
+}
--- /dev/null
+++ b/sequoiashunt-operator/src/test/java/org/sequoiashunt/operator/HistoryCommandTest.java
@@ -0,0 +1,38 @@
+package org.sequoiashunt.operator;
+
+import org.approvaltests.reporters.QuietReporter;
+import org.approvaltests.reporters.UseReporter;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.sequoiashunt.rollout.Stage;
+import org.sequoiashunt.store.StoreException;
+
+@UseReporter(QuietReporter.class)
+final class HistoryCommandTest {
+
+    private final OperatorFixture fixture = new OperatorFixture();
+
+    @BeforeEach
+    void commit() throws StoreException {
+        fixture.commit("first", "c-1");
+        fixture.clock.advance(60_000);
+        fixture.commit("second", "c-2");
+        fixture.progress("press-floor_7_8_1796382000000", Stage.SEALED_DONE, 1_000_000, "no fault");
+        fixture.progress("registry-desk_2026.11_2026.12_1796378400000", Stage.SHIFTING, 250_000, "no fault yet");
+        fixture.clock.advance(60_000);
+        fixture.commit("third", "c-3");
+    }
+
+    @Test
+    void tellsWhatChangedAndWhatBecameOfEachMove() {
+        fixture.verify(fixture.run("history"));
+    }
+
+    @Test
+    void listsOnlyOneServiceUpToTheLimit() {
+        fixture.verify(
+                fixture.run("history", "--service", "embossing"),
+                fixture.run("history", "--service", "press-floor", "--limit", "1"),
+                fixture.run("history", "--service", "unheard-of"));
+    }
+}
--- a/sequoiashunt-platform/src/main/java/org/sequoiashunt/platform/RevisedDocument.java
+++ b/sequoiashunt-platform/src/main/java/org/sequoiashunt/platform/RevisedDocument.java
@@ -25,8 +25,7 @@
         try {
             return new RevisedDocument<>(value.revision(), JsonCodec.read(value.bytes(), type));
         } catch (IOException exception) {
-            throw new StoreException(
-                    "the value of '" + value.key() + "' cannot be read: " + exception.getMessage(), false, exception);
+            throw new UnreadableValueException(value.key(), exception);
         }
     }
 }
