--- a/sequoiashunt-platform/src/main/java/org/sequoiashunt/manifest/RouteReader.java
+++ b/sequoiashunt-platform/src/main/java/org/sequoiashunt/manifest/RouteReader.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.regex.Pattern;
 import org.sequoiashunt.configuration.Route;
 import org.yaml.snakeyaml.nodes.Node;
@@ -41,7 +42,7 @@
             MappingReader.of(element, path + "[" + index + "]", problems)
                     .flatMap(this::readRoute)
                     .ifPresent(route -> {
-                        warnIfUnreachable(element, route, routes);
+                        warnIfUnreachable(element, route);
                         routes.add(route);
                     });
         }
@@ -132,17 +133,31 @@
         }
     }
 
-    /** Routes are tried in order, so one that an earlier route covers gets no request. */
-    private void warnIfUnreachable(final Node node, final Route route, final List<Route> earlier) {
-        for (Route other : earlier) {
-            boolean covered = route.methods().stream().allMatch(method -> other.matches(method, route.pathPrefix()));
-            if (covered) {
-                problems.warning(
-                        node,
-                        "routes." + route.name(),
-                        "never used, since route '" + other.name() + "' before it matches all its requests");
+    /** Routes are tried in order, so one whose requests all match earlier routes gets none. */
+    private void warnIfUnreachable(final Node node, final Route route) {
+        Set<String> covering = new TreeSet<>();
+        for (String method : route.methods()) {
+            Optional<String> earlier = coveringPrefix(method, route.pathPrefix());
+            if (earlier.isEmpty()) {
                 return;
             }
+            covering.add(routeOfMatch.get(method + " " + earlier.get()));
         }
+        problems.warning(
+                node,
+                "routes." + route.name(),
+                "never used, since " + String.join(" and ", covering) + " before it matches all its requests");
+    }
+
+    /** Finds a shorter path prefix that an earlier route has for the method. */
+    private Optional<String> coveringPrefix(final String method, final String path) {
+        for (int slash = path.indexOf('/'); slash >= 0; slash = path.indexOf('/', slash + 1)) {
+            for (String prefix : List.of(path.substring(0, slash), path.substring(0, slash + 1))) {
+                if (!prefix.equals(path) && routeOfMatch.containsKey(method + " " + prefix)) {
+                    return Optional.of(prefix);
+                }
+            }
+        }
+        return Optional.empty();
     }
 }
--- /dev/null
+++ b/sequoiashunt-platform/src/test/java/org/sequoiashunt/platform/HttpStoreTest.java
@@ -0,0 +1,180 @@
+package org.sequoiashunt.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.function.Executable;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.sequoiashunt.lifecycle.Closer;
+import org.sequoiashunt.peer.NodeAddress;
+import org.sequoiashunt.store.Store;
+import org.sequoiashunt.store.StoreException;
+
+/** Answers the adapter byte by byte, as no well-behaved store would. */
+@Timeout(value = 60, unit = TimeUnit.SECONDS)
+final class HttpStoreTest {
+
+    private static final long LONG_TIMEOUT_MS = 30_000;
+    private static final long SHORT_TIMEOUT_MS = 300;
+    private static final byte[] VALUE = {1};
+
+    private final Closer closer = new Closer();
+    private final CountDownLatch testEnds = new CountDownLatch(1);
+
+    @AfterEach
+    void stop() throws Exception {
+        testEnds.countDown();
+        closer.close();
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "",
+                "HTTP/1.1 200 OK\r\nContent-Le",
+                "HTTP/1.1 200 OK\r\nRevision: 1\r\nContent-Length: 5\r\n\r\nab",
+                "HTTP/1.1 200 OK\r\nRevision: 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
+                "HTTP/1.1 200 OK\r\nRevision: 1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nab\r\n0\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nRevision: one\r\nContent-Length: 0\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+                "HTTP/1.1 302 Found\r\nContent-Length: 0\r\n\r\n",
+                "SSH-2.0-OpenSSH\r\n\r\n"
+            })
+    void answerThatIsNotWholeIsNoAnswer(final String answer) throws IOException {
+        HttpStore store = answering(LONG_TIMEOUT_MS, output -> output.write(bytes(answer)));
+        assertTrue(failure(() -> store.compareAndSwap("a", Store.ABSENT, VALUE)).mayHaveTakenEffect());
+        assertTrue(!failure(() -> store.read("a")).mayHaveTakenEffect());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"400,false", "404,false", "413,false", "429,false", "503,false", "500,true", "504,true"})
+    void statusTellsWhetherAWriteMayHaveTakenEffect(final int status, final boolean effectPossible) throws IOException {
+        HttpStore store = answering(
+                LONG_TIMEOUT_MS,
+                output -> output.write(bytes("HTTP/1.1 " + status + " No\r\nContent-Length: 0\r\n\r\n")));
+        assertEquals(
+                effectPossible,
+                failure(() -> store.compareAndSwap("a", Store.ABSENT, VALUE)).mayHaveTakenEffect());
+    }
+
+    @Test
+    void endlessAnswerIsCutAtItsBound() throws IOException {
+        HttpStore store = answering(LONG_TIMEOUT_MS, output -> {
+            output.write(bytes("HTTP/1.1 200 OK\r\nRevision: 1\r\nTransfer-Encoding: chunked\r\n\r\n"));
+            writeForever(output, bytes("400\r\n" + "x".repeat(1_024) + "\r\n"));
+        });
+        assertTrue(failure(() -> store.read("a")).getMessage().contains("exceeds 1048576 bytes"));
+    }
+
+    @Test
+    void endlessHeadersEndWithTheTimeout() throws IOException {
+        HttpStore store = answering(SHORT_TIMEOUT_MS, output -> {
+            output.write(bytes("HTTP/1.1 200 OK\r\n"));
+            writeForever(output, bytes("Name: value\r\n"));
+        });
+        failure(() -> store.read("a"));
+    }
+
+    @Test
+    void dribblingAnswerEndsWithTheTimeout() throws IOException {
+        HttpStore store = answering(SHORT_TIMEOUT_MS, output -> {
+            output.write(bytes("HTTP/1.1 200 OK\r\nRevision: 1\r\nContent-Length: 9\r\n\r\na"));
+            testEnds.await();
+        });
+        assertTrue(failure(() -> store.watch("a", Store.ABSENT, 1)).getMessage().contains("no answer within 301 ms"));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"{}", "{\"values\":null}", "{\"values\":[{\"key\":\"a\"}]}", "[1", "{\"values\":[null]}"})
+    void malformedListIsRefused(final String list) throws IOException {
+        HttpStore store = answering(
+                LONG_TIMEOUT_MS,
+                output ->
+                        output.write(bytes("HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list)));
+        assertTrue(failure(() -> store.list("a/")).getMessage().contains("invalid answer"));
+        failure(() -> store.acquireLease("a", "b", 1));
+    }
+
+    @Test
+    void oversizedValueIsNotSent() throws IOException {
+        HttpStore store = answering(LONG_TIMEOUT_MS, output -> output.write(bytes("HTTP/1.1 200 OK\r\n\r\n")));
+        byte[] oversized = new byte[Store.MAXIMUM_VALUE_BYTES + 1];
+        assertTrue(!failure(() -> store.compareAndSwap("a", Store.ABSENT, oversized))
+                .mayHaveTakenEffect());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "/a", "a/", "a//b", "a b", "a?b", "a\r\nb", "ä"})
+    void whatIsNoKeyIsRefused(final String key) throws IOException {
+        HttpStore store = answering(LONG_TIMEOUT_MS, output -> output.write(bytes("")));
+        assertThrows(IllegalArgumentException.class, () -> store.read(key));
+    }
+
+    private static StoreException failure(final Executable call) {
+        return assertThrows(StoreException.class, call);
+    }
+
+    /** Opens a server that reads one request head per connection, sends an answer and closes. */
+    private HttpStore answering(final long timeoutMs, final Answer answer) throws IOException {
+        ServerSocket server = closer.register(new ServerSocket(0, 50, InetAddress.getLoopbackAddress()));
+        Thread thread = new Thread(() -> serve(server, answer));
+        thread.setDaemon(true);
+        thread.start();
+        return HttpStore.open(new NodeAddress("127.0.0.1", server.getLocalPort()), timeoutMs, closer);
+    }
+
+    private static void serve(final ServerSocket server, final Answer answer) {
+        while (!server.isClosed()) {
+            try (Socket socket = server.accept()) {
+                readHead(socket);
+                answer.send(socket.getOutputStream());
+            } catch (IOException exception) {
+                // The adapter closed its connection, or the test is over.
+                continue;
+            } catch (InterruptedException exception) {
+                return;
+            }
+        }
+    }
+
+    private static void readHead(final Socket socket) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            int next = socket.getInputStream().read();
+            if (next < 0) {
+                throw new IOException("closed");
+            }
+            head.append((char) next);
+        }
+    }
+
+    private static void writeForever(final OutputStream output, final byte[] bytes) throws IOException {
+        while (true) {
+            output.write(bytes);
+        }
+    }
+
+    private static byte[] bytes(final String text) {
+        return text.getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    /** What the server sends. */
+    @FunctionalInterface
+    private interface Answer {
+        void send(OutputStream output) throws IOException, InterruptedException;
+    }
+}
