--- a/sequoiashunt-platform/src/main/java/org/sequoiashunt/http/HttpExchanger.java
+++ b/sequoiashunt-platform/src/main/java/org/sequoiashunt/http/HttpExchanger.java
@@ -10,13 +10,13 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import org.sequoiashunt.call.CallAnswer;
 import org.sequoiashunt.peer.NodeAddress;
 import org.sequoiashunt.time.Clock;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
-import org.xnio.XnioExecutor;
 import org.xnio.XnioWorker;
 
 /**
@@ -36,10 +36,15 @@
     private final ConnectionPool pool;
     private final int maximumAnswerBytes;
 
+    /** The worker's own timers are not used: set from another thread, one is now and then not noticed. */
+    private final ScheduledThreadPoolExecutor timers;
+
     private HttpExchanger(final XnioWorker worker, final Clock clock, final int maximumAnswerBytes) {
         this.worker = worker;
         this.buffers = new DefaultByteBufferPool(true, BUFFER_BYTES, POOLED_BUFFERS, THREAD_CACHED_BUFFERS);
         this.pool = new ConnectionPool(clock);
+        this.timers = new ScheduledThreadPoolExecutor(1, task -> new Thread(task, "http-timers"));
+        timers.setRemoveOnCancelPolicy(true);
         this.maximumAnswerBytes = maximumAnswerBytes;
     }
 
@@ -80,9 +85,8 @@
             return result;
         }
         HttpExchange exchange = new HttpExchange(request, result, maximumAnswerBytes);
-        XnioExecutor.Key timer =
-                worker.getIoThread().executeAfter(exchange::timedOut, timeoutMs, TimeUnit.MILLISECONDS);
-        result.whenComplete((answer, failure) -> timer.remove());
+        Future<?> timer = timers.schedule(exchange::timedOut, timeoutMs, TimeUnit.MILLISECONDS);
+        result.whenComplete((answer, failure) -> timer.cancel(false));
         connect(address, request, exchange);
         return result;
     }
@@ -108,10 +112,11 @@
         });
     }
 
-    /** Closes the kept connections. */
+    /** Closes the kept connections and ends the timers; exchanges under way lose their timeout. */
     @Override
     public void close() {
         pool.close();
+        timers.shutdownNow();
     }
 
     /** Starts the exchange once the connection stands. */
