--- a/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/CommitCommand.java
+++ b/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/CommitCommand.java
@@ -85,6 +85,7 @@
                 Texts.plain(author),
                 Texts.plain(message),
                 commitId == null ? newCommitId(environment) : commitId,
+                commitId != null,
                 expectedVersion == null ? OptionalLong.empty() : OptionalLong.of(expectedVersion));
     }
 
--- a/sequoiashunt-platform/src/main/java/org/sequoiashunt/platform/CommitRequest.java
+++ b/sequoiashunt-platform/src/main/java/org/sequoiashunt/platform/CommitRequest.java
@@ -19,6 +19,7 @@
  * @param author who commits.
  * @param message why.
  * @param commitId the identity of the commit; the same one for each repetition.
+ * @param repeatable whether an earlier attempt may have used the identity, so that the chain must be searched for it.
  * @param expectedVersion the version on which the change is based, empty for whatever is in force.
  */
 public record CommitRequest(
@@ -27,6 +28,7 @@
         String author,
         String message,
         String commitId,
+        boolean repeatable,
         OptionalLong expectedVersion) {
 
     private static final Pattern COMMIT_ID = Pattern.compile("[A-Za-z0-9][A-Za-z0-9-]{0,63}");
--- a/sequoiashunt-platform/src/main/java/org/sequoiashunt/platform/ConfigurationCommitter.java
+++ b/sequoiashunt-platform/src/main/java/org/sequoiashunt/platform/ConfigurationCommitter.java
@@ -97,7 +97,8 @@
     private Optional<CommitResult> resolveWithoutWriting(
             final CommitRequest request, final Optional<CommitRecord> current, final StoreRetry retry)
             throws StoreException, ConfigurationException {
-        Optional<CommitRecord> earlier = findByIdentity(request.commitId(), current, retry);
+        Optional<CommitRecord> earlier =
+                request.repeatable() ? findByIdentity(request.commitId(), current, retry) : Optional.empty();
         if (earlier.isPresent()) {
             return Optional.of(committed(earlier.get(), request));
         }
--- a/sequoiashunt-platform/src/test/java/org/sequoiashunt/platform/CommitterFixture.java
+++ b/sequoiashunt-platform/src/test/java/org/sequoiashunt/platform/CommitterFixture.java
@@ -40,7 +40,7 @@
         TreeMap<String, ServiceConfiguration> services = new TreeMap<>();
         services.put("lot-ledger", service("lot-ledger", "1"));
         services.put("registry-desk", service("registry-desk", version));
-        return new CommitRequest(groups, services, "author of " + commitId, "message", commitId, expected);
+        return new CommitRequest(groups, services, "author of " + commitId, "message", commitId, true, expected);
     }
 
     static ServiceConfiguration service(final String name, final String version) {
--- a/sequoiashunt-platform/src/test/java/org/sequoiashunt/platform/ConfigurationCommitterTest.java
+++ b/sequoiashunt-platform/src/test/java/org/sequoiashunt/platform/ConfigurationCommitterTest.java
@@ -57,6 +57,19 @@
         assertEquals(1, fixture.committedTimes("first"));
     }
 
+    @Test
+    void newIdentityIsNotSearchedFor() throws Exception {
+        fixture.commit("first", "1");
+        fixture.commit("second", "2");
+        long before = fixture.store.reads();
+        CommitRequest given = CommitterFixture.request("third", "3");
+        CommitRequest made = new CommitRequest(
+                given.groups(), given.services(), "author", "message", "third", false, given.expectedVersion());
+        assertEquals(
+                Outcome.COMMITTED, fixture.committer(fixture.store).commit(made).outcome());
+        assertEquals(3, fixture.store.reads() - before);
+    }
+
     @Test
     void identityOfAnotherConfigurationIsRefused() throws Exception {
         fixture.commit("first", "1");
--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/store/StoreStandIn.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/store/StoreStandIn.java
@@ -9,7 +9,6 @@
 import org.sequoiashunt.peer.NodeAddress;
 import org.sequoiashunt.platform.StoreProtocol;
 import org.sequoiashunt.store.MemoryStore;
-import org.sequoiashunt.store.Store;
 import org.sequoiashunt.time.Clock;
 
 /**
@@ -39,7 +38,6 @@
                 .addHttpListener(port, address.host(), handlers(admission))
                 .setIoThreads(2)
                 .setWorkerThreads(1)
-                .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, (long) Store.MAXIMUM_VALUE_BYTES)
                 .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAXIMUM_HEADER_BYTES)
                 .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, HEAD_TIMEOUT_MS)
                 .build();
--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/store/ValueHandler.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/store/ValueHandler.java
@@ -2,7 +2,6 @@
 
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.util.Headers;
 import io.undertow.util.Methods;
 import io.undertow.util.StatusCodes;
 import java.util.ArrayList;
@@ -10,10 +9,10 @@
 import java.util.Optional;
 import org.sequoiashunt.platform.StoreProtocol;
 import org.sequoiashunt.store.MemoryStore;
-import org.sequoiashunt.store.Store;
 import org.sequoiashunt.store.StoreConflictException;
 import org.sequoiashunt.store.StoreException;
 import org.sequoiashunt.store.StoredValue;
+import org.xnio.IoUtils;
 
 /**
  * Serves reads, lists and compare-and-swaps of values. Thread-safe; runs on I/O threads and never blocks.
@@ -76,21 +75,33 @@
             Responses.sendBadRequest(exchange, "Expected-Revision must be a number, 0 for a key that must not exist");
             return;
         }
-        if (exchange.getRequestContentLength() > Store.MAXIMUM_VALUE_BYTES) {
-            refuseOversized(exchange);
-            return;
-        }
+        ValueCollector collector = new ValueCollector();
         exchange.getRequestReceiver()
-                .receiveFullBytes(
-                        (received, value) -> admission.admit(
-                                received, CallKind.WRITE, () -> swap(received, key, expected.get(), value)),
-                        (received, exception) -> refuseOversized(received));
+                .receivePartialBytes(
+                        (receiving, chunk, last) -> {
+                            collector.add(chunk);
+                            if (last) {
+                                admission.admit(
+                                        receiving,
+                                        CallKind.WRITE,
+                                        () -> swap(receiving, key, expected.get(), collector.value()));
+                            } else if (collector.isEndless()) {
+                                IoUtils.safeClose(receiving.getConnection());
+                            }
+                        },
+                        (receiving, exception) -> IoUtils.safeClose(receiving.getConnection()));
     }
 
-    private static void refuseOversized(final HttpServerExchange exchange) {
-        exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
-        exchange.setPersistent(false);
-        Responses.sendStatus(exchange, StatusCodes.REQUEST_ENTITY_TOO_LARGE);
+    private void swap(
+            final HttpServerExchange exchange,
+            final String key,
+            final long expectedRevision,
+            final Optional<byte[]> value) {
+        if (value.isEmpty()) {
+            Responses.sendStatus(exchange, StatusCodes.REQUEST_ENTITY_TOO_LARGE);
+        } else {
+            swap(exchange, key, expectedRevision, value.get());
+        }
     }
 
     private void swap(
--- a/sequoiashunt-trial/src/test/java/org/sequoiashunt/trial/store/StoreStandInTest.java
+++ b/sequoiashunt-trial/src/test/java/org/sequoiashunt/trial/store/StoreStandInTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.ByteArrayInputStream;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -20,6 +21,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.sequoiashunt.lifecycle.Closer;
 import org.sequoiashunt.platform.HttpStore;
 import org.sequoiashunt.store.Store;
@@ -166,6 +169,37 @@
         assertTrue(post("/counters").contains("\"outageRefusals\":1"));
     }
 
+    @ParameterizedTest
+    @CsvSource({
+        "PUT, /v1/values/a, 400",
+        "PUT, /v1/values, 405",
+        "DELETE, /v1/values/a, 405",
+        "GET, /v1/watch/a?revision=x&waitMs=1, 400",
+        "GET, /v1/watch/a?revision=0&waitMs=0, 400",
+        "GET, /v1/watch/a?revision=0&waitMs=99999999, 400",
+        "POST, /v1/leases/a, 400",
+        "POST, /v1/leases/a?holder=b&durationMs=-1, 400",
+        "GET, /v1/leases/a?holder=b, 405",
+        "GET, /v2, 404"
+    })
+    void malformedCallIsRefused(final String method, final String path, final int status) throws Exception {
+        assertEquals(
+                status, send(method, path, HttpRequest.BodyPublishers.noBody()).statusCode());
+    }
+
+    @Test
+    void oversizedValueIsRefusedAndNotKept() throws Exception {
+        byte[] oversized = new byte[Store.MAXIMUM_VALUE_BYTES + 1];
+        HttpRequest.BodyPublisher chunked =
+                HttpRequest.BodyPublishers.ofInputStream(() -> new ByteArrayInputStream(oversized));
+        for (HttpRequest.BodyPublisher body : List.of(HttpRequest.BodyPublishers.ofByteArray(oversized), chunked)) {
+            assertEquals(
+                    413,
+                    send("PUT", "/v1/values/a", body, "Expected-Revision", "0").statusCode());
+        }
+        assertTrue(store.read("a").isEmpty());
+    }
+
     private static StoreException failedWrite(final Store store) {
         return assertThrows(StoreException.class, () -> store.compareAndSwap("a", Store.ABSENT, VALUE));
     }
@@ -185,11 +219,18 @@
     }
 
     private String post(final String path) throws Exception {
-        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + standIn.address() + path))
-                .POST(HttpRequest.BodyPublishers.noBody())
-                .build();
-        return HttpClient.newHttpClient()
-                .send(request, HttpResponse.BodyHandlers.ofString())
-                .body();
+        return send("POST", path, HttpRequest.BodyPublishers.noBody()).body();
+    }
+
+    private HttpResponse<String> send(
+            final String method, final String path, final HttpRequest.BodyPublisher body, final String... headers)
+            throws Exception {
+        HttpRequest.Builder request = HttpRequest.newBuilder(URI.create("http://" + standIn.address() + path))
+                .version(HttpClient.Version.HTTP_1_1)
+                .method(method, body);
+        if (headers.length > 0) {
+            request.headers(headers);
+        }
+        return HttpClient.newHttpClient().send(request.build(), HttpResponse.BodyHandlers.ofString());
     }
 }
