--- a/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/HistoryText.java
+++ b/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/HistoryText.java
@@ -11,6 +11,7 @@
 import org.sequoiashunt.configuration.Move;
 import org.sequoiashunt.configuration.ServiceConfiguration;
 import org.sequoiashunt.platform.CommitRecord;
+import org.sequoiashunt.platform.MoveHistory;
 import org.sequoiashunt.store.StoreException;
 
 /**
@@ -79,6 +80,17 @@
                 .filter(move -> !before.flatMap(ServiceConfiguration::move).equals(Optional.of(move)));
         if (begun.isPresent()) {
             lines.add("move " + MoveText.line(outcome(service, begun.get())));
+            describeSteps(service, begun.get(), lines);
+        }
+    }
+
+    /** The stages of a move are listed only when one service is asked for. */
+    private void describeSteps(final String service, final Move move, final List<String> lines) throws StoreException {
+        if (onlyService.isEmpty()) {
+            return;
+        }
+        for (MoveHistory.Step step : view.steps(service, move)) {
+            lines.add("  " + MoveText.step(step));
         }
     }
 
--- a/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/MoveText.java
+++ b/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/MoveText.java
@@ -1,6 +1,7 @@
 package org.sequoiashunt.operator;
 
 import org.sequoiashunt.configuration.Move;
+import org.sequoiashunt.platform.MoveHistory;
 
 /**
  * States in one plain line where a move stands. Not instantiable; thread-safe.
@@ -18,6 +19,18 @@
         return title + state(status) + lateness(status) + reason(status);
     }
 
+    static String step(final MoveHistory.Step step) {
+        String stage =
+                switch (step.stage()) {
+                    case SHIFTING -> Texts.share(step.shareParts()) + " of the traffic";
+                    case WATCHING -> "all traffic, under watch";
+                    case TAKEN_BACK -> "taken back";
+                    case SEALED_DONE -> "done for good";
+                    case SEALED_TAKEN_BACK -> "taken back for good";
+                };
+        return Texts.time(step.atMs()) + " " + stage + ": " + Texts.plain(step.reason());
+    }
+
     private static String state(final MoveStatus status) {
         String due = ", due " + Texts.time(status.finishByMs());
         return switch (status.state()) {
--- a/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/StoreView.java
+++ b/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/StoreView.java
@@ -12,6 +12,7 @@
 import org.sequoiashunt.membership.DomainSummary;
 import org.sequoiashunt.platform.CommitLog;
 import org.sequoiashunt.platform.CommitRecord;
+import org.sequoiashunt.platform.MoveHistory;
 import org.sequoiashunt.platform.StoredDomainRegister;
 import org.sequoiashunt.platform.StoredMoveRegister;
 import org.sequoiashunt.platform.UnreadableValueException;
@@ -75,6 +76,17 @@
         }
     }
 
+    /** Reads the stages that a move went through, none if there are none that can be read. */
+    List<MoveHistory.Step> steps(final String service, final Move move) throws StoreException {
+        try {
+            return moves.readHistory(move.identity(service))
+                    .map(MoveHistory::steps)
+                    .orElse(List.of());
+        } catch (UnreadableValueException exception) {
+            return List.of();
+        }
+    }
+
     /** Reads all summaries, or the readable ones of the domains named if one cannot be read. */
     List<DomainSummary> domains(final Collection<String> named) throws StoreException {
         try {
--- a/sequoiashunt-operator/src/test/java/org/sequoiashunt/operator/HistoryCommandTest.java
+++ b/sequoiashunt-operator/src/test/java/org/sequoiashunt/operator/HistoryCommandTest.java
@@ -17,6 +17,9 @@
         fixture.commit("first", "c-1");
         fixture.clock.advance(60_000);
         fixture.commit("second", "c-2");
+        fixture.progress("press-floor_7_8_1796382000000", Stage.SHIFTING, 10_000, "begun");
+        fixture.clock.advance(60_000);
+        fixture.progress("press-floor_7_8_1796382000000", Stage.WATCHING, 1_000_000, "no fault in 900 requests");
         fixture.progress("press-floor_7_8_1796382000000", Stage.SEALED_DONE, 1_000_000, "no fault");
         fixture.progress("registry-desk_2026.11_2026.12_1796378400000", Stage.SHIFTING, 250_000, "no fault yet");
         fixture.clock.advance(60_000);
@@ -32,7 +35,7 @@
     void listsOnlyOneServiceUpToTheLimit() {
         fixture.verify(
                 fixture.run("history", "--service", "embossing"),
-                fixture.run("history", "--service", "press-floor", "--limit", "1"),
+                fixture.run("history", "--service", "press-floor", "--limit", "2"),
                 fixture.run("history", "--service", "unheard-of"));
     }
 }
--- a/sequoiashunt-platform/src/main/java/org/sequoiashunt/manifest/ProblemList.java
+++ b/sequoiashunt-platform/src/main/java/org/sequoiashunt/manifest/ProblemList.java
@@ -53,11 +53,16 @@
         }
     }
 
-    private static List<Problem> sorted(final List<Problem> problems) {
-        return problems.stream()
-                .sorted(Comparator.comparingInt(Problem::line))
-                .limit(MAXIMUM_PROBLEMS)
-                .toList();
+    private List<Problem> sorted(final List<Problem> problems) {
+        List<Problem> first = new ArrayList<>(problems);
+        first.sort(Comparator.comparingInt(Problem::line));
+        int omitted = first.size() - MAXIMUM_PROBLEMS;
+        if (omitted > 0) {
+            first.subList(MAXIMUM_PROBLEMS, first.size()).clear();
+            int line = first.get(first.size() - 1).line();
+            first.add(new Problem(file, line, "", omitted + " more problems from here on", Optional.empty()));
+        }
+        return first;
     }
 
     private static int lineOf(final Node node) {
--- a/sequoiashunt-platform/src/test/java/org/sequoiashunt/manifest/ManifestReaderTest.java
+++ b/sequoiashunt-platform/src/test/java/org/sequoiashunt/manifest/ManifestReaderTest.java
@@ -136,6 +136,16 @@
         assertTrue(refused.getMessage().contains("more than 1048576"), refused.getMessage());
     }
 
+    @Test
+    void omittedProblemsAreCounted() {
+        StringBuilder services = new StringBuilder("services:\n");
+        services.append("  same: {}\n".repeat(300));
+        ManifestException refused = assertThrows(ManifestException.class, () -> read(services.toString()));
+        assertEquals(201, refused.problems().size());
+        assertEquals(
+                "101 more problems from here on", refused.problems().get(200).reason());
+    }
+
     @Test
     void nearMissesAreSuggested() {
         Set<String> known = Set.of("idempotent", "methods", "name", "path", "timeout");
