--- a/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/HistoryCommand.java
+++ b/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/HistoryCommand.java
@@ -53,9 +53,15 @@
         Optional<CommitRecord> record = Optional.of(current);
         int listed = 0;
         for (int searched = 0; record.isPresent() && listed < limit && searched < MAXIMUM_SEARCH; searched++) {
-            Optional<CommitRecord> previous = view.previous(record.get());
-            listed += text.append(record.get(), previous) ? 1 : 0;
-            record = previous;
+            try {
+                Optional<CommitRecord> previous = view.previous(record.get());
+                listed += text.append(record.get(), previous) ? 1 : 0;
+                record = previous;
+            } catch (ConfigurationException exception) {
+                String reason = "version " + record.get().version() + " and what is before it cannot be shown: "
+                        + exception.getMessage() + "\n";
+                return new CommandResult(ExitCode.REFUSED, text.toString(), reason);
+            }
         }
         if (listed == 0) {
             return CommandResult.failed(ExitCode.REFUSED, "no commit changed service '" + service + "'\n");
--- a/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/StatusText.java
+++ b/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/StatusText.java
@@ -11,6 +11,7 @@
         StringBuilder text = new StringBuilder();
         text.append("version ").append(report.version()).append(" by ").append(Texts.plain(report.author()));
         text.append(" at ").append(Texts.time(report.atMs())).append('\n');
+        report.problems().forEach(problem -> appendLine(text, "PROBLEM: " + Texts.plain(problem)));
         text.append("\nmoves\n");
         report.moves().forEach(move -> appendLine(text, MoveText.line(move)));
         if (report.moves().isEmpty()) {
--- a/sequoiashunt-operator/src/test/java/org/sequoiashunt/operator/HistoryCommandTest.java
+++ b/sequoiashunt-operator/src/test/java/org/sequoiashunt/operator/HistoryCommandTest.java
@@ -6,6 +6,7 @@
 import org.junit.jupiter.api.Test;
 import org.sequoiashunt.rollout.Stage;
 import org.sequoiashunt.store.StoreException;
+import org.sequoiashunt.store.StoreKeys;
 
 @UseReporter(QuietReporter.class)
 final class HistoryCommandTest {
@@ -31,6 +32,14 @@
         fixture.verify(fixture.run("history"));
     }
 
+    @Test
+    void unreadableRecordEndsTheList() throws StoreException {
+        String first = StoreKeys.VERSIONS + "1-c-1";
+        long revision = fixture.store.read(first).orElseThrow().revision();
+        fixture.store.compareAndSwap(first, revision, new byte[] {'!'});
+        fixture.verify(fixture.run("history"));
+    }
+
     @Test
     void listsOnlyOneServiceUpToTheLimit() {
         fixture.verify(
--- a/sequoiashunt-operator/src/test/java/org/sequoiashunt/operator/StatusCommandTest.java
+++ b/sequoiashunt-operator/src/test/java/org/sequoiashunt/operator/StatusCommandTest.java
@@ -7,6 +7,8 @@
 import org.junit.jupiter.api.Test;
 import org.sequoiashunt.membership.DomainSummary;
 import org.sequoiashunt.peer.NodeAddress;
+import org.sequoiashunt.platform.CommitLog;
+import org.sequoiashunt.platform.CommitRecord;
 import org.sequoiashunt.platform.StoredDomainRegister;
 import org.sequoiashunt.rollout.Stage;
 import org.sequoiashunt.store.Store;
@@ -60,10 +62,11 @@
     }
 
     @Test
-    void unreadableValuesHideNothingElseAndOutageIsAnError() throws StoreException {
+    void unreadableValuesHideNothingElseAndOutageIsAnError() throws Exception {
         fixture.store.compareAndSwap(StoreKeys.MOVES + PRESS, Store.ABSENT, new byte[] {'['});
         fixture.store.compareAndSwap(StoreKeys.DOMAINS + "thimi", Store.ABSENT, new byte[] {'{', '}'});
         report("ha-noi-a", 3, 3, 0);
+        damagePart("embossing");
         CommandResult unreadable = fixture.run("status");
         fixture.store.setAvailable(false);
         fixture.verify(unreadable, fixture.run("status"));
@@ -75,6 +78,15 @@
         empty.verify(empty.run("status"));
     }
 
+    private void damagePart(final String service) throws Exception {
+        CommitLog log = CommitLog.of(fixture.store);
+        CommitRecord record =
+                log.readRecord(log.readHead().orElseThrow().document().record());
+        String key = StoreKeys.PARTS + record.parts().get(service);
+        long revision = fixture.store.read(key).orElseThrow().revision();
+        fixture.store.compareAndSwap(key, revision, new byte[] {'{', '}'});
+    }
+
     private void report(
             final String domain, final long lowest, final long highest, final long ageMs, final String... refusals)
             throws StoreException {
