--- a/sequoiashunt-platform/src/main/java/org/sequoiashunt/http/HttpExchanger.java
+++ b/sequoiashunt-platform/src/main/java/org/sequoiashunt/http/HttpExchanger.java
@@ -10,6 +10,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import org.sequoiashunt.call.CallAnswer;
