--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/GuardStanding.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/GuardStanding.java
@@ -22,6 +22,9 @@
     /** How many guards hold a key. */
     public static final int GUARDS_PER_KEY = 3;
 
+    /** Epochs remembered at most; what happened in older ones counts as not known. */
+    private static final int MAXIMUM_EPOCHS = 64;
+
     private static final long NEVER_MS = Long.MIN_VALUE;
 
     private final String node;
@@ -107,6 +110,9 @@
         }
         long nowMs = clock.nowMs();
         adopted.addFirst(new AdoptedRoster(roster));
+        if (adopted.size() > MAXIMUM_EPOCHS) {
+            adopted.removeLast();
+        }
         answeredMs.clear();
         reachedMs.keySet().retainAll(roster.guards());
         roster.guards().forEach(guard -> reachedMs.putIfAbsent(guard, nowMs));
@@ -121,7 +127,7 @@
      */
     public synchronized void storeRead(final Optional<Roster> roster) {
         storeWasRead = true;
-        storeWasEmpty |= roster.isEmpty();
+        storeWasEmpty |= roster.isEmpty() && adopted.isEmpty();
         roster.ifPresent(this::adopt);
         updateActivity(clock.nowMs());
     }
--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/execution/GuardStandingTest.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/execution/GuardStandingTest.java
@@ -38,6 +38,13 @@
         assertTrue(standing.isComplete(KEY));
     }
 
+    @Test
+    void doesNotTakeALaterEmptyStoreForItsBeginning() {
+        standing.storeRead(Optional.of(new Roster("east", 1, List.of("a", "b", "c"))));
+        standing.storeRead(Optional.empty());
+        assertFalse(standing.isComplete(KEY));
+    }
+
     @Test
     void isIncompleteForKeysThatAReplacementBroughtIt() {
         standing.storeRead(Optional.empty());
--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/execution/ClaimCost.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/execution/ClaimCost.java
@@ -6,6 +6,8 @@
 import java.util.Locale;
 import org.sequoiashunt.execution.ClaimReply;
 import org.sequoiashunt.execution.ClaimRequest;
+import org.sequoiashunt.execution.GuardHeartbeat;
+import org.sequoiashunt.execution.GuardHeartbeatReply;
 import org.sequoiashunt.peer.ControlMessage;
 
 /**
@@ -26,6 +28,8 @@
     private int refused;
     private long messages;
     private long bytes;
+    private long heartbeats;
+    private long heartbeatBytes;
 
     void clear() {
         addedMs.clear();
@@ -33,6 +37,8 @@
         refused = 0;
         messages = 0;
         bytes = 0;
+        heartbeats = 0;
+        heartbeatBytes = 0;
     }
 
     void asked() {
@@ -52,9 +58,19 @@
             count(text(request.group()) + text(request.attempt()) + KEY_BYTES + 2 * NUMBER_BYTES);
         } else if (message instanceof ClaimReply reply) {
             count(text(reply.group()) + text(reply.attempt()) + KEY_BYTES + 2 * NUMBER_BYTES);
+        } else if (message instanceof GuardHeartbeat heartbeat) {
+            countHeartbeat(text(heartbeat.group()) + 2 * NUMBER_BYTES);
+        } else if (message instanceof GuardHeartbeatReply reply) {
+            countHeartbeat(text(reply.group()) + 2 * NUMBER_BYTES);
         }
     }
 
+    /** Notes a message between guards that no claim causes. */
+    private void countHeartbeat(final int size) {
+        heartbeats++;
+        heartbeatBytes += FRAME_BYTES + size;
+    }
+
     private void count(final int size) {
         messages++;
         bytes += FRAME_BYTES + size;
@@ -84,6 +100,23 @@
                 bytes / perClaim);
     }
 
+    /**
+     * Describes the traffic between guards.
+     *
+     * @param guards how many guards there are.
+     * @param durationMs over which time they were counted.
+     * @return one line.
+     */
+    String describeHeartbeats(final int guards, final long durationMs) {
+        double guardSeconds = guards * durationMs / 1_000.0;
+        return String.format(
+                Locale.ROOT,
+                "%.1f messages and %.0f bytes a second sent by each of %d guards",
+                heartbeats / guardSeconds,
+                heartbeatBytes / guardSeconds,
+                guards);
+    }
+
     private static String percentile(final List<Long> sorted, final int percent) {
         if (sorted.isEmpty()) {
             return "-";
--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/execution/ClaimCostCommand.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/execution/ClaimCostCommand.java
@@ -52,6 +52,8 @@
                 model -> model.guards().get(0).kill(),
                 out);
         firstSeconds(out);
+        heartbeats(5, out);
+        heartbeats(7, out);
         for (double rate : new double[] {100, 300, 380, 500}) {
             storeClaims(rate, out);
         }
@@ -93,6 +95,14 @@
                 model.claimFor(LOAD_MS).describe());
     }
 
+    private void heartbeats(final int rosterSize, final PrintStream out) {
+        ClaimCostModel model = new ClaimCostModel(seed, rosterSize);
+        model.pass(WARM_UP_MS);
+        ClaimCost cost = model.claimFor(0);
+        String line = cost.describeHeartbeats(rosterSize, ClaimCostModel.CALL_MS);
+        out.printf(Locale.ROOT, "%-32s %s%n", "heartbeats", line);
+    }
+
     /** Queue in front of a store that serves writes one after another, fed at random times. */
     private void storeClaims(final double rate, final PrintStream out) {
         java.util.Random random = new java.util.Random(seed);
--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/execution/ClaimCostModel.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/execution/ClaimCostModel.java
@@ -31,7 +31,7 @@
     private static final long HOP_MS = 1;
     private static final long TICK_MS = 100;
     private static final long CLAIM_INTERVAL_MS = 10;
-    private static final long CALL_MS = 5_000;
+    static final long CALL_MS = 5_000;
     private static final String GROUP = "bac-bo";
 
     private final RandomGenerator random;
--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/execution/LedgerMemory.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/execution/LedgerMemory.java
@@ -46,10 +46,12 @@
                 ClaimRule.all(),
                 new ControlMessenger((address, message) -> {}, node -> Optional.empty()));
         long beforeBytes = usedBytes();
+        long startNs = System.nanoTime();
         for (int index = 0; index < CLAIMS; index++) {
             String attempt = "node1-" + index;
             guard.receive("node1", new ClaimRequest("group", 1, ClaimKey.of("service", attempt), attempt, 1_000));
         }
+        long perClaimNs = (System.nanoTime() - startNs) / CLAIMS;
         long usedBytes = usedBytes() - beforeBytes;
         int claims = guard.claimCount();
         out.printf(
@@ -57,7 +59,8 @@
                 "%d claims in one guard: %d bytes of heap, %d a claim%n",
                 claims,
                 usedBytes,
-                usedBytes / Math.max(1, claims));
+                usedBytes / Math.max(1, claims),
+                perClaimNs);
     }
 
     private static long usedBytes() {
