--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/execution/ClaimCostCommand.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/execution/ClaimCostCommand.java
@@ -16,6 +16,7 @@
 public final class ClaimCostCommand {
 
     private static final int ROSTER = 5;
+    private static final int SMALLER_SIDE = 3;
     private static final long WARM_UP_MS = 30_000;
     private static final long LOAD_MS = 30_000;
     private static final double STORE_WRITES_PER_SECOND = 400;
@@ -43,7 +44,8 @@
                     model.pass(60_000);
                 },
                 out);
-        scenario("split, 4 of 10 nodes cut off", ROSTER, model -> model.split(4), out);
+        split("split 7:3, larger side", true, out);
+        split("split 7:3, smaller side", false, out);
         scenario("all guards restarted empty", ROSTER, model -> model.guards().forEach(ModelNode::start), out);
         scenario("one guard only, healthy", 1, model -> {}, out);
         scenario(
@@ -81,6 +83,22 @@
         out.printf(Locale.ROOT, "%-32s %s%n", title, model.claimFor(LOAD_MS).describe());
     }
 
+    private void split(final String title, final boolean largerSide, final PrintStream out) {
+        ClaimCostModel model = new ClaimCostModel(seed, ROSTER);
+        model.pass(WARM_UP_MS);
+        model.split(SMALLER_SIDE);
+        model.pass(10_000);
+        int nodes = model.nodes().size();
+        model.useEntries(largerSide ? SMALLER_SIDE : 0, largerSide ? nodes : SMALLER_SIDE);
+        out.printf(Locale.ROOT, "%-32s %s%n", title, model.claimFor(LOAD_MS).describe());
+        model.pass(ClaimCostModel.TIMING.retentionMs());
+        out.printf(
+                Locale.ROOT,
+                "%-32s %s%n",
+                "  one window later",
+                model.claimFor(LOAD_MS).describe());
+    }
+
     private void firstSeconds(final PrintStream out) {
         ClaimCostModel model = new ClaimCostModel(seed, ROSTER);
         out.printf(
--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/execution/ClaimCostModel.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/execution/ClaimCostModel.java
@@ -27,6 +27,9 @@
  */
 final class ClaimCostModel implements ModelHost {
 
+    /** Times of production. */
+    static final ClaimTiming TIMING = ClaimTiming.defaults();
+
     private static final int NODES = 10;
     private static final long HOP_MS = 1;
     private static final long TICK_MS = 100;
@@ -41,6 +44,7 @@
     private final Map<String, ModelNode> nodesByName = new HashMap<>();
     private final PriorityQueue<Event> events =
             new PriorityQueue<>(Comparator.comparingLong(Event::atMs).thenComparingLong(Event::number));
+    private List<ModelNode> entries = nodes;
     private final Set<String> minority = new HashSet<>();
     private final ClaimCost cost = new ClaimCost();
     private long nowMs;
@@ -64,6 +68,11 @@
         return nodes;
     }
 
+    /** Claims from now on only at some of the nodes. */
+    void useEntries(final int first, final int end) {
+        entries = nodes.subList(first, end);
+    }
+
     /** Cuts some nodes from the others and from the store. */
     void split(final int count) {
         nodes.subList(0, count).forEach(node -> {
@@ -106,7 +115,7 @@
     }
 
     private void claim() {
-        ModelNode entry = nodes.get(random.nextInt(nodes.size()));
+        ModelNode entry = entries.get(random.nextInt(entries.size()));
         if (!entry.isRunning()) {
             return;
         }
@@ -178,7 +187,7 @@
 
     @Override
     public ClaimTiming timing() {
-        return ClaimTiming.defaults();
+        return TIMING;
     }
 
     @Override
--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/execution/LedgerMemory.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/execution/LedgerMemory.java
@@ -56,7 +56,7 @@
         int claims = guard.claimCount();
         out.printf(
                 Locale.ROOT,
-                "%d claims in one guard: %d bytes of heap, %d a claim%n",
+                "%d claims in one guard: %d bytes of heap, %d a claim, %d ns to answer one%n",
                 claims,
                 usedBytes,
                 usedBytes / Math.max(1, claims),
