--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/ClaimCoordinator.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/ClaimCoordinator.java
@@ -1,9 +1,6 @@
 package org.sequoiashunt.execution;
 
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
@@ -31,17 +28,12 @@
  */
 public final class ClaimCoordinator implements Claims, Controller {
 
-    private static final int SHARDS = 16;
-
     /** Time between requests to a guard that has not replied. */
     private static final long REPEAT_MS = 250;
 
     /** Longest wait for guards. */
     private static final long ASK_TIMEOUT_MS = 2_000;
 
-    /** How often a release is sent, since one that is lost keeps the key blocked for the retention window. */
-    private static final int RELEASE_SENDS = 2;
-
     private final Blackboard blackboard;
     private final HomeGroups homes;
     private final Clock clock;
@@ -49,7 +41,7 @@
     private final Set<ClaimRule> rules;
     private final ControlMessenger messenger;
     private final EntryPause pause;
-    private final List<Map<String, Pending>> shards = new ArrayList<>();
+    private final PendingAttempts attempts = new PendingAttempts();
 
     /**
      * Creates a coordinator without attempts.
@@ -75,9 +67,6 @@
         this.rules = Set.copyOf(rules);
         this.messenger = Objects.requireNonNull(messenger, "messenger");
         this.pause = new EntryPause(clock, timing.pauseMs());
-        for (int index = 0; index < SHARDS; index++) {
-            shards.add(new HashMap<>());
-        }
     }
 
     @Override
@@ -97,21 +86,21 @@
                 Math.min(deadlineMs, nowMs + timing.attemptMs()),
                 rules);
         rosters.forEach(roster -> claim.ask(roster.orElseThrow()));
-        put(attempt, new Pending(claim, nowMs));
+        attempts.add(new PendingAttempt(claim, nowMs));
         send(claim.openRequests(nowMs));
         return claim.decision();
     }
 
     @Override
     public boolean beginDispatch(final String service, final String key, final String attempt) {
-        Pending pending = find(attempt);
+        PendingAttempt pending = attempts.find(attempt).orElse(null);
         if (pending == null) {
             return false;
         }
-        if (isInTime(pending.claim) && pending.claim.beginDispatch()) {
+        if (isInTime(pending.claim()) && pending.claim().beginDispatch()) {
             return true;
         }
-        if (pending.claim.move(State.GRANTED, State.ABANDONED)) {
+        if (pending.claim().move(State.GRANTED, State.ABANDONED)) {
             release(pending);
         }
         return false;
@@ -119,22 +108,23 @@
 
     @Override
     public void record(final String service, final String key, final String attempt, final CallResult result) {
-        Pending pending = find(attempt);
+        PendingAttempt pending = attempts.find(attempt).orElse(null);
         if (pending == null) {
             return;
         }
         if (result.outcome() == Outcome.NOT_RUN) {
-            pending.claim.move(State.GRANTED, State.ABANDONED);
-            pending.claim.move(State.DISPATCHED, State.ABANDONED);
+            pending.claim().move(State.GRANTED, State.ABANDONED);
+            pending.claim().move(State.DISPATCHED, State.ABANDONED);
             release(pending);
             return;
         }
-        remove(attempt);
+        attempts.remove(attempt);
         if (result.outcome() == Outcome.COMPLETE) {
-            pending.claim
+            pending.claim()
                     .asked()
                     .forEach(to -> messenger.send(
-                            to.node(), new ClaimOutcome(to.content(), pending.claim.key(), attempt, result)));
+                            to.node(),
+                            new ClaimOutcome(to.content(), pending.claim().key(), attempt, result)));
         }
     }
 
@@ -143,13 +133,7 @@
         pause.tick();
         homes.refresh();
         long nowMs = clock.nowMs();
-        for (Map<String, Pending> shard : shards) {
-            List<Pending> all;
-            synchronized (shard) {
-                all = List.copyOf(shard.values());
-            }
-            all.forEach(pending -> tick(pending, nowMs));
-        }
+        attempts.all().forEach(pending -> tick(pending, nowMs));
     }
 
     @Override
@@ -161,28 +145,27 @@
         if (!(message instanceof ClaimReply reply)) {
             return false;
         }
-        Pending pending = find(reply.attempt());
-        if (pending != null && pending.claim.isAsking()) {
-            noteReply(pending, sender, reply);
-        }
+        attempts.find(reply.attempt())
+                .filter(pending -> pending.claim().isAsking())
+                .ifPresent(pending -> noteReply(pending, sender, reply));
         return true;
     }
 
-    private void noteReply(final Pending pending, final String guard, final ClaimReply reply) {
-        pending.claim.note(guard, reply);
+    private void noteReply(final PendingAttempt pending, final String guard, final ClaimReply reply) {
+        pending.claim().note(guard, reply);
         Optional<Roster> roster = roster(reply.group());
         if (reply.verdict() == ClaimVerdict.EPOCH_DIFFERS && roster.isPresent()) {
             if (reply.epoch() < roster.get().epoch()) {
                 messenger.send(guard, new RosterNotice(roster.get()));
-            } else if (pending.claim.ask(roster.get())) {
-                send(pending.claim.openRequests(clock.nowMs()));
+            } else if (pending.claim().ask(roster.get())) {
+                send(pending.claim().openRequests(clock.nowMs()));
             }
         }
         decide(pending);
     }
 
-    private void decide(final Pending pending) {
-        ClaimAttempt claim = pending.claim;
+    private void decide(final PendingAttempt pending) {
+        ClaimAttempt claim = pending.claim();
         if (claim.isGranted()) {
             if (isInTime(claim) && claim.move(State.ASKING, State.GRANTED)) {
                 claim.decision().complete(Optional.empty());
@@ -194,35 +177,35 @@
         }
     }
 
-    private void abandon(final Pending pending) {
-        if (pending.claim.move(State.ASKING, State.ABANDONED)) {
-            CallResult refusal = pending.claim.refusal();
+    private void abandon(final PendingAttempt pending) {
+        if (pending.claim().move(State.ASKING, State.ABANDONED)) {
+            CallResult refusal = pending.claim().refusal();
             release(pending);
-            pending.claim.decision().complete(Optional.of(refusal));
+            pending.claim().decision().complete(Optional.of(refusal));
         }
     }
 
-    private void tick(final Pending pending, final long nowMs) {
-        ClaimAttempt claim = pending.claim;
+    private void tick(final PendingAttempt pending, final long nowMs) {
+        ClaimAttempt claim = pending.claim();
         if (claim.isAsking()) {
             tickAsking(pending, nowMs);
         } else if (!isInTime(claim) && claim.move(State.GRANTED, State.ABANDONED)) {
             release(pending);
-        } else if (pending.releasesLeft > 0) {
-            sendRelease(pending);
-        } else if (pending.releasing || claim.isDispatched() && nowMs > claim.deadlineMs() + timing.attemptMs()) {
-            remove(claim.attempt());
+        } else if (pending.takeRelease()) {
+            sendRelease(claim);
+        } else if (pending.isReleasing() || claim.isDispatched() && nowMs > claim.deadlineMs() + timing.attemptMs()) {
+            attempts.remove(claim.attempt());
         }
     }
 
-    private void tickAsking(final Pending pending, final long nowMs) {
-        ClaimAttempt claim = pending.claim;
-        boolean askedLong = nowMs - pending.startMs > ASK_TIMEOUT_MS && rules.contains(ClaimRule.ATTEMPT_DEADLINE);
+    private void tickAsking(final PendingAttempt pending, final long nowMs) {
+        ClaimAttempt claim = pending.claim();
+        boolean askedLong = nowMs - pending.startMs() > ASK_TIMEOUT_MS && rules.contains(ClaimRule.ATTEMPT_DEADLINE);
         if (askedLong || !isInTime(claim)) {
             abandon(pending);
-        } else if (nowMs - pending.askedMs >= REPEAT_MS) {
-            pending.askedMs = nowMs;
-            pending.claim.asked().stream()
+        } else if (nowMs - pending.askedMs() >= REPEAT_MS) {
+            pending.asked(nowMs);
+            pending.claim().asked().stream()
                     .map(Addressed::content)
                     .distinct()
                     .forEach(group -> roster(group).ifPresent(roster -> claim.ask(roster)));
@@ -234,15 +217,14 @@
         return !rules.contains(ClaimRule.ATTEMPT_DEADLINE) || clock.nowMs() <= claim.latestDispatchMs();
     }
 
-    private void release(final Pending pending) {
-        pending.releasing = true;
-        pending.releasesLeft = RELEASE_SENDS;
-        sendRelease(pending);
+    private void release(final PendingAttempt pending) {
+        pending.startReleasing();
+        if (pending.takeRelease()) {
+            sendRelease(pending.claim());
+        }
     }
 
-    private void sendRelease(final Pending pending) {
-        pending.releasesLeft--;
-        ClaimAttempt claim = pending.claim;
+    private void sendRelease(final ClaimAttempt claim) {
         claim.asked()
                 .forEach(to -> messenger.send(to.node(), new ClaimRelease(to.content(), claim.key(), claim.attempt())));
     }
@@ -254,47 +236,4 @@
     private Optional<Roster> roster(final String group) {
         return blackboard.value(Section.ROSTER, group, Roster.class);
     }
-
-    private void put(final String attempt, final Pending pending) {
-        Map<String, Pending> shard = shard(attempt);
-        synchronized (shard) {
-            if (shard.putIfAbsent(attempt, pending) != null) {
-                throw new IllegalArgumentException("attempt is not unique: " + attempt);
-            }
-        }
-    }
-
-    private Pending find(final String attempt) {
-        Map<String, Pending> shard = shard(attempt);
-        synchronized (shard) {
-            return shard.get(attempt);
-        }
-    }
-
-    private void remove(final String attempt) {
-        Map<String, Pending> shard = shard(attempt);
-        synchronized (shard) {
-            shard.remove(attempt);
-        }
-    }
-
-    private Map<String, Pending> shard(final String attempt) {
-        return shards.get(Math.floorMod(attempt.hashCode(), SHARDS));
-    }
-
-    /** Attempt with the bookkeeping of its messages, written by any thread; a lost update only repeats a message. */
-    private static final class Pending {
-
-        private final ClaimAttempt claim;
-        private final long startMs;
-        private volatile long askedMs;
-        private volatile boolean releasing;
-        private volatile int releasesLeft;
-
-        private Pending(final ClaimAttempt claim, final long nowMs) {
-            this.claim = claim;
-            this.startMs = nowMs;
-            this.askedMs = nowMs;
-        }
-    }
 }
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/GuardStanding.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/GuardStanding.java
@@ -2,10 +2,8 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
@@ -36,12 +34,8 @@
 
     /** Consecutive epochs adopted, the newest first. */
     private final Deque<AdoptedRoster> adopted = new ArrayDeque<>();
-    /** When the heartbeat that each guard answered last at the current epoch was sent. */
-    private final Map<String, Long> answeredMs = new HashMap<>();
-    /** When the heartbeat that each guard answered last at any epoch was sent. */
-    private final Map<String, Long> reachedMs = new HashMap<>();
 
-    private long askedMs;
+    private final GuardAnswers answers;
     private boolean storeWasEmpty;
     private boolean storeWasRead;
 
@@ -66,6 +60,7 @@
         this.timing = Objects.requireNonNull(timing, "timing");
         this.rules = Set.copyOf(rules);
         this.startMs = clock.nowMs();
+        this.answers = new GuardAnswers(node, timing.fenceMs());
     }
 
     /**
@@ -113,9 +108,7 @@
         if (adopted.size() > MAXIMUM_EPOCHS) {
             adopted.removeLast();
         }
-        answeredMs.clear();
-        reachedMs.keySet().retainAll(roster.guards());
-        roster.guards().forEach(guard -> reachedMs.putIfAbsent(guard, nowMs));
+        answers.restart(roster.guards(), nowMs);
         updateActivity(nowMs);
         return true;
     }
@@ -137,11 +130,7 @@
      * was not asked cannot be missed.
      */
     public synchronized void asking() {
-        long nowMs = clock.nowMs();
-        if (nowMs - askedMs > timing.fenceMs()) {
-            reachedMs.replaceAll((guard, reached) -> nowMs);
-        }
-        askedMs = nowMs;
+        answers.asking(clock.nowMs());
     }
 
     /**
@@ -156,11 +145,8 @@
         if (sentMs > nowMs) {
             return;
         }
-        reachedMs.merge(guard, sentMs, Math::max);
-        if (guardEpoch == epoch()) {
-            answeredMs.merge(guard, sentMs, Math::max);
-            updateActivity(nowMs);
-        }
+        answers.answered(guard, sentMs, guardEpoch == epoch());
+        updateActivity(nowMs);
     }
 
     /**
@@ -234,8 +220,7 @@
 
     @Override
     public synchronized long silentMs(final String guard) {
-        long nowMs = clock.nowMs();
-        return guard.equals(node) ? 0 : nowMs - reachedMs.getOrDefault(guard, nowMs);
+        return answers.silentMs(guard, clock.nowMs());
     }
 
     /**
@@ -300,14 +285,7 @@
     }
 
     private int othersAnswering(final long nowMs) {
-        int count = 0;
-        for (String guard : adopted.peekFirst().roster.guards()) {
-            long sentMs = answeredMs.getOrDefault(guard, NEVER_MS);
-            if (!guard.equals(node) && sentMs != NEVER_MS && nowMs - sentMs <= timing.fenceMs()) {
-                count++;
-            }
-        }
-        return count;
+        return answers.countOthers(adopted.peekFirst().roster.guards(), nowMs);
     }
 
     /** Roster with the time at which a majority of it was first heard. Guarded by the standing's lock. */
