--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/execution/ClaimCostCommand.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/execution/ClaimCostCommand.java
@@ -16,6 +16,7 @@
 public final class ClaimCostCommand {
 
     private static final int ROSTER = 5;
+    private static final int SMALLER_SIDE = 3;
     private static final long WARM_UP_MS = 30_000;
     private static final long LOAD_MS = 30_000;
     private static final double STORE_WRITES_PER_SECOND = 400;
@@ -43,7 +44,8 @@
                     model.pass(60_000);
                 },
                 out);
-        scenario("split, 4 of 10 nodes cut off", ROSTER, model -> model.split(4), out);
+        split("split 7:3, larger side", true, out);
+        split("split 7:3, smaller side", false, out);
         scenario("all guards restarted empty", ROSTER, model -> model.guards().forEach(ModelNode::start), out);
         scenario("one guard only, healthy", 1, model -> {}, out);
         scenario(
@@ -52,6 +54,8 @@
                 model -> model.guards().get(0).kill(),
                 out);
         firstSeconds(out);
+        heartbeats(5, out);
+        heartbeats(7, out);
         for (double rate : new double[] {100, 300, 380, 500}) {
             storeClaims(rate, out);
         }
@@ -79,6 +83,22 @@
         out.printf(Locale.ROOT, "%-32s %s%n", title, model.claimFor(LOAD_MS).describe());
     }
 
+    private void split(final String title, final boolean largerSide, final PrintStream out) {
+        ClaimCostModel model = new ClaimCostModel(seed, ROSTER);
+        model.pass(WARM_UP_MS);
+        model.split(SMALLER_SIDE);
+        model.pass(10_000);
+        int nodes = model.nodes().size();
+        model.useEntries(largerSide ? SMALLER_SIDE : 0, largerSide ? nodes : SMALLER_SIDE);
+        out.printf(Locale.ROOT, "%-32s %s%n", title, model.claimFor(LOAD_MS).describe());
+        model.pass(ClaimCostModel.TIMING.retentionMs());
+        out.printf(
+                Locale.ROOT,
+                "%-32s %s%n",
+                "  one window later",
+                model.claimFor(LOAD_MS).describe());
+    }
+
     private void firstSeconds(final PrintStream out) {
         ClaimCostModel model = new ClaimCostModel(seed, ROSTER);
         out.printf(
@@ -93,6 +113,14 @@
                 model.claimFor(LOAD_MS).describe());
     }
 
+    private void heartbeats(final int rosterSize, final PrintStream out) {
+        ClaimCostModel model = new ClaimCostModel(seed, rosterSize);
+        model.pass(WARM_UP_MS);
+        ClaimCost cost = model.claimFor(0);
+        String line = cost.describeHeartbeats(rosterSize, ClaimCostModel.CALL_MS);
+        out.printf(Locale.ROOT, "%-32s %s%n", "heartbeats", line);
+    }
+
     /** Queue in front of a store that serves writes one after another, fed at random times. */
     private void storeClaims(final double rate, final PrintStream out) {
         java.util.Random random = new java.util.Random(seed);
