Rollout trials: thresholds that need three failures

The test of starting from the store's outcome now also fails if any share is given before the store has answered.

--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/rollout/RolloutControllerTest.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/rollout/RolloutControllerTest.java
@@ -162,7 +162,10 @@
         RolloutProgress sealed = new RolloutProgress(
                 RolloutFixture.move(), RolloutFixture.SERVICE, Stage.SEALED_TAKEN_BACK, 0, "taken back");
         register.held.put(RolloutFixture.move(), sealed);
-        runUntil(finishByMs);
+        while (fixture.clock.nowMs() < RolloutFixture.START_MS + 20_000) {
+            step();
+            assertEquals(0, node.share());
+        }
 
         assertEquals(sealed, node.progress().orElseThrow());
     }
--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/rollout/ThresholdJudge.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/rollout/ThresholdJudge.java
@@ -8,15 +8,17 @@
 import org.sequoiashunt.rollout.VersionJudge;
 
 /**
- * Common practice to compare with: takes a version back when, over the last ten seconds and at least ten requests, it
- * fails more than one request in twenty, or its mean latency bucket lies one above that of the version beside it.
+ * Common practice to compare with: takes a version back when, over the last thirty seconds and at least twenty
+ * requests, it fails three requests and more than one in twenty, or its mean latency bucket lies one above that of the
+ * version beside it.
  *
  * <p>Confined to one thread.
  */
 final class ThresholdJudge implements VersionJudge {
 
-    private static final int WINDOW_BLOCKS = 20;
-    private static final long LEAST_REQUESTS = 10;
+    private static final int WINDOW_BLOCKS = 60;
+    private static final long LEAST_REQUESTS = 20;
+    private static final long LEAST_FAILURES = 3;
     private static final double HIGHEST_FAILURE_RATE = 0.05;
     private static final double HIGHEST_BUCKET_RISE = 1;
 
@@ -33,7 +35,7 @@
         if (requests < LEAST_REQUESTS) {
             return Judgement.SOUND;
         }
-        boolean failing = failures(sum) > HIGHEST_FAILURE_RATE * requests;
+        boolean failing = failures(sum) >= Math.max(LEAST_FAILURES, HIGHEST_FAILURE_RATE * requests);
         boolean slow = meanBucket(sum, sum.to()) - meanBucket(sum, sum.from()) > HIGHEST_BUCKET_RISE;
         return failing || slow ? new Judgement(Judgement.Finding.FAULTY, "above the threshold") : Judgement.SOUND;
     }
