--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/MoveRun.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/MoveRun.java
@@ -24,6 +24,8 @@
     /** How long to wait for what the store holds of the move before it starts without. */
     private static final long STORE_WAIT_MS = 5_000;
 
+    private static final EntryVersion WAITING_VERSION = EntryVersion.of(Stage.SHIFTING.rank(), 0);
+
     private final String node;
     private final String service;
     private final Move move;
@@ -68,8 +70,8 @@
         pacer.noteTick(clock.nowMs());
         Optional<RolloutProgress> present = read();
         noteChange(present);
-        if (present.isEmpty()) {
-            start();
+        if (present.isEmpty() || isWaiting(present.get())) {
+            start(present);
             return;
         }
         RolloutProgress progress = present.get();
@@ -89,7 +91,7 @@
         if (version.equals(known)) {
             return;
         }
-        if (known.isEmpty()) {
+        if (known.isEmpty() || known.get().equals(WAITING_VERSION)) {
             sharedSinceMs = clock.nowMs();
         }
         known = version;
@@ -97,10 +99,20 @@
         present.filter(progress -> !progress.stage().isSealed()).ifPresent(sealer::offer);
     }
 
-    private void start() {
+    private static boolean isWaiting(final RolloutProgress progress) {
+        return progress.entryVersion().equals(WAITING_VERSION);
+    }
+
+    private void start(final Optional<RolloutProgress> present) {
         boolean storeKnown = sealer.hasAnswered(identity) || clock.nowMs() - begunMs >= STORE_WAIT_MS;
-        if (storeKnown && serving.serves(service, move.to())) {
+        if (!storeKnown) {
+            return;
+        }
+        if (serving.serves(service, move.to())) {
             publish(RolloutStep.TRACE);
+        } else if (present.isEmpty()) {
+            String reason = "waiting: no target of " + move.to() + " serves yet";
+            write(new RolloutProgress(identity, service, Stage.SHIFTING, 0, reason));
         }
     }
 
