Rollout: error rates that hold for any number of routes

The bound counted four routes, so a service with more had a higher error rate than stated. Each subject now gets its part in the order in which it turns up.

--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/SequentialJudge.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/SequentialJudge.java
@@ -1,6 +1,5 @@
 package org.sequoiashunt.rollout;
 
-import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -23,13 +22,12 @@
     private static final String ALL_ROUTES = "";
     private static final double LEFT_OUT_ERROR_RATE = 0.02;
     private static final double DOUBT_ERROR_RATE = 0.01;
-    private static final int EXPECTED_ROUTES = 4;
     private static final long CONTROL_REQUESTS = 40;
     private static final int LONGEST_BLOCK_ROUNDS = 40;
 
-    private final double faultyBound;
-    private final double doubtfulBound;
-    private final double leftOutBound = -Math.log(LEFT_OUT_ERROR_RATE);
+    private static final double LEFT_OUT_BOUND = -Math.log(LEFT_OUT_ERROR_RATE);
+
+    private final double errorRate;
     private final Map<String, RouteTests> routes = new TreeMap<>();
     private final Set<String> newNodes = new TreeSet<>();
     private EvidenceBlock pending;
@@ -37,9 +35,7 @@
     private Judgement judgement = Judgement.SOUND;
 
     private SequentialJudge(final double errorRate) {
-        double tests = (EXPECTED_ROUTES + 1) * FaultKind.values().length;
-        this.faultyBound = Math.log(tests / errorRate);
-        this.doubtfulBound = Math.log(tests / DOUBT_ERROR_RATE);
+        this.errorRate = errorRate;
     }
 
     /**
@@ -82,15 +78,15 @@
                 routes.values().forEach(tests -> tests.leaveOut(evidence.node()));
             }
         }
-        Map<String, NodeCounts> counts = new HashMap<>();
+        Map<String, NodeCounts> counts = new TreeMap<>();
         for (Evidence evidence : block.counts()) {
             boolean newVersion = evidence.targetVersion().equals(block.to());
             counts.computeIfAbsent(ALL_ROUTES, key -> new NodeCounts(newNodes)).add(evidence, newVersion);
             counts.computeIfAbsent(evidence.route(), key -> new NodeCounts(newNodes))
                     .add(evidence, newVersion);
         }
-        counts.forEach((route, nodes) ->
-                routes.computeIfAbsent(route, key -> new RouteTests(newNodes)).add(nodes));
+        counts.forEach((route, nodes) -> routes.computeIfAbsent(route, key -> new RouteTests(routes.size(), newNodes))
+                .add(nodes));
     }
 
     private Judgement conclude(final EvidenceBlock block) {
@@ -110,9 +106,9 @@
 
     private Judgement.Finding finding(final RouteTests tests, final FaultKind kind) {
         double evidence = tests.all().logEvidence(kind);
-        if (evidence < doubtfulBound || tests.lowestWithoutOne(kind) < leftOutBound) {
+        if (evidence < tests.bound(DOUBT_ERROR_RATE) || tests.lowestWithoutOne(kind) < LEFT_OUT_BOUND) {
             return Judgement.Finding.SOUND;
         }
-        return evidence >= faultyBound ? Judgement.Finding.FAULTY : Judgement.Finding.DOUBTFUL;
+        return evidence >= tests.bound(errorRate) ? Judgement.Finding.FAULTY : Judgement.Finding.DOUBTFUL;
     }
 }
