--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/LocalCounts.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/LocalCounts.java
@@ -66,7 +66,12 @@
      */
     Judgement judge() {
         List<Evidence> increments = new ArrayList<>();
-        counts.forEach((subject, present) -> increments.add(increment(subject, present)));
+        counts.forEach((subject, present) -> {
+            Evidence increment = increment(subject, present);
+            if (increment.requests() > 0) {
+                increments.add(increment);
+            }
+        });
         return judge.judge(new EvidenceBlock(move.from(), move.to(), increments));
     }
 
