--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/rollout/RolloutControllerTest.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/rollout/RolloutControllerTest.java
@@ -98,7 +98,8 @@
     void waitsForATargetOfTheNewVersion() {
         fixture.join(node.blackboard, "node-1", "ha-noi-a", RolloutFixture.FROM);
         runUntil(RolloutFixture.START_MS + 60_000);
-        assertEquals(Optional.empty(), node.progress());
+        assertEquals(0, node.share());
+        assertTrue(node.progress().orElseThrow().reason().startsWith("waiting: no target of 2026.12"));
 
         fixture.join(node.blackboard, "node-1", "ha-noi-a", RolloutFixture.FROM, RolloutFixture.TO);
         runUntil(finishByMs);
@@ -162,7 +163,10 @@
         RolloutProgress sealed = new RolloutProgress(
                 RolloutFixture.move(), RolloutFixture.SERVICE, Stage.SEALED_TAKEN_BACK, 0, "taken back");
         register.held.put(RolloutFixture.move(), sealed);
-        runUntil(finishByMs);
+        while (fixture.clock.nowMs() < RolloutFixture.START_MS + 20_000) {
+            step();
+            assertEquals(0, node.share());
+        }
 
         assertEquals(sealed, node.progress().orElseThrow());
     }
