Departures only after a poll of the failure domain

Cause: a lead on the small side of a partition stated the departure of members one by one as it detected them, while it still counted the others as present; after the partition healed they were out of every node's view until they had refuted. Ruled out: counting suspected members as well (they are detected one by one too), and the lease (the small side may hold it). Change: before a departure is written, a sample of up to 30 present members and the members in doubt are probed at once; it is written only when half of them answer and the member itself does not. Tests also for a node that wakes with a spoiled probe or an old suspicion, for a failure domain that is the only one and splits, and for two nodes that know only each other.

--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/membership/DepartureKeeper.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/membership/DepartureKeeper.java
@@ -1,6 +1,7 @@
 package org.sequoiashunt.membership;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.sequoiashunt.blackboard.Blackboard;
@@ -12,8 +13,9 @@
 /**
  * Writes the departures of a failure domain when this node is its lead, and forgets expired ones.
  *
- * <p>A lead that sees less than half of its failure domain is likely to be the one that is cut off; it waits before it
- * writes, since every departure that is wrong costs a refutation on all nodes.
+ * <p>A lead that reaches less than half of its failure domain is likely to be the one that is cut off; it waits before
+ * it writes, since a wrong departure takes a serving member out of every node's view until it is refuted. It polls a
+ * sample for that: the members that it has detected as gone so far say little, since they are detected one by one.
  *
  * <p>Confined to one thread, but {@link #admits} is thread-safe. Invariant: a member that was forgotten is not taken
  * back in the version that departed while peers may still have it.
@@ -26,29 +28,42 @@
     private final NodeIdentity identity;
     private final Blackboard blackboard;
     private final MembershipSettings settings;
+    private final DomainPoll poll;
     private final Map<String, Forgotten> forgotten = new HashMap<>();
     private long minoritySinceMs = Long.MAX_VALUE;
 
-    DepartureKeeper(final NodeIdentity identity, final Blackboard blackboard, final MembershipSettings settings) {
+    DepartureKeeper(
+            final NodeIdentity identity,
+            final Blackboard blackboard,
+            final MembershipSettings settings,
+            final DomainPoll poll) {
         this.identity = identity;
         this.blackboard = blackboard;
         this.settings = settings;
+        this.poll = poll;
     }
 
     void write(final MembershipView view, final long nowMs) {
         Optional<Member> lead = view.first(identity.failureDomain());
-        boolean leads = lead.isPresent() && lead.get().node().equals(identity.node());
-        if (!leads || !mayJudge(view, nowMs)) {
+        if (lead.isEmpty() || !lead.get().node().equals(identity.node())) {
             return;
         }
-        for (Standing standing : view.all()) {
-            if (isUnrecorded(standing)) {
-                Departure departure = new Departure(standing.member().node(), nowMs);
-                blackboard.merge(Entry.of(departure.member(), identity.node(), standing.version(), departure));
-            }
+        List<Standing> unrecorded =
+                view.all().stream().filter(this::isUnrecorded).toList();
+        unrecorded.stream().filter(DepartureKeeper::hasLeft).forEach(standing -> write(standing, nowMs));
+        List<Standing> silent =
+                unrecorded.stream().filter(standing -> !hasLeft(standing)).toList();
+        if (!silent.isEmpty() && mayJudge(view, silent, nowMs)) {
+            silent.stream()
+                    .filter(standing -> poll.isSilent(standing.member().node()))
+                    .forEach(standing -> write(standing, nowMs));
         }
     }
 
+    void accept(final ProbeAnswer answer) {
+        poll.accept(answer);
+    }
+
     void forgetExpired(final long nowMs) {
         for (Entry entry : blackboard.entries(Section.DEPARTURE)) {
             Departure departure = (Departure) entry.value();
@@ -75,15 +90,28 @@
         }
     }
 
-    private boolean mayJudge(final MembershipView view, final long nowMs) {
-        long unrecorded = view.all().stream().filter(this::isUnrecorded).count();
-        long present = view.ranked(identity.failureDomain()).size();
-        if (unrecorded <= present) {
-            minoritySinceMs = Long.MAX_VALUE;
-            return unrecorded > 0;
+    private boolean mayJudge(final MembershipView view, final List<Standing> silent, final long nowMs) {
+        List<Member> present = view.ranked(identity.failureDomain());
+        List<Member> doubted = silent.stream().map(Standing::member).toList();
+        switch (poll.advance(present, doubted, nowMs)) {
+            case MAJORITY:
+                minoritySinceMs = Long.MAX_VALUE;
+                return true;
+            case MINORITY:
+                minoritySinceMs = Math.min(minoritySinceMs, nowMs);
+                return nowMs - minoritySinceMs >= settings.minorityDelayMs();
+            default:
+                return false;
         }
-        minoritySinceMs = Math.min(minoritySinceMs, nowMs);
-        return nowMs - minoritySinceMs >= settings.minorityDelayMs();
+    }
+
+    private void write(final Standing standing, final long nowMs) {
+        Departure departure = new Departure(standing.member().node(), nowMs);
+        blackboard.merge(Entry.of(departure.member(), identity.node(), standing.version(), departure));
+    }
+
+    private static boolean hasLeft(final Standing standing) {
+        return standing.member().state() == MemberState.LEFT;
     }
 
     private boolean isUnrecorded(final Standing standing) {
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/membership/MembershipController.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/membership/MembershipController.java
@@ -63,7 +63,7 @@
         this.prober = new Prober(identity, sender, random, settings);
         this.timers = new SuspicionTimers(blackboard, settings.suspicionMs());
         this.views = new ViewBuilder(blackboard, timers);
-        this.departures = new DepartureKeeper(identity, blackboard, settings);
+        this.departures = new DepartureKeeper(identity, blackboard, settings, new DomainPoll(identity, sender, random));
         this.lastTickMs = clock.nowMs();
         view.set(views.build());
     }
@@ -142,6 +142,7 @@
             prober.relay(probe, clock.nowMs());
         } else if (message instanceof ProbeAnswer answer) {
             prober.accept(answer);
+            departures.accept(answer);
         } else {
             return false;
         }
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/memory/MemoryCluster.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/memory/MemoryCluster.java
@@ -81,21 +81,26 @@
      * @return the node, never null.
      */
     public ReplicaNode start(final NodeIdentity identity) {
-        return start(identity, clock, snapshot -> {});
+        return start(identity, clock, snapshot -> {}, new Contacts());
     }
 
     /**
-     * Starts a node with a clock and an applier of its own.
+     * Starts a node with a clock, an applier and contacts of its own.
      *
      * @param identity the node, not null.
      * @param nodeClock the clock of the node, not null.
      * @param applier puts configurations in force, not null.
+     * @param contacts addresses known from the node's settings, not null.
      * @return the node, never null.
      */
-    public ReplicaNode start(final NodeIdentity identity, final Clock nodeClock, final ConfigurationApplier applier) {
+    public ReplicaNode start(
+            final NodeIdentity identity,
+            final Clock nodeClock,
+            final ConfigurationApplier applier,
+            final Contacts contacts) {
         NodePorts ports = new NodePorts(
                 nodeClock, network.sender(identity.node(), identity.address()), store, platform, platform);
-        ReplicaNode node = new ReplicaNode(identity, settings, ports, new Contacts(), applier, random.nextLong());
+        ReplicaNode node = new ReplicaNode(identity, settings, ports, contacts, applier, random.nextLong());
         network.attach(identity.address(), node);
         long firstTickMs = clock.nowMs() + random.nextLong(TICK_MS);
         running.put(identity.node(), new Running(identity, node, firstTickMs));
