Keep a link open while it carries calls; stamps in a class of their own

Cause: when the frames about calls moved out of Link, the time of last use was no longer noted for calls, so a link used by calls alone was closed as idle. Seen by the new test before the change: 3 links opened in three idle limits instead of 1.

--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/Link.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/Link.java
@@ -13,7 +13,6 @@
 final class Link {
 
     private static final long STABLE_MS = 1_000; // A connection that lasted less is replaced with a delay only.
-    private static final long STAMP_AGE_LIMIT_MS = 5_000; // 1,000 ppm of clock drift then shift an age by 5 ms.
 
     private final NodeAddress address;
     private final LinkContext context;
@@ -44,6 +43,9 @@
 
     /** Sends what waits, or opens a connection for it. */
     void pump() {
+        if (!calls().isEmpty()) {
+            lastUsedMs = context.clock().nowMs();
+        }
         if (isOpen()) {
             control.writeTo(connection);
             calls.writeWaiting(connection);
@@ -146,8 +148,8 @@
     }
 
     private void refreshStamp(final long nowMs) {
-        boolean inUse = nowMs - lastUsedMs < STAMP_AGE_LIMIT_MS;
-        if (inUse && isOpen() && connection.isStampDue(STAMP_AGE_LIMIT_MS)) {
+        boolean inUse = nowMs - lastUsedMs < PeerStamp.AGE_LIMIT_MS;
+        if (inUse && isOpen() && connection.stamp().isDue(nowMs)) {
             connection.write(Frames.ping());
         }
     }
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/LinkCalls.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/LinkCalls.java
@@ -122,7 +122,7 @@
         Frame frame = Frames.of(CallCodec.encode(
                 call.number(),
                 call.request(),
-                connection.freshness(call.request().deadlineMs())));
+                connection.stamp().freshness(call.request().deadlineMs(), clock.nowMs())));
         if (frame.getSerializedSize() > limits.maximumFrameBytes()) {
             inFlight.remove(call);
             call.future().complete(CallResult.notRun(Reason.TOO_LARGE));
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/LinkConnection.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/LinkConnection.java
@@ -9,7 +9,6 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import org.sequoiashunt.link.wire.FrameProto.Frame;
-import org.sequoiashunt.link.wire.FrameProto.Freshness;
 import org.sequoiashunt.peer.NodeAddress;
 
 /**
@@ -22,11 +21,9 @@
     private final LinkContext context;
     private final Link link;
     private final LinkHealth health;
+    private final PeerStamp stamp = new PeerStamp();
     private Channel channel;
     private LinkIdentity peer;
-    private long stampMs;
-    private long stampReceivedMs;
-    private long stampAskedMs;
     private boolean abandoned;
 
     LinkConnection(final LinkContext context, final Link link) {
@@ -83,28 +80,8 @@
         return health;
     }
 
-    Freshness freshness(final long deadlineMs) {
-        long nowMs = context.clock().nowMs();
-        return Freshness.newBuilder()
-                .setStamp(stampMs)
-                .setStampAgeMs(nowMs - stampReceivedMs)
-                .setRemainingMs(Math.max(0, deadlineMs - nowMs))
-                .build();
-    }
-
-    /**
-     * Tells whether a new stamp is to be asked for, at most once per age limit.
-     *
-     * @param ageLimitMs the age at which a stamp is replaced.
-     * @return true if the caller is to send a ping.
-     */
-    boolean isStampDue(final long ageLimitMs) {
-        long nowMs = context.clock().nowMs();
-        if (nowMs - Math.max(stampReceivedMs, stampAskedMs) < ageLimitMs) {
-            return false;
-        }
-        stampAskedMs = nowMs;
-        return true;
+    PeerStamp stamp() {
+        return stamp;
     }
 
     /** Closes the connection without waiting for what was written to it to be sent. */
@@ -186,8 +163,7 @@
         link.connectionOpened(this);
     }
 
-    private void noteStamp(final long newStampMs) {
-        stampMs = newStampMs;
-        stampReceivedMs = context.clock().nowMs();
+    private void noteStamp(final long stampMs) {
+        stamp.received(stampMs, context.clock().nowMs());
     }
 }
--- a/sequoiashunt-link/src/test/java/org/sequoiashunt/link/LinkBadInputTest.java
+++ b/sequoiashunt-link/src/test/java/org/sequoiashunt/link/LinkBadInputTest.java
@@ -90,6 +90,16 @@
         }
     }
 
+    @Test
+    void aPeerInTheMiddleOfALongFrameGetsASignOfLife() throws Exception {
+        try (RawPeer peer = RawPeer.connect(fixture.address())) {
+            peer.write(HELLO);
+            peer.read();
+            peer.writeBytes((byte) 0, (byte) 1, (byte) 0, (byte) 0, (byte) 1);
+            assertTrue(peer.read().hasPong());
+        }
+    }
+
     @Test
     void unfinishedFramesAreBoundedOverAllConnections() throws Exception {
         try (RawPeer first = RawPeer.connect(fixture.address());
--- a/sequoiashunt-link/src/test/java/org/sequoiashunt/link/LinkTest.java
+++ b/sequoiashunt-link/src/test/java/org/sequoiashunt/link/LinkTest.java
@@ -8,10 +8,14 @@
 import org.sequoiashunt.call.Body;
 import org.sequoiashunt.call.CallRequest;
 import org.sequoiashunt.call.CallResult;
+import org.sequoiashunt.link.LinkCounters.Count;
 
 /** A client and a server on loopback. */
 class LinkTest {
 
+    private static final LinkLimits SHORT_IDLE =
+            new LinkLimits(250, 750, 750, 1_000, 3_000, 300, 1_500, 10_000, 100_000, 10, 100_000, 100_000, 100);
+
     @Test
     void carriesACallAndItsAnswer() throws Exception {
         try (LinkFixture fixture = new LinkFixture()) {
@@ -26,6 +30,7 @@
             assertTrue(arrived.deadlineMs() <= request.deadlineMs());
             assertEquals(request.body(), arrived.body());
             assertEquals(request.key(), arrived.key());
+            LinkFixture.await(() -> fixture.server.outstandingCalls() == 0);
         }
     }
 
@@ -38,6 +43,33 @@
         }
     }
 
+    @Test
+    void anIdleLinkIsClosedAndOpensAgainForTheNextMessage() throws Exception {
+        try (LinkFixture fixture = new LinkFixture(SHORT_IDLE)) {
+            fixture.warmUp();
+            LinkFixture.await(() -> fixture.serverCounters.read(Count.CONNECTIONS_ACCEPTED) == 0);
+            assertEquals(0, fixture.clientCounters.read(Count.LINKS_REPLACED));
+            fixture.client.send(fixture.address(), new TextMessage("again"));
+            LinkFixture.await(() -> fixture.received.contains(new TextMessage("again")));
+        }
+    }
+
+    @Test
+    void aLinkThatCarriesCallsStaysOpen() throws Exception {
+        try (LinkFixture fixture = new LinkFixture(SHORT_IDLE)) {
+            fixture.warmUp();
+            long endMs = LinkFixture.CLOCK.nowMs() + 3 * SHORT_IDLE.idleLimitMs();
+            while (LinkFixture.CLOCK.nowMs() < endMs) {
+                CompletableFuture<CallResult> call =
+                        fixture.client.call(fixture.address(), LinkFixture.request("call-" + endMs--, 5_000));
+                LinkFixture.await(() -> !fixture.handler.runs.isEmpty());
+                fixture.handler.runs.remove().complete(LinkFixture.answer(Body.EMPTY));
+                LinkFixture.await(call);
+            }
+            assertEquals(1, fixture.clientCounters.read(Count.LINKS_OPENED));
+        }
+    }
+
     @Test
     void cancellationReachesTheGate() throws Exception {
         try (LinkFixture fixture = new LinkFixture()) {
--- /dev/null
+++ b/sequoiashunt-link/src/test/java/org/sequoiashunt/link/PeerStampTest.java
@@ -0,0 +1,33 @@
+package org.sequoiashunt.link;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import org.sequoiashunt.link.wire.FrameProto.Freshness;
+
+class PeerStampTest {
+
+    private static final long START_MS = 50_000;
+
+    private final PeerStamp stamp = new PeerStamp();
+
+    @Test
+    void anOldStampIsAskedForOnceUntilTheNextIsDue() {
+        stamp.received(7, START_MS);
+        assertFalse(stamp.isDue(START_MS + PeerStamp.AGE_LIMIT_MS - 1));
+        assertTrue(stamp.isDue(START_MS + PeerStamp.AGE_LIMIT_MS));
+        assertFalse(stamp.isDue(START_MS + PeerStamp.AGE_LIMIT_MS + 1));
+        assertTrue(stamp.isDue(START_MS + 2 * PeerStamp.AGE_LIMIT_MS));
+    }
+
+    @Test
+    void theFrameTellsForHowLongTheStampWasHeld() {
+        stamp.received(7, START_MS);
+        Freshness freshness = stamp.freshness(START_MS + 100, START_MS + 30);
+        assertEquals(7, freshness.getStamp());
+        assertEquals(30, freshness.getStampAgeMs());
+        assertEquals(70, freshness.getRemainingMs());
+    }
+}
