--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/measurement/Measurement.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/measurement/Measurement.java
@@ -126,23 +126,21 @@
         double passedSeconds = (System.nanoTime() - startNanos) / 1e9;
         output.printf("%d requests a second in each series, %d s%n", rate, seconds);
         Series direct = series.get(0);
-        for (Series each : series) {
-            output.printf(
-                    "  %-27s count %d failed %d p50 %.3f ms (added %.3f, ratio %.2f) p99 %.3f ms (added %.3f, ratio %.2f)%n",
-                    each.name(),
-                    each.count(),
-                    each.failures(),
-                    each.percentileMs(P50),
-                    each.percentileMs(P50) - direct.percentileMs(P50),
-                    each.percentileMs(P50) / direct.percentileMs(P50),
-                    each.percentileMs(P99),
-                    each.percentileMs(P99) - direct.percentileMs(P99),
-                    each.percentileMs(P99) / direct.percentileMs(P99));
-        }
+        series.forEach(each -> printSeries(each, direct));
         printProcesses(before, passedSeconds);
         return series.stream().allMatch(each -> each.failures() == 0);
     }
 
+    private void printSeries(final Series series, final Series direct) {
+        output.printf("  %-27s count %d failed %d", series.name(), series.count(), series.failures());
+        for (double percentile : new double[] {P50, P99}) {
+            double ms = series.percentileMs(percentile);
+            double directMs = direct.percentileMs(percentile);
+            output.printf(", p%.0f %.3f ms (added %.3f, ratio %.2f)", percentile, ms, ms - directMs, ms / directMs);
+        }
+        output.println();
+    }
+
     private void measureIdle(final String name) throws Exception {
         List<ProcessReading> before = readings();
         List<Long> bytesBefore = controlBytes();
