Leads come back soon after an outage of the store

Cause: after an outage longer than the lease every lead backed off up to 10 s for the lease and 4 s for the watch, so that a commit made right after the outage could wait for more than the 4 s allowed.

Ruled out: backing off less in a herd. A node alone in its view still spreads its calls by the size of its failure domain.

Change: the three candidates for a lease try again within 1 to 3 s, a node alone within the spread of its failure domain, the watch within 2 s.

--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/lead/ConfigurationWatcher.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/lead/ConfigurationWatcher.java
@@ -37,7 +37,7 @@
     private static final long WATCH_MS = 10_000;
     private static final long IDLE_MS = 200;
     private static final long BACKOFF_BASE_MS = 200;
-    private static final long BACKOFF_MAXIMUM_MS = 4_000;
+    private static final long BACKOFF_MAXIMUM_MS = 2_000;
 
     private final ConfigurationSource source;
     private final Blackboard blackboard;
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/lead/LeadLease.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/lead/LeadLease.java
@@ -31,6 +31,7 @@
     private static final long RENEWAL_MS = DURATION_MS / 3;
     private static final int CANDIDATES = 3;
     private static final long IDLE_MS = 500;
+    private static final long RETRY_MS = 1_000;
     private static final long CANDIDATE_PERIOD_MS = 10_000;
     // Sixteen failure domains of 262 members that start at once ask 210 times a second.
     private static final long ALONE_MS_PER_MEMBER = 76;
@@ -42,7 +43,6 @@
     private final Supplier<MembershipView> views;
     private final Supplier<BootstrapController.Reading> bootstrap;
     private final RandomGenerator random;
-    private final Backoff backoff;
     private volatile long heldUntilMs = Long.MIN_VALUE;
     private volatile String lastHolder = "";
     private long nextTryMs;
@@ -71,7 +71,6 @@
         this.views = Objects.requireNonNull(views, "views");
         this.bootstrap = Objects.requireNonNull(bootstrap, "bootstrap");
         this.random = Objects.requireNonNull(random, "random");
-        this.backoff = new Backoff(DURATION_MS / 2, 2 * DURATION_MS, random);
     }
 
     /**
@@ -111,7 +110,7 @@
         }
         standing = present;
         if (nowMs >= nextTryMs) {
-            nextTryMs = clock.nowMs() + ask(present.rank());
+            nextTryMs = clock.nowMs() + ask(present);
         }
         return Math.min(IDLE_MS, Math.max(1, nextTryMs - clock.nowMs()));
     }
@@ -131,21 +130,20 @@
         }
     }
 
-    private long ask(final int rank) {
+    private long ask(final Standing present) {
         long sentMs = clock.nowMs();
         try {
             String name = StoreKeys.leadLease(identity.failureDomain());
             StoredLease lease = store.acquireLease(name, identity.node(), DURATION_MS);
-            backoff.reset();
             lastHolder = lease.holder();
             if (lease.holder().equals(identity.node())) {
                 heldUntilMs = sentMs + DURATION_MS - DRIFT_MARGIN_MS;
                 return RENEWAL_MS;
             }
             heldUntilMs = Long.MIN_VALUE;
-            return pauseAfterRefusal(rank, lease);
+            return pauseAfterRefusal(present.rank(), lease);
         } catch (StoreException exception) {
-            return Math.min(backoff.next(), isHeld() ? RENEWAL_MS : Long.MAX_VALUE);
+            return failurePauseMs(present);
         }
     }
 
@@ -159,11 +157,20 @@
     }
 
     private long firstPauseMs(final Standing present) {
+        return present.alone() ? alonePauseMs() : CANDIDATE_PERIOD_MS * present.rank();
+    }
+
+    private long alonePauseMs() {
+        return random.nextLong(
+                ALONE_BASE_MS + ALONE_MS_PER_MEMBER * bootstrap.get().members());
+    }
+
+    /** Few nodes ask for each lease, so they may ask often: a commit waits for the lead after an outage. */
+    private long failurePauseMs(final Standing present) {
         if (present.alone()) {
-            int members = bootstrap.get().members();
-            return random.nextLong(ALONE_BASE_MS + ALONE_MS_PER_MEMBER * members);
+            return 1 + alonePauseMs();
         }
-        return CANDIDATE_PERIOD_MS * present.rank();
+        return 1 + random.nextLong(RETRY_MS * (1 + present.rank()));
     }
 
     private boolean isAlone() {
