--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/GuardStanding.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/GuardStanding.java
@@ -1,8 +1,5 @@
 package org.sequoiashunt.execution;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
@@ -20,21 +17,13 @@
     /** How many guards hold a key. */
     public static final int GUARDS_PER_KEY = 3;
 
-    /** Epochs remembered at most; what happened in older ones counts as not known. */
-    private static final int MAXIMUM_EPOCHS = 64;
-
-    private static final long NEVER_MS = Long.MIN_VALUE;
-
     private final String node;
     private final String group;
     private final Clock clock;
     private final ClaimTiming timing;
     private final Set<ClaimRule> rules;
     private final long startMs;
-
-    /** Consecutive epochs adopted, the newest first. */
-    private final Deque<AdoptedRoster> adopted = new ArrayDeque<>();
-
+    private final EpochHistory epochs;
     private final GuardAnswers answers;
     private boolean storeWasEmpty;
     private boolean storeWasRead;
@@ -60,6 +49,7 @@
         this.timing = Objects.requireNonNull(timing, "timing");
         this.rules = Set.copyOf(rules);
         this.startMs = clock.nowMs();
+        this.epochs = new EpochHistory(node, timing.retentionMs(), this.rules);
         this.answers = new GuardAnswers(node, timing.fenceMs());
     }
 
@@ -78,7 +68,7 @@
      * @return the roster, or empty if none is known.
      */
     public synchronized Optional<Roster> roster() {
-        return Optional.ofNullable(adopted.peekFirst()).map(first -> first.roster);
+        return epochs.roster();
     }
 
     /**
@@ -87,7 +77,7 @@
      * @return the epoch, zero if no roster is known.
      */
     public synchronized long epoch() {
-        return adopted.isEmpty() ? 0 : adopted.peekFirst().roster.epoch();
+        return epochs.epoch();
     }
 
     /**
@@ -100,14 +90,8 @@
         if (!roster.group().equals(group) || roster.epoch() <= epoch()) {
             return false;
         }
-        if (roster.epoch() != epoch() + 1) {
-            adopted.clear();
-        }
         long nowMs = clock.nowMs();
-        adopted.addFirst(new AdoptedRoster(roster));
-        if (adopted.size() > MAXIMUM_EPOCHS) {
-            adopted.removeLast();
-        }
+        epochs.adopt(roster);
         answers.restart(roster.guards(), nowMs);
         updateActivity(nowMs);
         return true;
@@ -120,7 +104,7 @@
      */
     public synchronized void storeRead(final Optional<Roster> roster) {
         storeWasRead = true;
-        storeWasEmpty |= roster.isEmpty() && adopted.isEmpty();
+        storeWasEmpty |= roster.isEmpty() && epoch() == 0;
         roster.ifPresent(this::adopt);
         updateActivity(clock.nowMs());
     }
@@ -161,7 +145,7 @@
         }
         long nowMs = clock.nowMs();
         boolean lapsed = nowMs - startMs > 2 * timing.fenceMs() + timing.heartbeatMs();
-        return lapsed && !adopted.isEmpty() && othersAnswering(nowMs) >= majority();
+        return lapsed && epoch() > 0 && othersAnswering(nowMs) >= majority();
     }
 
     /**
@@ -182,7 +166,7 @@
      */
     public synchronized boolean isSettled() {
         updateActivity(clock.nowMs());
-        return !adopted.isEmpty() && adopted.peekFirst().activeMs != NEVER_MS;
+        return epochs.isActive();
     }
 
     /**
@@ -191,7 +175,7 @@
      * @return true if this node is a guard of the group.
      */
     public synchronized boolean isGuard() {
-        return !adopted.isEmpty() && adopted.peekFirst().roster.guards().contains(node);
+        return guards().contains(node);
     }
 
     /**
@@ -207,15 +191,8 @@
         }
         long nowMs = clock.nowMs();
         updateActivity(nowMs);
-        for (AdoptedRoster epoch : adopted) {
-            if (!hadPart(epoch.roster, key) || !sharesGuard(epoch.roster)) {
-                return false;
-            }
-            if (epoch.activeMs != NEVER_MS && isPast(epoch.activeMs, nowMs)) {
-                return true;
-            }
-        }
-        return isFirstEpochWitnessed();
+        boolean sawBeginning = storeWasEmpty || !rules.contains(ClaimRule.FIRST_EPOCH_WITNESSED);
+        return epochs.isComplete(key, nowMs, sawBeginning);
     }
 
     @Override
@@ -234,63 +211,19 @@
         return RendezvousHash.first(key, roster.guards(), GUARDS_PER_KEY);
     }
 
-    private boolean hadPart(final Roster roster, final ClaimKey key) {
-        boolean byKey = rules.contains(ClaimRule.KEY_HISTORY);
-        return (byKey ? guardsOf(roster, key) : roster.guards()).contains(node);
-    }
-
     /**
-     * Tells whether every majority of a key's guards at the present epoch shares a guard with every majority at an
-     * earlier one, if all of the former were guards at both. A roster that shrank from three to one does not.
+     * Returns how many of a set are a majority.
+     *
+     * @param size the size of the set.
+     * @return the smallest number that is more than half.
      */
-    private boolean sharesGuard(final Roster earlier) {
-        int present = guardsPerKey(adopted.peekFirst().roster);
-        int past = guardsPerKey(earlier);
-        boolean overlap = majorityOf(present) + majorityOf(past) > past;
-        return overlap || !rules.contains(ClaimRule.SHARED_MAJORITY);
-    }
-
-    private static int guardsPerKey(final Roster roster) {
-        return Math.min(GUARDS_PER_KEY, roster.guards().size());
-    }
-
-    private static int majorityOf(final int size) {
+    static int majorityOf(final int size) {
         return size / 2 + 1;
     }
 
-    /** The oldest epoch adopted is the first one, and this process runs since before it: nothing can precede it. */
-    private boolean isFirstEpochWitnessed() {
-        boolean witnessed = storeWasEmpty || !rules.contains(ClaimRule.FIRST_EPOCH_WITNESSED);
-        return witnessed && !adopted.isEmpty() && adopted.peekLast().roster.epoch() == 1;
-    }
-
-    private boolean isPast(final long sinceMs, final long nowMs) {
-        return nowMs - sinceMs >= timing.retentionMs();
-    }
-
     private void updateActivity(final long nowMs) {
-        if (adopted.isEmpty() || !isHeard(nowMs)) {
-            return;
-        }
-        AdoptedRoster current = adopted.peekFirst();
-        if (current.activeMs == NEVER_MS) {
-            current.activeMs = nowMs;
-        }
-        dropSuperseded(nowMs);
-    }
-
-    private void dropSuperseded(final long nowMs) {
-        if (isFirstEpochWitnessed() && adopted.size() == 1) {
-            return;
-        }
-        boolean covered = false;
-        Iterator<AdoptedRoster> epochs = adopted.iterator();
-        while (epochs.hasNext()) {
-            AdoptedRoster epoch = epochs.next();
-            if (covered) {
-                epochs.remove();
-            }
-            covered |= epoch.activeMs != NEVER_MS && isPast(epoch.activeMs, nowMs);
+        if (epoch() > 0 && isHeard(nowMs)) {
+            epochs.activate(nowMs);
         }
     }
 
@@ -300,21 +233,14 @@
     }
 
     private int majority() {
-        return majorityOf(adopted.peekFirst().roster.guards().size());
+        return majorityOf(guards().size());
     }
 
     private int othersAnswering(final long nowMs) {
-        return answers.countOthers(adopted.peekFirst().roster.guards(), nowMs);
+        return answers.countOthers(guards(), nowMs);
     }
 
-    /** Roster with the time at which a majority of it was first heard. Guarded by the standing's lock. */
-    private static final class AdoptedRoster {
-
-        private final Roster roster;
-        private long activeMs = NEVER_MS;
-
-        private AdoptedRoster(final Roster roster) {
-            this.roster = roster;
-        }
+    private List<String> guards() {
+        return epochs.roster().map(Roster::guards).orElse(List.of());
     }
 }
