Anti-entropy offers a head instead of delivering it

Cause: a comparison during the spread of a commit delivered the whole head, some 20 KB with 230 services, to nodes that had it on its way as a difference: at 262 nodes 2,824 bytes per node and commit. It is now offered and pulled as a difference. Test of the contacts read at start.

--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/replication/ReplicationController.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/replication/ReplicationController.java
@@ -127,7 +127,7 @@
         } else if (message instanceof BucketDigests digests) {
             antiEntropy.answer(digests);
         } else if (message instanceof BucketStamps stamps) {
-            deliveries.send(antiEntropy.lackedBySender(stamps), stamps.replyTo(), clock.nowMs());
+            bring(antiEntropy.lackedBySender(stamps), stamps.replyTo());
             pull(stamps.stamps(), stamps.replyTo());
         } else {
             return false;
@@ -135,6 +135,16 @@
         return true;
     }
 
+    /** Delivers what a peer lacks, but only offers a head, which the peer then pulls as a difference. */
+    private void bring(final List<Entry> lacked, final NodeAddress peer) {
+        List<Entry> delivered = new ArrayList<>(lacked);
+        delivered.removeIf(entry -> entry.key().equals(HEAD));
+        deliveries.send(delivered, peer, clock.nowMs());
+        if (delivered.size() < lacked.size()) {
+            blackboard.find(HEAD).ifPresent(head -> offer(List.of(EntryStamp.of(head)), List.of(peer)));
+        }
+    }
+
     private void pull(final List<EntryStamp> stamps, final NodeAddress peer) {
         long nowMs = clock.nowMs();
         List<EntryKey> wanted = new ArrayList<>();
--- /dev/null
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/lead/BootstrapControllerTest.java
@@ -0,0 +1,59 @@
+package org.sequoiashunt.lead;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import org.sequoiashunt.membership.DomainSummary;
+import org.sequoiashunt.membership.NodeIdentity;
+import org.sequoiashunt.memory.MemoryPlatform;
+import org.sequoiashunt.memory.MemoryStore;
+import org.sequoiashunt.peer.NodeAddress;
+import org.sequoiashunt.replication.Contacts;
+
+final class BootstrapControllerTest {
+
+    private static final NodeAddress CONTACT = new NodeAddress("127.0.0.1", 2);
+
+    private final MemoryStore store = new MemoryStore(() -> 1_000);
+    private final MemoryPlatform platform = new MemoryPlatform(store);
+    private final Contacts contacts = new Contacts();
+    private boolean joined;
+    private final BootstrapController bootstrap = new BootstrapController(
+            new NodeIdentity("node-1", "balaju", "kathmandu", new NodeAddress("127.0.0.1", 1)),
+            platform,
+            contacts,
+            () -> joined,
+            new SplittableRandom(4));
+
+    @Test
+    void contactsAreReadUntilTheOthersAreFound() throws Exception {
+        platform.write(new DomainSummary("balaju", "kathmandu", "node-2", List.of(CONTACT), 9, 1, 1, List.of(), 1_000));
+        bootstrap.step();
+        bootstrap.step();
+        assertEquals(List.of(CONTACT), contacts.of("balaju"));
+        assertEquals(9, bootstrap.reading().members());
+        long calls = store.calls();
+        bootstrap.step();
+        assertEquals(calls + 1, store.calls());
+        joined = true;
+        bootstrap.step();
+        assertEquals(calls + 1, store.calls());
+    }
+
+    @Test
+    void firstReadingComesAfterPauseAndOutagesAreSatOut() {
+        store.setFault(MemoryStore.Fault.DOWN);
+        assertTrue(bootstrap.step() > 0);
+        assertEquals(0, store.calls());
+        long passedMs = 0;
+        while (passedMs < 60_000) {
+            passedMs += bootstrap.step();
+        }
+        assertFalse(bootstrap.reading().answered());
+        assertTrue(store.calls() < 60, "calls in a minute: " + store.calls());
+    }
+}
--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/replication/ReplicationControllerTest.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/replication/ReplicationControllerTest.java
@@ -117,6 +117,15 @@
         assertEquals(head(2, "digest-a", "digest-b"), blackboard.find(HEAD).orElseThrow());
     }
 
+    @Test
+    void headThatPeerLacksIsOfferedAndNotDelivered() {
+        blackboard.merge(head(1));
+        BucketStamps stamps = new BucketStamps(Section.CONFIGURATION_HEAD, "", 1, List.of(0), List.of(), PEER);
+        controller.receive("node-2", stamps);
+        assertEquals(1, sent.size());
+        assertEquals(HEAD, ((Offer) sent.get(0)).stamps().get(0).key());
+    }
+
     @Test
     void lostAnswerIsAskedForAgainUntilItArrives() {
         Entry entry = quarantined("request", Long.MAX_VALUE);
