--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/ClaimRule.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/ClaimRule.java
@@ -16,6 +16,8 @@
     COMPLETE_HISTORY,
     /** A history is complete only for keys of which the node was a guard in each epoch within the window. */
     KEY_HISTORY,
+    /** A history is complete only if majorities of the key's guards now and in each epoch within the window overlap. */
+    SHARED_MAJORITY,
     /** The first epoch begins with complete histories only at guards that saw the store without a roster. */
     FIRST_EPOCH_WITNESSED,
     /** A guard grants only while a majority of its roster answers its heartbeats at its own epoch. */
@@ -28,8 +30,8 @@
     SINGLE_CHANGE,
     /** A restarted guard takes part only after it has learned the epoch from the store or from a majority. */
     CONFIRMED_START,
-    /** An entry dispatches only before the attempt's deadline by its own clock. */
-    ENTRY_DEADLINE,
+    /** An attempt ends at its deadline: guards refuse it, and the entry checks its own clock before dispatch. */
+    ATTEMPT_DEADLINE,
     /** An entry that was paused claims nothing for what it received before the pause. */
     ENTRY_PAUSE,
     /** Former home groups of a service are asked as well until the retention window has passed. */
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/GroupVote.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/GroupVote.java
@@ -28,15 +28,17 @@
      *
      * @param roster the roster, not null.
      * @param key the key, not null.
+     * @return true if the roster is newer than the one in use.
      */
-    void restart(final Roster roster, final ClaimKey key) {
+    boolean restart(final Roster roster, final ClaimKey key) {
         if (!guards.isEmpty() && roster.epoch() <= epoch) {
-            return;
+            return false;
         }
         epoch = roster.epoch();
         guards = GuardStanding.guardsOf(roster, key);
         asked.addAll(guards);
         replies.clear();
+        return true;
     }
 
     /**
@@ -44,9 +46,11 @@
      *
      * @param guard who replied, not null.
      * @param reply the reply, not null.
+     * @param checksEpoch whether a grant counts only at the epoch of the roster in use.
      */
-    void note(final String guard, final ClaimReply reply) {
-        if (guards.contains(guard) && reply.epoch() == epoch || reply.verdict().isHeld()) {
+    void note(final String guard, final ClaimReply reply, final boolean checksEpoch) {
+        boolean sameEpoch = reply.epoch() == epoch || !checksEpoch;
+        if (guards.contains(guard) && sameEpoch || reply.verdict().isHeld()) {
             replies.put(guard, reply);
         }
     }
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/GuardStanding.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/GuardStanding.java
@@ -2,10 +2,8 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
@@ -22,6 +20,9 @@
     /** How many guards hold a key. */
     public static final int GUARDS_PER_KEY = 3;
 
+    /** Epochs remembered at most; what happened in older ones counts as not known. */
+    private static final int MAXIMUM_EPOCHS = 64;
+
     private static final long NEVER_MS = Long.MIN_VALUE;
 
     private final String node;
@@ -33,12 +34,8 @@
 
     /** Consecutive epochs adopted, the newest first. */
     private final Deque<AdoptedRoster> adopted = new ArrayDeque<>();
-    /** When the heartbeat that each guard answered last at the current epoch was sent. */
-    private final Map<String, Long> answeredMs = new HashMap<>();
-    /** When the heartbeat that each guard answered last at any epoch was sent. */
-    private final Map<String, Long> reachedMs = new HashMap<>();
 
-    private long askedMs;
+    private final GuardAnswers answers;
     private boolean storeWasEmpty;
     private boolean storeWasRead;
 
@@ -63,6 +60,7 @@
         this.timing = Objects.requireNonNull(timing, "timing");
         this.rules = Set.copyOf(rules);
         this.startMs = clock.nowMs();
+        this.answers = new GuardAnswers(node, timing.fenceMs());
     }
 
     /**
@@ -107,9 +105,10 @@
         }
         long nowMs = clock.nowMs();
         adopted.addFirst(new AdoptedRoster(roster));
-        answeredMs.clear();
-        reachedMs.keySet().retainAll(roster.guards());
-        roster.guards().forEach(guard -> reachedMs.putIfAbsent(guard, nowMs));
+        if (adopted.size() > MAXIMUM_EPOCHS) {
+            adopted.removeLast();
+        }
+        answers.restart(roster.guards(), nowMs);
         updateActivity(nowMs);
         return true;
     }
@@ -121,7 +120,7 @@
      */
     public synchronized void storeRead(final Optional<Roster> roster) {
         storeWasRead = true;
-        storeWasEmpty |= roster.isEmpty();
+        storeWasEmpty |= roster.isEmpty() && adopted.isEmpty();
         roster.ifPresent(this::adopt);
         updateActivity(clock.nowMs());
     }
@@ -131,11 +130,7 @@
      * was not asked cannot be missed.
      */
     public synchronized void asking() {
-        long nowMs = clock.nowMs();
-        if (nowMs - askedMs > timing.fenceMs()) {
-            reachedMs.replaceAll((guard, reached) -> nowMs);
-        }
-        askedMs = nowMs;
+        answers.asking(clock.nowMs());
     }
 
     /**
@@ -150,11 +145,8 @@
         if (sentMs > nowMs) {
             return;
         }
-        reachedMs.merge(guard, sentMs, Math::max);
-        if (guardEpoch == epoch()) {
-            answeredMs.merge(guard, sentMs, Math::max);
-            updateActivity(nowMs);
-        }
+        answers.answered(guard, sentMs, guardEpoch == epoch());
+        updateActivity(nowMs);
     }
 
     /**
@@ -216,7 +208,7 @@
         long nowMs = clock.nowMs();
         updateActivity(nowMs);
         for (AdoptedRoster epoch : adopted) {
-            if (!hadPart(epoch.roster, key)) {
+            if (!hadPart(epoch.roster, key) || !sharesGuard(epoch.roster)) {
                 return false;
             }
             if (epoch.activeMs != NEVER_MS && isPast(epoch.activeMs, nowMs)) {
@@ -228,8 +220,7 @@
 
     @Override
     public synchronized long silentMs(final String guard) {
-        long nowMs = clock.nowMs();
-        return guard.equals(node) ? 0 : nowMs - reachedMs.getOrDefault(guard, nowMs);
+        return answers.silentMs(guard, clock.nowMs());
     }
 
     /**
@@ -248,6 +239,25 @@
         return (byKey ? guardsOf(roster, key) : roster.guards()).contains(node);
     }
 
+    /**
+     * Tells whether every majority of a key's guards at the present epoch shares a guard with every majority at an
+     * earlier one, if all of the former were guards at both. A roster that shrank from three to one does not.
+     */
+    private boolean sharesGuard(final Roster earlier) {
+        int present = guardsPerKey(adopted.peekFirst().roster);
+        int past = guardsPerKey(earlier);
+        boolean overlap = majorityOf(present) + majorityOf(past) > past;
+        return overlap || !rules.contains(ClaimRule.SHARED_MAJORITY);
+    }
+
+    private static int guardsPerKey(final Roster roster) {
+        return Math.min(GUARDS_PER_KEY, roster.guards().size());
+    }
+
+    private static int majorityOf(final int size) {
+        return size / 2 + 1;
+    }
+
     /** The oldest epoch adopted is the first one, and this process runs since before it: nothing can precede it. */
     private boolean isFirstEpochWitnessed() {
         boolean witnessed = storeWasEmpty || !rules.contains(ClaimRule.FIRST_EPOCH_WITNESSED);
@@ -290,18 +300,11 @@
     }
 
     private int majority() {
-        return adopted.peekFirst().roster.guards().size() / 2 + 1;
+        return majorityOf(adopted.peekFirst().roster.guards().size());
     }
 
     private int othersAnswering(final long nowMs) {
-        int count = 0;
-        for (String guard : adopted.peekFirst().roster.guards()) {
-            long sentMs = answeredMs.getOrDefault(guard, NEVER_MS);
-            if (!guard.equals(node) && sentMs != NEVER_MS && nowMs - sentMs <= timing.fenceMs()) {
-                count++;
-            }
-        }
-        return count;
+        return answers.countOthers(adopted.peekFirst().roster.guards(), nowMs);
     }
 
     /** Roster with the time at which a majority of it was first heard. Guarded by the standing's lock. */
--- a/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/StatusText.java
+++ b/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/StatusText.java
@@ -11,6 +11,7 @@
         StringBuilder text = new StringBuilder();
         text.append("version ").append(report.version()).append(" by ").append(Texts.plain(report.author()));
         text.append(" at ").append(Texts.time(report.atMs())).append('\n');
+        report.problems().forEach(problem -> appendLine(text, "PROBLEM: " + Texts.plain(problem)));
         text.append("\nmoves\n");
         report.moves().forEach(move -> appendLine(text, MoveText.line(move)));
         if (report.moves().isEmpty()) {
@@ -34,6 +35,7 @@
         String nodes = Texts.count(domain.members(), "node");
         return switch (domain.state()) {
             case IN_FORCE -> "version " + version + " in force, " + nodes;
+            case NEWER -> "a newer version in force, the lowest is " + domain.lowestVersion() + ", " + nodes;
             case PARTLY ->
                 "version " + version + " in force in part, the lowest is " + domain.lowestVersion() + ", " + nodes;
             case NOT_IN_FORCE -> "version " + version + " NOT in force, " + highest(domain) + ", " + nodes;
