--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/Link.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/Link.java
@@ -126,6 +126,7 @@
             case CALL_STATE -> calls.receive(frame.getCallState());
             default -> throw new LinkProtocolException(Refusal.UNEXPECTED, "frame " + frame.getContentCase());
         }
+        calls.writeAcknowledge(connection);
         pump();
     }
 
