--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/NodeServer.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/NodeServer.java
@@ -191,6 +191,7 @@
         loop.add(rollout.detector());
         loop.add(rollout.controller());
         loop.add(crashes);
+        loop.add(new StateLog(replica, settings.failureDomain()));
     }
 
     private void openListeners(final CallDispatcher dispatcher) throws IOException {
