Bounds of links for longer bodies

The settings allow bodies of 16 MB while a frame of the standard bounds holds 1.25 MB; withBodies makes them fit.

--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/LinkLimits.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/LinkLimits.java
@@ -79,6 +79,34 @@
                 16_384);
     }
 
+    /**
+     * Returns these bounds with room for bodies of a given length and the headers beside them.
+     *
+     * @param maximumBodyBytes the length of the longest body, zero or more.
+     * @return the bounds, never null.
+     * @throws IllegalArgumentException if the length is negative or more than half of the greatest integer.
+     */
+    public LinkLimits withBodies(final int maximumBodyBytes) {
+        if (maximumBodyBytes < 0 || maximumBodyBytes > Integer.MAX_VALUE / 2) {
+            throw new IllegalArgumentException("maximumBodyBytes out of range: " + maximumBodyBytes);
+        }
+        int frameBytes = maximumBodyBytes + MEGABYTE / 4;
+        return new LinkLimits(
+                pingIntervalMs,
+                silenceLimitMs,
+                openTimeoutMs,
+                unsentLimitMs,
+                askLimitMs,
+                idleLimitMs,
+                frameAgeLimitMs,
+                frameTimeLimitMs,
+                frameBytes,
+                maximumConnections,
+                Math.max(pendingBytes, 2L * frameBytes),
+                Math.max(retainedBytes, 2L * frameBytes),
+                retainedCalls);
+    }
+
     private static void requirePositive(final String name, final long value) {
         if (value < 1) {
             throw new IllegalArgumentException(name + " must be positive: " + value);
--- a/sequoiashunt-link/src/test/java/org/sequoiashunt/link/LinkTest.java
+++ b/sequoiashunt-link/src/test/java/org/sequoiashunt/link/LinkTest.java
@@ -71,6 +71,21 @@
         }
     }
 
+    @Test
+    void carriesBodiesOfTheGreatestLengthBothWays() throws Exception {
+        Body longest = Body.of(new byte[3_000_000]);
+        LinkLimits limits = LinkLimits.standard().withBodies(longest.length());
+        try (LinkFixture fixture = new LinkFixture(limits)) {
+            fixture.warmUp();
+            CompletableFuture<CallResult> call =
+                    fixture.client.call(fixture.address(), LinkFixture.request("call", 60_000, longest));
+            LinkFixture.await(() -> !fixture.handler.runs.isEmpty());
+            CallResult answer = LinkFixture.answer(longest);
+            fixture.handler.runs.remove().complete(answer);
+            assertEquals(answer, LinkFixture.await(call));
+        }
+    }
+
     @Test
     void cancellationReachesTheGate() throws Exception {
         try (LinkFixture fixture = new LinkFixture()) {
