A drained node ends with exit code 0

Cause: the exit code of a Java process that got SIGTERM is 143, whatever its shutdown hooks and the main thread do; System.exit in the main thread only waits for the shutdown that is already under way. The documented exit code 0 after a drain was never given. Ruled out: a failed drain; the log ended with "drained ... complete=true". Change: the shutdown hook halts the virtual machine with exit code 0 after the drain. A drain that is interrupted still ends with the signal's code. Before: NodeMainTest got 143, as did the packaged node.

--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/NodeMain.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/NodeMain.java
@@ -81,22 +81,22 @@
 
     private static void serve(final NodeSettings settings) throws IOException, InterruptedException {
         NodeServer server = NodeServer.open(settings);
-        CountDownLatch ended = new CountDownLatch(1);
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> shutDown(server, ended), "shutdown"));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> shutDown(server), "shutdown"));
         LOGGER.infof("node started node=%s failureDomain=%s", settings.node(), settings.failureDomain());
-        ended.await();
+        new CountDownLatch(1).await();
     }
 
-    private static void shutDown(final NodeServer server, final CountDownLatch ended) {
+    /** Ends the process itself: after a signal, the virtual machine's own exit code would be that of the signal. */
+    private static void shutDown(final NodeServer server) {
         try {
             server.drain();
             server.close();
         } catch (InterruptedException exception) {
             Thread.currentThread().interrupt();
+            return;
         } catch (ResourceCloseException exception) {
             LOGGER.warn("not everything was closed", exception);
-        } finally {
-            ended.countDown();
         }
+        Runtime.getRuntime().halt(EXIT_OK);
     }
 }
