--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/load/CallerLoad.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/load/CallerLoad.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 import org.sequoiashunt.call.CallAnswer;
+import org.sequoiashunt.http.HttpException;
 import org.sequoiashunt.http.HttpExchanger;
 import org.sequoiashunt.node.CallHeaders;
 import org.sequoiashunt.peer.NodeAddress;
@@ -28,16 +29,19 @@
     private static final long RESEND_PAUSE_MS = 250;
     private static final int MAXIMUM_SENDS = 40;
     private static final int RESERVATION_EVERY = 5;
+    private static final AtomicLong LOADS = new AtomicLong();
 
     private final HttpExchanger exchanger;
     private final Supplier<List<NodeAddress>> entries;
     private final List<String> services;
     private final RunLog runLog;
+    private final String name = "load-" + LOADS.incrementAndGet();
     private final ScheduledExecutorService scheduler = Executors.newSingleThreadScheduledExecutor();
     private final ScheduledExecutorService resender = Executors.newSingleThreadScheduledExecutor();
     private final ConcurrentHashMap<TrialRequest, RequestEnd> requests = new ConcurrentHashMap<>();
     private final AtomicLong sequence = new AtomicLong();
     private final AtomicLong resends = new AtomicLong();
+    private final AtomicLong cuts = new AtomicLong();
 
     /**
      * Creates callers that do not send yet.
@@ -98,6 +102,10 @@
                 count(RequestEnd.NOT_RUN),
                 count(RequestEnd.UNKNOWN) + count(RequestEnd.NONE),
                 count(RequestEnd.WRONG_ANSWER),
+                requests.entrySet().stream()
+                        .filter(entry -> !entry.getKey().reservation())
+                        .filter(entry -> !entry.getValue().isFinal())
+                        .count(),
                 requests.keySet().stream()
                         .filter(request -> request.reservation() && runLog.runsOf(request.name()) > 1)
                         .count(),
@@ -105,7 +113,8 @@
                         .filter(entry -> entry.getValue() == RequestEnd.NOT_RUN
                                 && runLog.runsOf(entry.getKey().name()) > 0)
                         .count(),
-                resends.get());
+                resends.get(),
+                cuts.get());
     }
 
     private long count(final RequestEnd end) {
@@ -115,7 +124,7 @@
     private void sendNext() {
         long number = sequence.incrementAndGet();
         String service = services.get((int) (number % services.size()));
-        TrialRequest request = new TrialRequest("request-" + number, service, number % RESERVATION_EVERY == 0);
+        TrialRequest request = new TrialRequest(name + "-request-" + number, service, number % RESERVATION_EVERY == 0);
         requests.put(request, RequestEnd.NONE);
         send(request, 1, RequestEnd.NOT_RUN);
     }
@@ -124,11 +133,18 @@
         List<NodeAddress> present = entries.get();
         NodeAddress entry = present.get(ThreadLocalRandom.current().nextInt(present.size()));
         exchanger.send(entry, request.toHttp(), TIMEOUT_MS).whenComplete((answer, failure) -> {
+            if (failure != null && !isNotSent(failure)) {
+                cuts.incrementAndGet();
+            }
             RequestEnd end = failure == null ? endOf(request, answer) : RequestEnd.UNKNOWN;
             ended(request, sends, end.worseOf(worst));
         });
     }
 
+    private static boolean isNotSent(final Throwable failure) {
+        return failure instanceof HttpException exception && exception.kind() == HttpException.Kind.NOT_SENT;
+    }
+
     private void ended(final TrialRequest request, final int sends, final RequestEnd end) {
         if (end.isFinal() || sends >= MAXIMUM_SENDS) {
             requests.put(request, end);
--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/target/TargetStandIn.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/target/TargetStandIn.java
@@ -8,6 +8,7 @@
 import java.util.Objects;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.sequoiashunt.peer.NodeAddress;
 import org.sequoiashunt.trial.target.TargetAnnouncer.Announcement;
 
@@ -30,6 +31,7 @@
     private final RunLog runLog;
     private final String version;
     private final long serviceTimeMs;
+    private final AtomicLong runs = new AtomicLong();
     private volatile TargetBehaviour behaviour;
 
     private TargetStandIn(
@@ -95,6 +97,15 @@
         return announcer.target();
     }
 
+    /**
+     * Counts the requests that reached this target.
+     *
+     * @return the number of requests.
+     */
+    public long runs() {
+        return runs.get();
+    }
+
     /** Withdraws the announcement; the target goes on answering. */
     public void leave() {
         announcer.withdraw();
@@ -109,6 +120,7 @@
     private void handle(final HttpServerExchange exchange) {
         exchange.getRequestReceiver().receiveFullBytes((received, body) -> {
             String name = received.getRequestHeaders().getFirst(REQUEST_NAME);
+            runs.incrementAndGet();
             if (name != null) {
                 runLog.ran(name);
             }
--- /dev/null
+++ b/sequoiashunt-trial/src/test/java/org/sequoiashunt/trial/process/NodeProcesses.java
@@ -0,0 +1,153 @@
+package org.sequoiashunt.trial.process;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.sequoiashunt.call.Body;
+import org.sequoiashunt.call.CallAnswer;
+import org.sequoiashunt.call.HeaderField;
+import org.sequoiashunt.http.HttpExchanger;
+import org.sequoiashunt.http.HttpRequest;
+import org.sequoiashunt.lifecycle.Closer;
+import org.sequoiashunt.lifecycle.ResourceCloseException;
+import org.sequoiashunt.node.CallHeaders;
+import org.sequoiashunt.platform.SystemClock;
+import org.sequoiashunt.time.Clock;
+import org.sequoiashunt.trial.load.CallerLoad;
+import org.sequoiashunt.trial.process.Conditions.ConditionException;
+import org.sequoiashunt.trial.process.Deployment.OperatorRun;
+import org.sequoiashunt.trial.target.TargetBehaviour;
+
+/**
+ * Four running nodes of one home group, each with a target of one service, for process tests.
+ *
+ * <p>Confined to one thread.
+ */
+final class NodeProcesses implements AutoCloseable {
+
+    /** The node that the tests fail, always the same: the guards of the others stay complete. */
+    static final String VICTIM = "registry-desk-4";
+
+    private static final String SERVICE = "registry-desk";
+    private static final int REQUESTS_PER_SECOND = 100;
+    private static final long START_BOUND_MS = 60_000;
+    private static final long CALL_TIMEOUT_MS = 2_000;
+    private static final int MAXIMUM_ANSWER_BYTES = 1_048_576;
+    private static final String MANIFEST = """
+            groups:
+              bac-bo: [ha-noi-a, hai-phong-b]
+            services:
+              registry-desk:
+                version: "v1"
+                homeGroups: [bac-bo]
+                routes:
+                  - {name: lookup, path: /lookup, methods: [GET], idempotent: true, timeout: 2000}
+                  - {name: reserve, path: /reserve, methods: [POST], idempotent: false, timeout: %d}
+            """;
+
+    private final Closer closer = new Closer();
+    private final Clock clock = SystemClock.start();
+    private final Deployment deployment;
+    private final HttpExchanger exchanger;
+    private final NodePages pages;
+    private int manifests;
+
+    private NodeProcesses() throws IOException {
+        OutgoingWorker worker = closer.register(new OutgoingWorker());
+        deployment = closer.register(Deployment.start(clock));
+        exchanger = closer.register(HttpExchanger.of(worker.worker(), clock, MAXIMUM_ANSWER_BYTES));
+        pages = new NodePages(exchanger);
+    }
+
+    static NodeProcesses start() throws Exception {
+        NodeProcesses processes = new NodeProcesses();
+        try {
+            processes.startNodes();
+        } catch (Exception exception) {
+            processes.close();
+            throw exception;
+        }
+        return processes;
+    }
+
+    private void startNodes() throws Exception {
+        deployment.startNode(NodePlan.of("registry-desk-1", "ha-noi-a", "bac-bo", "127.0.1.11"));
+        deployment.startNode(NodePlan.of("registry-desk-2", "ha-noi-a", "bac-bo", "127.0.1.12"));
+        deployment.startNode(NodePlan.of("registry-desk-3", "hai-phong-b", "bac-bo", "127.0.1.13"));
+        deployment.startNode(NodePlan.of(VICTIM, "hai-phong-b", "bac-bo", "127.0.1.14"));
+        for (NodePlan plan : deployment.plans()) {
+            deployment.startTarget(plan.name(), SERVICE, "v1", TargetBehaviour.GOOD);
+            Conditions.await("members at " + plan.name(), START_BOUND_MS, () -> status(plan, "aliveMembers") == 2);
+        }
+        commit();
+        awaitServing();
+    }
+
+    Deployment deployment() {
+        return deployment;
+    }
+
+    CallerLoad startLoad() {
+        CallerLoad load =
+                closer.register(new CallerLoad(exchanger, deployment::entries, List.of(SERVICE), deployment.runLog()));
+        load.start(REQUESTS_PER_SECOND);
+        return load;
+    }
+
+    /** Commits a manifest that differs from the one before. */
+    OperatorRun commit() throws IOException, InterruptedException {
+        manifests++;
+        String manifest = MANIFEST.formatted(CALL_TIMEOUT_MS + manifests);
+        Path file = Files.writeString(deployment.directory().resolve("manifest-" + manifests + ".yaml"), manifest);
+        return deployment.operator("commit", file.toString(), "--author", "test", "--message", "change " + manifests);
+    }
+
+    long versionInForce(final String node) throws IOException, InterruptedException {
+        return status(plan(node), "configurationVersion");
+    }
+
+    void awaitInForce(final long version, final long boundMs) throws InterruptedException, ConditionException {
+        for (NodePlan plan : deployment.plans()) {
+            Conditions.await(
+                    "version " + version + " at " + plan.name(),
+                    boundMs,
+                    () -> status(plan, "configurationVersion") >= version);
+        }
+    }
+
+    /** Waits until a reservation sent to any of the entries succeeds. */
+    void awaitServing() throws InterruptedException, ConditionException {
+        for (NodePlan plan : deployment.plans()) {
+            Conditions.await("a reservation at " + plan.name(), START_BOUND_MS, () -> reserve(plan) == 200);
+        }
+    }
+
+    private int reserve(final NodePlan plan) throws Exception {
+        List<HeaderField> headers = List.of(
+                new HeaderField(CallHeaders.SERVICE, SERVICE),
+                new HeaderField(CallHeaders.IDEMPOTENCY_KEY, "probe-" + System.nanoTime()));
+        HttpRequest request = new HttpRequest("POST", "/reserve", headers, Body.of(new byte[] {1}), true);
+        CallAnswer answer = exchanger
+                .send(plan.callers(), request, CALL_TIMEOUT_MS)
+                .get(CALL_TIMEOUT_MS * 2, TimeUnit.MILLISECONDS);
+        return answer.status();
+    }
+
+    private NodePlan plan(final String node) {
+        return deployment.plans().stream()
+                .filter(plan -> plan.name().equals(node))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private long status(final NodePlan plan, final String field) throws IOException, InterruptedException {
+        return pages.status(plan).path(field).asLong();
+    }
+
+    @Override
+    public void close() throws ResourceCloseException {
+        closer.close();
+    }
+}
