--- a/sequoiashunt-trial/src/test/java/org/sequoiashunt/trial/process/NodeProcessTest.java
+++ b/sequoiashunt-trial/src/test/java/org/sequoiashunt/trial/process/NodeProcessTest.java
@@ -3,6 +3,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
@@ -13,6 +15,8 @@
 import org.junit.jupiter.api.Timeout;
 import org.sequoiashunt.trial.load.CallerLoad;
 import org.sequoiashunt.trial.load.LoadSummary;
+import org.sequoiashunt.trial.process.Deployment.OperatorRun;
+import org.sequoiashunt.trial.target.TargetStandIn;
 
 /** Faults of running nodes under load. The nodes are shared; each test leaves all of them serving. */
 @Timeout(value = 90, unit = TimeUnit.SECONDS)
@@ -20,6 +24,10 @@
 final class NodeProcessTest {
 
     private static final long DRAIN_BOUND_MS = 20_000;
+    private static final long LEAVE_BOUND_MS = 3_000;
+    private static final long RESTART_BOUND_MS = 20_000;
+    private static final long FREEZE_MS = 8_000;
+    private static final long OUTAGE_MS = 10_000;
     private static final long WARM_BOUND_MS = 10_000;
     private static final int WARM_REQUESTS = 200;
 
@@ -46,13 +54,107 @@
         node.terminate();
         assertEquals(0, node.awaitEnd(DRAIN_BOUND_MS));
         awaitAnswers(load, WARM_REQUESTS);
-        LoadSummary summary = load.stop();
+        LoadSummary summary = stop(load);
         processes.deployment().restartNode(NodeProcesses.VICTIM);
         processes.awaitServing();
         assertTrue(summary.isClean(), summary::toString);
         assertEquals(0, summary.cuts(), summary::toString);
     }
 
+    @Test
+    @Order(2)
+    void leavingTargetGetsNoNewRequest() throws Exception {
+        CallerLoad load = processes.startLoad();
+        awaitAnswers(load, WARM_REQUESTS);
+        TargetStandIn leaving = processes.target();
+        assertTrue(leaving.runs() > 0);
+        leaving.leave();
+        awaitTime(LEAVE_BOUND_MS);
+        long runs = leaving.runs();
+        awaitAnswers(load, WARM_REQUESTS);
+        LoadSummary summary = stop(load);
+        processes.startTarget();
+        assertEquals(runs, leaving.runs());
+        assertTrue(summary.isClean(), summary::toString);
+        assertEquals(0, summary.resends(), summary::toString);
+    }
+
+    @Test
+    @Order(3)
+    void killedNodeComesBack() throws Exception {
+        CallerLoad load = processes.startLoad();
+        awaitAnswers(load, WARM_REQUESTS);
+        ChildProcess node = processes.deployment().node(NodeProcesses.VICTIM);
+        node.kill();
+        node.awaitEnd(DRAIN_BOUND_MS);
+        long version = processes.commitInForce();
+        processes.deployment().restartNode(NodeProcesses.VICTIM);
+        Set<Long> seen = awaitVersion(version);
+        processes.awaitVictimServing();
+        LoadSummary summary = stop(load);
+        assertTrue(Set.of(0L, version).containsAll(seen), seen::toString);
+        assertSafe(summary);
+    }
+
+    @Test
+    @Order(4)
+    void frozenNodeComesBack() throws Exception {
+        CallerLoad load = processes.startLoad();
+        awaitAnswers(load, WARM_REQUESTS);
+        ChildProcess node = processes.deployment().node(NodeProcesses.VICTIM);
+        node.signal("STOP");
+        awaitTime(FREEZE_MS);
+        node.signal("CONT");
+        processes.awaitVictimServing();
+        assertSafe(stop(load));
+    }
+
+    @Test
+    @Order(5)
+    void storeOutageLeavesNodesServing() throws Exception {
+        CallerLoad load = processes.startLoad();
+        awaitAnswers(load, WARM_REQUESTS);
+        long start = System.nanoTime();
+        processes.deployment().store().faults().setDown(true);
+        OperatorRun refused = processes.commit();
+        awaitTime(OUTAGE_MS - TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start));
+        awaitAnswers(load, WARM_REQUESTS);
+        processes.deployment().store().faults().setDown(false);
+        LoadSummary summary = stop(load);
+        assertTrue(Set.of(3, 5).contains(refused.exitCode()), refused::toString);
+        assertTrue(summary.isClean(), summary::toString);
+        processes.commitInForce();
+    }
+
+    private static void assertSafe(final LoadSummary summary) {
+        assertTrue(summary.isSafe(), summary::toString);
+        assertEquals(0, summary.lostLookups(), summary::toString);
+        assertEquals(0, summary.notRun(), summary::toString);
+    }
+
+    private static LoadSummary stop(final CallerLoad load) throws Exception {
+        LoadSummary summary = load.stop();
+        System.out.println("callers: " + summary);
+        return summary;
+    }
+
+    /** Waits for a version on the restarted node and returns all versions that it stated meanwhile. */
+    private static Set<Long> awaitVersion(final long version) throws Exception {
+        Set<Long> seen = new TreeSet<>();
+        Conditions.await("version " + version + " at the restarted node", RESTART_BOUND_MS, () -> {
+            long stated = processes.versionInForce(NodeProcesses.VICTIM);
+            seen.add(stated);
+            return stated == version;
+        });
+        return seen;
+    }
+
+    /** Lets a fault or a period of grace last while the load goes on. */
+    private static void awaitTime(final long timeMs) throws Exception {
+        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeMs);
+        Conditions.await("end of a period", timeMs + WARM_BOUND_MS, () -> System.nanoTime() >= endNanos);
+    }
+
     /** Waits until as many more requests were answered. */
     private static void awaitAnswers(final CallerLoad load, final int more) throws Exception {
         long before = load.summary().answered();
--- a/sequoiashunt-trial/src/test/java/org/sequoiashunt/trial/process/NodeProcesses.java
+++ b/sequoiashunt-trial/src/test/java/org/sequoiashunt/trial/process/NodeProcesses.java
@@ -19,6 +19,7 @@
 import org.sequoiashunt.trial.process.Conditions.ConditionException;
 import org.sequoiashunt.trial.process.Deployment.OperatorRun;
 import org.sequoiashunt.trial.target.TargetBehaviour;
+import org.sequoiashunt.trial.target.TargetStandIn;
 
 /**
  * Four running nodes of one home group, each with a target of one service, for process tests.
@@ -33,6 +34,7 @@
     private static final String SERVICE = "registry-desk";
     private static final int REQUESTS_PER_SECOND = 100;
     private static final long START_BOUND_MS = 60_000;
+    private static final long IN_FORCE_BOUND_MS = 4_000;
     private static final long CALL_TIMEOUT_MS = 2_000;
     private static final int MAXIMUM_ANSWER_BYTES = 1_048_576;
     private static final String MANIFEST = """
@@ -53,6 +55,7 @@
     private final HttpExchanger exchanger;
     private final NodePages pages;
     private int manifests;
+    private long version;
 
     private NodeProcesses() throws IOException {
         OutgoingWorker worker = closer.register(new OutgoingWorker());
@@ -78,10 +81,12 @@
         deployment.startNode(NodePlan.of("registry-desk-3", "hai-phong-b", "bac-bo", "127.0.1.13"));
         deployment.startNode(NodePlan.of(VICTIM, "hai-phong-b", "bac-bo", "127.0.1.14"));
         for (NodePlan plan : deployment.plans()) {
-            deployment.startTarget(plan.name(), SERVICE, "v1", TargetBehaviour.GOOD);
             Conditions.await("members at " + plan.name(), START_BOUND_MS, () -> status(plan, "aliveMembers") == 2);
         }
-        commit();
+        commitInForce();
+        for (NodePlan plan : deployment.plans()) {
+            deployment.startTarget(plan.name(), SERVICE, "v1", TargetBehaviour.GOOD);
+        }
         awaitServing();
     }
 
@@ -108,13 +113,43 @@
         return status(plan(node), "configurationVersion");
     }
 
-    void awaitInForce(final long version, final long boundMs) throws InterruptedException, ConditionException {
+    /** Commits and waits until the new version is in force on every node. */
+    long commitInForce() throws Exception {
+        OperatorRun run = commit();
+        if (run.exitCode() != 0) {
+            throw new IOException("exit code " + run.exitCode() + ": " + run.text());
+        }
+        version++;
+        Conditions.await("version " + version + " in force", IN_FORCE_BOUND_MS, () -> isInForce(version));
+        return version;
+    }
+
+    private boolean isInForce(final long wanted) throws IOException, InterruptedException {
         for (NodePlan plan : deployment.plans()) {
-            Conditions.await(
-                    "version " + version + " at " + plan.name(),
-                    boundMs,
-                    () -> status(plan, "configurationVersion") >= version);
+            boolean runs = deployment.node(plan.name()).isAlive();
+            if (runs && status(plan, "configurationVersion") != wanted) {
+                return false;
+            }
         }
+        return true;
+    }
+
+    /** Waits until the failed node serves again, and its target with it. */
+    void awaitVictimServing() throws InterruptedException, ConditionException {
+        awaitServing();
+        long runs = target().runs();
+        Conditions.await("a request at the target of " + VICTIM, START_BOUND_MS, () -> {
+            reserve(deployment.plans().get(0));
+            return target().runs() > runs;
+        });
+    }
+
+    TargetStandIn target() {
+        return deployment.target(VICTIM, SERVICE, "v1");
+    }
+
+    void startTarget() {
+        deployment.startTarget(VICTIM, SERVICE, "v1", TargetBehaviour.GOOD);
     }
 
     /** Waits until a reservation sent to any of the entries succeeds. */
