A request with a key is told not-run only if its key never ran

The answer was true of that send alone, but a caller that gives the key up on not-run and takes a new one would run the request twice.

Ruled out: leaving the meaning to the page on interfaces. A refusal that says not-run must be true of the request, and a resend is the same request.

Change: a refusal before the key was judged, or after its claim came too late, says unknown; a resend with the same key is safe in any case.

The messages of claims go to the entry's side before the guards, so that it sees notices of rosters; the mark of a suspect is not shown to targets.

--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/dispatch/CallDispatcher.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/dispatch/CallDispatcher.java
@@ -49,15 +49,20 @@
         Objects.requireNonNull(call, "call");
         RoutingTable table = collaborators.routingTable().get();
         if (table.version() == 0) {
-            return CompletableFuture.completedFuture(CallResult.notRun(Reason.NOT_READY));
+            return CompletableFuture.completedFuture(refusal(call, Reason.NOT_READY));
         }
         Optional<RouteMatch> match = table.match(call.service(), call.method(), call.path());
         if (match.isEmpty()) {
-            return CompletableFuture.completedFuture(CallResult.notRun(Reason.NO_ROUTE));
+            return CompletableFuture.completedFuture(refusal(call, Reason.NO_ROUTE));
         }
         return start(call, match.get());
     }
 
+    /** A call whose key was not judged may repeat one that ran. */
+    private static CallResult refusal(final IncomingCall call, final Reason reason) {
+        return call.key().isPresent() ? CallResult.unknown(reason) : CallResult.notRun(reason);
+    }
+
     private CompletableFuture<CallResult> start(final IncomingCall call, final RouteMatch match) {
         long nowMs = collaborators.clock().nowMs();
         long limitMs = match.route().timeoutMs();
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/dispatch/DispatchedCall.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/dispatch/DispatchedCall.java
@@ -82,7 +82,7 @@
                 .claim(match.service().service(), call.key().orElseThrow(), claimId, deadlineMs);
         claimed.whenComplete((refusal, failure) -> {
             if (failure != null) {
-                finish(CallResult.notRun(Reason.CLAIM_UNAVAILABLE));
+                finish(CallResult.unknown(Reason.CLAIM_UNAVAILABLE));
             } else if (refusal.isPresent()) {
                 result.complete(refusal.get());
             } else {
@@ -197,11 +197,17 @@
     }
 
     private void finish(final CallResult ended) {
-        CallResult told = truthful(ended);
+        CallResult known = truthful(ended);
         if (needsClaim()) {
-            collaborators.claims().record(match.service().service(), call.key().orElseThrow(), claimId, told);
+            collaborators.claims().record(match.service().service(), call.key().orElseThrow(), claimId, known);
         }
-        result.complete(told);
+        result.complete(needsClaim() ? lateIsUnknown(known) : known);
+    }
+
+    /** Whoever comes too late to dispatch may have lost the claim to another attempt, which may have run. */
+    private static CallResult lateIsUnknown(final CallResult ended) {
+        boolean late = ended.outcome() == Outcome.NOT_RUN && ended.reason() == Reason.DEADLINE;
+        return late ? CallResult.unknown(Reason.DEADLINE) : ended;
     }
 
     /** A later refusal does not undo an earlier attempt that may have run. */
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/ClaimAttempt.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/ClaimAttempt.java
@@ -172,9 +172,7 @@
         if (heard(ClaimVerdict.HELD_RUNNING)) {
             return CallResult.unknown(Reason.IN_PROGRESS);
         }
-        return heard(ClaimVerdict.HELD_UNKNOWN)
-                ? CallResult.unknown(Reason.ALREADY_CLAIMED)
-                : CallResult.notRun(Reason.CLAIM_UNAVAILABLE);
+        return CallResult.unknown(heard(ClaimVerdict.HELD_UNKNOWN) ? Reason.ALREADY_CLAIMED : Reason.CLAIM_UNAVAILABLE);
     }
 
     /**
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/ClaimCoordinator.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/ClaimCoordinator.java
@@ -77,7 +77,7 @@
                 homes.find(service, key).stream().map(this::roster).toList();
         boolean paused = rules.contains(ClaimRule.ENTRY_PAUSE) && pause.isRecent();
         if (paused || rosters.isEmpty() || rosters.stream().anyMatch(Optional::isEmpty) || deadlineMs <= nowMs) {
-            return CompletableFuture.completedFuture(Optional.of(CallResult.notRun(Reason.CLAIM_UNAVAILABLE)));
+            return CompletableFuture.completedFuture(Optional.of(CallResult.unknown(Reason.CLAIM_UNAVAILABLE)));
         }
         ClaimAttempt claim = new ClaimAttempt(
                 ClaimKey.of(service, key),
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/Claims.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/Claims.java
@@ -17,7 +17,8 @@
      * @param attempt identity of this attempt, unique, not null.
      * @param deadlineMs when the attempt ends, in milliseconds of the local clock.
      * @return completes with empty if the call may be dispatched now, or with the result to tell the caller: the
-     *     recorded answer, or a refusal. Before dispatch, {@link #beginDispatch} must say that there is still time.
+     *     recorded answer, or a refusal. A refusal never says {@code NOT_RUN}: an earlier call with the key may have
+     *     run. Before dispatch, {@link #beginDispatch} must say that there is still time.
      */
     CompletableFuture<Optional<CallResult>> claim(String service, String key, String attempt, long deadlineMs);
 
--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/example/EmbeddingExampleTest.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/example/EmbeddingExampleTest.java
@@ -61,6 +61,7 @@
         String source =
                 Files.readString(module.resolve("src/test/java/org/sequoiashunt/example/EmbeddingExampleTest.java"));
         String code = source.substring(source.indexOf(BEGIN) + BEGIN.length(), source.indexOf(END))
+                .stripTrailing()
                 .stripIndent()
                 .strip();
         String readme = Files.readString(module.resolveSibling("README.md"));
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/CallerHandler.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/CallerHandler.java
@@ -78,7 +78,7 @@
         Optional<Reason> refusal = admission.enter(bytes);
         if (refusal.isPresent()) {
             exchange.setPersistent(refusal.get() != Reason.DRAINING);
-            CallAnswers.refuse(exchange, CallResult.notRun(refusal.get()));
+            CallAnswers.refuse(exchange, refusalOf(exchange, refusal.get()));
             return;
         }
         exchange.addExchangeCompleteListener((completed, next) -> {
@@ -88,6 +88,12 @@
         receive(exchange);
     }
 
+    /** A request whose key was not judged may repeat one that ran. */
+    private static CallResult refusalOf(final HttpServerExchange exchange, final Reason reason) {
+        boolean keyed = exchange.getRequestHeaders().contains(CallHeaders.IDEMPOTENCY_KEY);
+        return keyed ? CallResult.unknown(reason) : CallResult.notRun(reason);
+    }
+
     /** A body without a stated length may have any up to the bound. */
     private long mostBodyBytes(final HttpServerExchange exchange) {
         if (exchange.isRequestComplete()) {
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/NodeServer.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/NodeServer.java
@@ -133,7 +133,7 @@
         return new LinkContext(
                 threads,
                 new LinkIdentity(settings.node(), clock.nowMs()),
-                LinkLimits.standard(),
+                LinkLimits.standard().withBodies(settings.maximumBodyBytes()),
                 clock,
                 MessageCodec.standard(),
                 new LinkCounters());
@@ -185,8 +185,8 @@
     private void addControllers(final RolloutParts rollout, final ClaimParts claims, final CrashTracker crashes) {
         loop.add(new TargetPublisher(gate, replica.membership(), rollout.ledger()));
         loop.add(replica);
-        loop.add(claims.guards());
         loop.add(claims.coordinator());
+        loop.add(claims.guards());
         loop.add(rollout.ledger());
         loop.add(rollout.detector());
         loop.add(rollout.controller());
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/UndertowTargetCaller.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/UndertowTargetCaller.java
@@ -11,6 +11,7 @@
 import org.sequoiashunt.call.HeaderField;
 import org.sequoiashunt.call.Reason;
 import org.sequoiashunt.call.TargetCaller;
+import org.sequoiashunt.execution.CrashTracker;
 import org.sequoiashunt.http.HttpException;
 import org.sequoiashunt.http.HttpExchanger;
 import org.sequoiashunt.http.HttpRequest;
@@ -56,6 +57,7 @@
 
     private static List<HeaderField> headers(final CallRequest request, final long remainingMs) {
         List<HeaderField> headers = new ArrayList<>(request.headers());
+        headers.removeIf(field -> field.name().equalsIgnoreCase(CrashTracker.SUSPECT_HEADER));
         headers.add(new HeaderField(CallHeaders.TIMEOUT_MS, Long.toString(remainingMs)));
         return headers;
     }
--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/execution/ModelCallers.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/execution/ModelCallers.java
@@ -74,7 +74,7 @@
 
     private void dispatch(final ModelNode entry, final String key, final String attempt) {
         if (!entry.coordinator().beginDispatch(SERVICE, key, attempt)) {
-            history.told(key, attempt, CallResult.notRun(Reason.DEADLINE));
+            history.told(key, attempt, CallResult.unknown(Reason.DEADLINE));
             return;
         }
         if (random.nextInt(8) == 0) {
