--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/membership/MembershipView.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/membership/MembershipView.java
@@ -23,6 +23,10 @@
  */
 public final class MembershipView {
 
+    private static final Comparator<Ranked> LEAD_ORDER = Comparator.comparingInt(Ranked::unfitness)
+            .thenComparingLong(Ranked::hash)
+            .thenComparing(Ranked::node);
+
     private final SortedMap<String, Standing> standings;
     private final Map<String, List<Standing>> presentByDomain = new TreeMap<>();
     private final Map<String, List<ServingTarget>> servingByService = new TreeMap<>();
@@ -32,7 +36,7 @@
     private MembershipView(final SortedMap<String, Standing> standings) {
         this.standings = standings;
         standings.values().forEach(this::index);
-        presentByDomain.forEach((domain, present) -> present.sort(leadOrder(domain)));
+        presentByDomain.replaceAll(MembershipView::inLeadOrder);
     }
 
     /**
@@ -172,13 +176,16 @@
                 member.node(), member.address(), member.failureDomain(), member.region(), suspected, target);
     }
 
-    private static Comparator<Standing> leadOrder(final String failureDomain) {
+    private static List<Standing> inLeadOrder(final String failureDomain, final List<Standing> present) {
         long domainHash = StableHash.of(failureDomain);
-        Comparator<Standing> byFitness = Comparator.comparingInt(MembershipView::unfitness);
-        return byFitness
-                .thenComparingLong(standing -> StableHash.combine(
-                        domainHash, StableHash.of(standing.member().node())))
-                .thenComparing(standing -> standing.member().node());
+        List<Ranked> ranked = new ArrayList<>(present.size());
+        for (Standing standing : present) {
+            String node = standing.member().node();
+            long hash = StableHash.combine(domainHash, StableHash.of(node));
+            ranked.add(new Ranked(unfitness(standing), hash, node, standing));
+        }
+        ranked.sort(LEAD_ORDER);
+        return ranked.stream().map(Ranked::standing).toList();
     }
 
     private static int unfitness(final Standing standing) {
@@ -191,4 +198,7 @@
             default -> 2;
         };
     }
+
+    /** Member with what decides its place in the order of leads. Immutable and thread-safe. */
+    private record Ranked(int unfitness, long hash, String node, Standing standing) {}
 }
