--- a/sequoiashunt-trial/src/test/java/org/sequoiashunt/trial/process/NodeProcessTest.java
+++ b/sequoiashunt-trial/src/test/java/org/sequoiashunt/trial/process/NodeProcessTest.java
@@ -102,9 +102,12 @@
         CallerLoad load = processes.startLoad();
         awaitAnswers(load, WARM_REQUESTS);
         ChildProcess node = processes.deployment().node(NodeProcesses.VICTIM);
+        long start = System.nanoTime();
         node.signal("STOP");
-        awaitTime(FREEZE_MS);
+        processes.commitAccepted();
+        awaitTime(FREEZE_MS - elapsedMs(start));
         node.signal("CONT");
+        processes.awaitInForce();
         processes.awaitVictimServing();
         assertSafe(stop(load));
     }
@@ -117,7 +120,7 @@
         long start = System.nanoTime();
         processes.deployment().store().faults().setDown(true);
         OperatorRun refused = processes.commit();
-        awaitTime(OUTAGE_MS - TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start));
+        awaitTime(OUTAGE_MS - elapsedMs(start));
         awaitAnswers(load, WARM_REQUESTS);
         processes.deployment().store().faults().setDown(false);
         LoadSummary summary = stop(load);
@@ -149,6 +152,10 @@
         return seen;
     }
 
+    private static long elapsedMs(final long startNanos) {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+    }
+
     /** Lets a fault or a period of grace last while the load goes on. */
     private static void awaitTime(final long timeMs) throws Exception {
         long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeMs);
--- a/sequoiashunt-trial/src/test/java/org/sequoiashunt/trial/process/NodeProcesses.java
+++ b/sequoiashunt-trial/src/test/java/org/sequoiashunt/trial/process/NodeProcesses.java
@@ -113,15 +113,26 @@
         return status(plan(node), "configurationVersion");
     }
 
-    /** Commits and waits until the new version is in force on every node. */
+    /** Commits and waits until the new version is in force on every running node. */
     long commitInForce() throws Exception {
+        commitAccepted();
+        awaitInForce();
+        return version;
+    }
+
+    void commitAccepted() throws IOException, InterruptedException {
         OperatorRun run = commit();
         if (run.exitCode() != 0) {
             throw new IOException("exit code " + run.exitCode() + ": " + run.text());
         }
         version++;
-        Conditions.await("version " + version + " in force", IN_FORCE_BOUND_MS, () -> isInForce(version));
-        return version;
+    }
+
+    /** Waits until the last accepted version is in force on every running node. */
+    void awaitInForce() throws InterruptedException, ConditionException {
+        long tookMs = Conditions.await(
+                "version " + version + " in force on every node", IN_FORCE_BOUND_MS, () -> isInForce(version));
+        System.out.println("version " + version + " in force after " + tookMs + " ms");
     }
 
     private boolean isInForce(final long wanted) throws IOException, InterruptedException {
