--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/CallerHandler.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/CallerHandler.java
@@ -15,7 +15,6 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
 import org.sequoiashunt.call.Body;
 import org.sequoiashunt.call.CallResult;
 import org.sequoiashunt.call.HeaderField;
@@ -24,8 +23,8 @@
 import org.sequoiashunt.dispatch.IncomingCall;
 import org.sequoiashunt.execution.CrashTracker;
 import org.sequoiashunt.http.HopByHopHeaders;
+import org.sequoiashunt.http.Timers;
 import org.xnio.IoUtils;
-import org.xnio.XnioExecutor;
 
 /**
  * Takes callers' requests, whole and bounded, and answers them.
@@ -47,6 +46,7 @@
     private final CallDispatcher dispatcher;
     private final CallerAdmission admission;
     private final CallMetrics metrics;
+    private final Timers timers;
     private final int maximumBodyBytes;
 
     /**
@@ -55,16 +55,19 @@
      * @param dispatcher serves the requests, not null.
      * @param admission bounds the requests held at a time, not null.
      * @param metrics counts the requests, not null.
+     * @param timers end requests that never arrive whole, not null.
      * @param maximumBodyBytes the largest body of a request, in bytes.
      */
     public CallerHandler(
             final CallDispatcher dispatcher,
             final CallerAdmission admission,
             final CallMetrics metrics,
+            final Timers timers,
             final int maximumBodyBytes) {
         this.dispatcher = Objects.requireNonNull(dispatcher, "dispatcher");
         this.admission = Objects.requireNonNull(admission, "admission");
         this.metrics = Objects.requireNonNull(metrics, "metrics");
+        this.timers = Objects.requireNonNull(timers, "timers");
         this.maximumBodyBytes = maximumBodyBytes;
     }
 
@@ -105,17 +108,15 @@
 
     private void receive(final HttpServerExchange exchange) {
         exchange.setMaxEntitySize(maximumBodyBytes);
-        XnioExecutor.Key timer = exchange.getIoThread()
-                .executeAfter(
-                        () -> IoUtils.safeClose(exchange.getConnection()), RECEIVE_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        Runnable cancelTimer = timers.after(RECEIVE_TIMEOUT_MS, () -> IoUtils.safeClose(exchange.getConnection()));
         exchange.getRequestReceiver()
                 .receiveFullBytes(
                         (received, bytes) -> {
-                            timer.remove();
+                            cancelTimer.run();
                             received(received, bytes);
                         },
                         (failed, exception) -> {
-                            timer.remove();
+                            cancelTimer.run();
                             receiveFailed(failed, exception);
                         });
     }
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/ControlLoop.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/ControlLoop.java
@@ -20,7 +20,7 @@
 public final class ControlLoop implements ControlReceiver, AutoCloseable {
 
     /** Time between ticks. */
-    static final long TICK_MS = 50;
+    static final long TICK_MS = 100;
 
     /** Messages that may wait. */
     static final int MAXIMUM_WAITING = 4_096;
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/NodeServer.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/NodeServer.java
@@ -17,6 +17,7 @@
 import org.sequoiashunt.execution.CrashTracker;
 import org.sequoiashunt.gate.Gate;
 import org.sequoiashunt.http.HttpExchanger;
+import org.sequoiashunt.http.Timers;
 import org.sequoiashunt.lead.BlockingTask;
 import org.sequoiashunt.lead.NodePorts;
 import org.sequoiashunt.lead.ReplicaNode;
@@ -195,7 +196,9 @@
     }
 
     private void openListeners(final CallDispatcher dispatcher) throws IOException {
-        CallerHandler callers = new CallerHandler(dispatcher, admission, metrics.calls(), settings.maximumBodyBytes());
+        Timers timers = closer.register(new Timers());
+        CallerHandler callers =
+                new CallerHandler(dispatcher, admission, metrics.calls(), timers, settings.maximumBodyBytes());
         NodeStatusReader status = new NodeStatusReader(settings, replica, gate);
         AdminHandler admin = new AdminHandler(gate, status::read, metrics::read);
         closer.register(HttpListener.open("callers", settings.callers(), callers));
--- a/sequoiashunt-platform/src/main/java/org/sequoiashunt/http/HttpExchanger.java
+++ b/sequoiashunt-platform/src/main/java/org/sequoiashunt/http/HttpExchanger.java
@@ -10,9 +10,6 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Future;
-import java.util.concurrent.ScheduledThreadPoolExecutor;
-import java.util.concurrent.TimeUnit;
 import org.sequoiashunt.call.CallAnswer;
 import org.sequoiashunt.peer.NodeAddress;
 import org.sequoiashunt.time.Clock;
@@ -37,15 +34,13 @@
     private final ConnectionPool pool;
     private final int maximumAnswerBytes;
 
-    /** The worker's own timers are not used: set from another thread, one is now and then not noticed. */
-    private final ScheduledThreadPoolExecutor timers;
+    private final Timers timers;
 
     private HttpExchanger(final XnioWorker worker, final Clock clock, final int maximumAnswerBytes) {
         this.worker = worker;
         this.buffers = new DefaultByteBufferPool(true, BUFFER_BYTES, POOLED_BUFFERS, THREAD_CACHED_BUFFERS);
         this.pool = new ConnectionPool(clock);
-        this.timers = new ScheduledThreadPoolExecutor(1, task -> new Thread(task, "http-timers"));
-        timers.setRemoveOnCancelPolicy(true);
+        this.timers = new Timers();
         this.maximumAnswerBytes = maximumAnswerBytes;
     }
 
@@ -86,8 +81,8 @@
             return result;
         }
         HttpExchange exchange = new HttpExchange(request, result, maximumAnswerBytes);
-        Future<?> timer = timers.schedule(exchange::timedOut, timeoutMs, TimeUnit.MILLISECONDS);
-        result.whenComplete((answer, failure) -> timer.cancel(false));
+        Runnable cancelTimer = timers.after(timeoutMs, exchange::timedOut);
+        result.whenComplete((answer, failure) -> cancelTimer.run());
         connect(address, request, exchange);
         return result;
     }
@@ -117,7 +112,7 @@
     @Override
     public void close() {
         pool.close();
-        timers.shutdownNow();
+        timers.close();
     }
 
     /** Starts the exchange once the connection stands. */
--- /dev/null
+++ b/sequoiashunt-platform/src/main/java/org/sequoiashunt/http/Timers.java
@@ -0,0 +1,49 @@
+package org.sequoiashunt.http;
+
+import java.util.Objects;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Runs short tasks after a delay, on one thread of its own.
+ *
+ * <p>Used in place of the timers of XNIO's threads, which now and then lose a task: of 60,000 answers delayed by 3 ms,
+ * three to six were never sent.
+ *
+ * <p>Thread-safe. Tasks must not block. After {@link #close()} no task runs.
+ */
+public final class Timers implements AutoCloseable {
+
+    private final ScheduledThreadPoolExecutor executor;
+
+    /** Starts the thread. */
+    public Timers() {
+        executor = new ScheduledThreadPoolExecutor(1, task -> {
+            Thread thread = new Thread(task, "timers");
+            thread.setDaemon(true);
+            return thread;
+        });
+        executor.setRemoveOnCancelPolicy(true);
+        executor.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
+    }
+
+    /**
+     * Runs a task after a delay.
+     *
+     * @param delayMs the delay in milliseconds; zero or less runs the task at once.
+     * @param task the task, not null.
+     * @return ends the timer when run; does nothing once the task has run.
+     * @throws NullPointerException if the task is null.
+     * @throws java.util.concurrent.RejectedExecutionException if the timers are closed.
+     */
+    public Runnable after(final long delayMs, final Runnable task) {
+        Objects.requireNonNull(task, "task");
+        var scheduled = executor.schedule(task, delayMs, TimeUnit.MILLISECONDS);
+        return () -> scheduled.cancel(false);
+    }
+
+    @Override
+    public void close() {
+        executor.shutdownNow();
+    }
+}
--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/store/Admission.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/store/Admission.java
@@ -3,7 +3,7 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.SameThreadExecutor;
 import io.undertow.util.StatusCodes;
-import java.util.concurrent.TimeUnit;
+import org.sequoiashunt.http.Timers;
 import org.sequoiashunt.platform.StoreProtocol;
 import org.sequoiashunt.time.Clock;
 
@@ -20,12 +20,19 @@
     private final StoreCounters counters;
     private final TokenBucket reads;
     private final TokenBucket writes;
+    private final Timers timers;
 
-    Admission(final StoreFaults faults, final StoreCounters counters, final StoreRates rates, final Clock clock) {
+    Admission(
+            final StoreFaults faults,
+            final StoreCounters counters,
+            final StoreRates rates,
+            final Clock clock,
+            final Timers timers) {
         this.faults = faults;
         this.counters = counters;
         this.reads = new TokenBucket(clock, rates.readsPerSecond());
         this.writes = new TokenBucket(clock, rates.writesPerSecond());
+        this.timers = timers;
     }
 
     void admit(final HttpServerExchange exchange, final CallKind kind, final Runnable call) {
@@ -45,7 +52,7 @@
         } else {
             exchange.dispatch(
                     SameThreadExecutor.INSTANCE,
-                    () -> exchange.getIoThread().executeAfter(call, latencyMs, TimeUnit.MILLISECONDS));
+                    () -> timers.after(latencyMs, () -> exchange.getIoThread().execute(call)));
         }
     }
 
--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/store/StoreStandIn.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/store/StoreStandIn.java
@@ -6,6 +6,7 @@
 import io.undertow.server.HttpHandler;
 import java.net.InetSocketAddress;
 import java.util.Objects;
+import org.sequoiashunt.http.Timers;
 import org.sequoiashunt.peer.NodeAddress;
 import org.sequoiashunt.platform.StoreProtocol;
 import org.sequoiashunt.store.MemoryStore;
@@ -28,12 +29,13 @@
     private final MemoryStore store;
     private final StoreFaults faults;
     private final StoreCounters counters = new StoreCounters();
+    private final Timers timers = new Timers();
     private final Undertow server;
 
     private StoreStandIn(final NodeAddress address, final int port, final StoreRates rates, final Clock clock) {
         this.store = MemoryStore.of(clock);
         this.faults = new StoreFaults(store);
-        Admission admission = new Admission(faults, counters, rates, clock);
+        Admission admission = new Admission(faults, counters, rates, clock, timers);
         this.server = Undertow.builder()
                 .addHttpListener(port, address.host(), handlers(admission))
                 .setIoThreads(2)
@@ -105,12 +107,13 @@
     @Override
     public void close() {
         server.stop();
+        timers.close();
     }
 
     private HttpHandler handlers(final Admission admission) {
         return Handlers.path()
                 .addPrefixPath(StoreProtocol.VALUES, new ValueHandler(store, admission, counters))
-                .addPrefixPath(StoreProtocol.WATCH, new WatchHandler(store, admission))
+                .addPrefixPath(StoreProtocol.WATCH, new WatchHandler(store, admission, timers))
                 .addPrefixPath(StoreProtocol.LEASES, new LeaseHandler(store, admission))
                 .addExactPath("/faults", new FaultHandler(faults))
                 .addExactPath("/counters", exchange -> Responses.sendDocument(exchange, counters.counts()));
--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/store/WatchHandler.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/store/WatchHandler.java
@@ -8,8 +8,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.sequoiashunt.http.Timers;
 import org.sequoiashunt.store.MemoryStore;
 import org.sequoiashunt.store.StoreException;
 import org.sequoiashunt.store.StoredValue;
@@ -25,11 +25,13 @@
 
     private final MemoryStore store;
     private final Admission admission;
+    private final Timers timers;
     private final Map<String, Set<Waiter>> waiters = new ConcurrentHashMap<>();
 
-    WatchHandler(final MemoryStore store, final Admission admission) {
+    WatchHandler(final MemoryStore store, final Admission admission, final Timers timers) {
         this.store = store;
         this.admission = admission;
+        this.timers = timers;
         store.addListener(this::keyChanged);
     }
 
@@ -51,7 +53,7 @@
         waiter.exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
             waiters.computeIfAbsent(waiter.key, key -> ConcurrentHashMap.newKeySet())
                     .add(waiter);
-            waiter.exchange.getIoThread().executeAfter(() -> answer(waiter, true), waitMs, TimeUnit.MILLISECONDS);
+            timers.after(waitMs, () -> waiter.exchange.getIoThread().execute(() -> answer(waiter, true)));
             answer(waiter, false);
         });
     }
--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/target/TargetStandIn.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/target/TargetStandIn.java
@@ -7,8 +7,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Objects;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import org.sequoiashunt.http.Timers;
 import org.sequoiashunt.peer.NodeAddress;
 import org.sequoiashunt.trial.target.TargetAnnouncer.Announcement;
 
@@ -29,6 +29,7 @@
     private final Undertow server;
     private final TargetAnnouncer announcer;
     private final RunLog runLog;
+    private final Timers timers = new Timers();
     private final String version;
     private final long serviceTimeMs;
     private final AtomicLong runs = new AtomicLong();
@@ -115,6 +116,7 @@
     public void close() {
         announcer.close();
         server.stop();
+        timers.close();
     }
 
     private void handle(final HttpServerExchange exchange) {
@@ -130,7 +132,7 @@
             }
             long delayMs = serviceTimeMs + behaviour.delayMs();
             received.dispatch(() ->
-                    received.getIoThread().executeAfter(() -> answer(received, name), delayMs, TimeUnit.MILLISECONDS));
+                    timers.after(delayMs, () -> received.getIoThread().execute(() -> answer(received, name))));
         });
     }
 
