--- a/sequoiashunt-trial/src/test/java/org/sequoiashunt/trial/process/NodeProcessTest.java
+++ b/sequoiashunt-trial/src/test/java/org/sequoiashunt/trial/process/NodeProcessTest.java
@@ -12,7 +12,6 @@
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.MethodOrderer;
 import org.junit.jupiter.api.Order;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.TestMethodOrder;
 import org.junit.jupiter.api.Timeout;
@@ -120,7 +119,6 @@
     }
 
     @Test
-    @Tag("known-red")
     @Order(5)
     void storeOutageLeavesNodesServing() throws Exception {
         CallerLoad load = processes.startLoad();
