--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/lead/BlockingTask.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/blackboard/BlockingTask.java
@@ -1,4 +1,4 @@
-package org.sequoiashunt.lead;
+package org.sequoiashunt.blackboard;
 
 /**
  * Work that may block on the platform's store and therefore has a thread of its own. Call {@link #step()} again and
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/configuration/ConfigurationSnapshot.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/configuration/ConfigurationSnapshot.java
@@ -1,5 +1,6 @@
 package org.sequoiashunt.configuration;
 
+import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashSet;
 import java.util.List;
@@ -74,7 +75,9 @@
                 part.service().equals(service),
                 head,
                 "the part of service '" + service + "' belongs to service '" + part.service() + "'");
-        for (String group : part.homeGroups()) {
+        List<String> groups = new ArrayList<>(part.homeGroups());
+        groups.addAll(part.formerHomeGroups());
+        for (String group : groups) {
             check(
                     head.groups().containsKey(group),
                     head,
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/configuration/ServiceConfiguration.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/configuration/ServiceConfiguration.java
@@ -16,9 +16,16 @@
  * @param move the move under way, if any.
  * @param routes the routes in the order in which they are matched.
  * @param homeGroups the names of the home groups over which the keys of this service spread, may be empty.
+ * @param formerHomeGroups the home groups over which the keys spread before, asked as well while claims made there are
+ *     retained; may be empty.
  */
 public record ServiceConfiguration(
-        String service, String version, Optional<Move> move, List<Route> routes, List<String> homeGroups)
+        String service,
+        String version,
+        Optional<Move> move,
+        List<Route> routes,
+        List<String> homeGroups,
+        List<String> formerHomeGroups)
         implements EntryValue {
 
     /**
@@ -33,6 +40,7 @@
         Objects.requireNonNull(move, "move");
         routes = List.copyOf(routes);
         homeGroups = List.copyOf(homeGroups);
+        formerHomeGroups = List.copyOf(formerHomeGroups);
         if (routes.isEmpty()) {
             throw new IllegalArgumentException("service '" + service + "' has no route");
         }
@@ -41,6 +49,26 @@
         }
     }
 
+    /**
+     * Creates a configuration without former home groups.
+     *
+     * @param service the name of the service, not null.
+     * @param version the target version that has the traffic, not null.
+     * @param move the move under way, not null.
+     * @param routes the routes, not empty.
+     * @param homeGroups the names of the home groups, not null.
+     * @throws NullPointerException if an argument is null.
+     * @throws IllegalArgumentException if there is no route, or if the move starts at another version.
+     */
+    public ServiceConfiguration(
+            final String service,
+            final String version,
+            final Optional<Move> move,
+            final List<Route> routes,
+            final List<String> homeGroups) {
+        this(service, version, move, routes, homeGroups, List.of());
+    }
+
     /**
      * Returns the identity of the move under way.
      *
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/CrashTracker.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/CrashTracker.java
@@ -15,6 +15,8 @@
 import org.sequoiashunt.call.HeaderField;
 import org.sequoiashunt.call.Outcome;
 import org.sequoiashunt.call.Reason;
+import org.sequoiashunt.gate.Admission;
+import org.sequoiashunt.gate.CrashPolicy;
 import org.sequoiashunt.time.Clock;
 
 /**
@@ -31,7 +33,7 @@
  * <p>Thread-safe: the state lies on the blackboard, and the count of new suspects has a lock of its own. Invariant: a
  * quarantined request stays so until it expires.
  */
-public final class CrashTracker implements Controller {
+public final class CrashTracker implements Controller, CrashPolicy {
 
     /** Header by which an entry tells the gate that a request may have crashed a target; callers must not set it. */
     public static final String SUSPECT_HEADER = "Sequoiashunt-Suspect";
@@ -81,12 +83,8 @@
                 .forEach(entry -> blackboard.remove(entry.key(), entry.version()));
     }
 
-    /**
-     * Decides about a request before it is queued for a target. Nothing is computed while no suspect is known.
-     *
-     * @param request the request, not null.
-     * @return how it may run, never null.
-     */
+    /** Nothing is computed while no suspect is known. */
+    @Override
     public Admission admit(final CallRequest request) {
         boolean marked = isMarked(request);
         if (isEmpty()) {
@@ -99,13 +97,7 @@
         return marked || crashes == SUSPECT ? Admission.ALONE : Admission.NORMAL;
     }
 
-    /**
-     * Notes how a request ended on a target.
-     *
-     * @param request the request, not null.
-     * @param result how it ended, not null.
-     * @param ranAlone whether nothing else ran on the target meanwhile.
-     */
+    @Override
     public void ended(final CallRequest request, final CallResult result, final boolean ranAlone) {
         if (isCrash(result)) {
             noteCrash(RequestFingerprint.of(request), ranAlone && admit(request) == Admission.ALONE);
@@ -201,16 +193,6 @@
         return known.empty;
     }
 
-    /** How a request may run on a target. Immutable and thread-safe. */
-    public enum Admission {
-        /** Beside others. */
-        NORMAL,
-        /** Only while nothing else runs on the target. */
-        ALONE,
-        /** Not at all. */
-        REFUSE
-    }
-
     /** Whether the section was empty at a change count. Immutable. */
     private record Emptiness(long changes, boolean empty) {}
 }
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/HomeGroupGuards.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/execution/HomeGroupGuards.java
@@ -10,8 +10,8 @@
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.sequoiashunt.blackboard.Blackboard;
+import org.sequoiashunt.blackboard.BlockingTask;
 import org.sequoiashunt.blackboard.Controller;
-import org.sequoiashunt.lead.BlockingTask;
 import org.sequoiashunt.peer.ControlMessage;
 import org.sequoiashunt.time.Clock;
 
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/lead/BootstrapController.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/lead/BootstrapController.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
+import org.sequoiashunt.blackboard.BlockingTask;
 import org.sequoiashunt.membership.DomainRegister;
 import org.sequoiashunt.membership.DomainSummary;
 import org.sequoiashunt.membership.NodeIdentity;
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/lead/ConfigurationWatcher.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/lead/ConfigurationWatcher.java
@@ -9,6 +9,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 import org.sequoiashunt.blackboard.Blackboard;
+import org.sequoiashunt.blackboard.BlockingTask;
 import org.sequoiashunt.blackboard.Entry;
 import org.sequoiashunt.blackboard.EntryKey;
 import org.sequoiashunt.blackboard.EntryVersion;
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/lead/LeadController.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/lead/LeadController.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Supplier;
+import org.sequoiashunt.blackboard.BlockingTask;
 import org.sequoiashunt.membership.DomainRegister;
 import org.sequoiashunt.membership.DomainSummary;
 import org.sequoiashunt.membership.Member;
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/lead/LeadLease.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/lead/LeadLease.java
@@ -4,6 +4,7 @@
 import java.util.Objects;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
+import org.sequoiashunt.blackboard.BlockingTask;
 import org.sequoiashunt.membership.Member;
 import org.sequoiashunt.membership.MembershipView;
 import org.sequoiashunt.membership.NodeIdentity;
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/lead/ReplicaNode.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/lead/ReplicaNode.java
@@ -4,6 +4,7 @@
 import java.util.Objects;
 import java.util.SplittableRandom;
 import org.sequoiashunt.blackboard.Blackboard;
+import org.sequoiashunt.blackboard.BlockingTask;
 import org.sequoiashunt.blackboard.Controller;
 import org.sequoiashunt.configuration.ConfigurationApplier;
 import org.sequoiashunt.configuration.ConfigurationController;
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/Rendezvous.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/Rendezvous.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.Optional;
+import org.sequoiashunt.membership.StableHash;
 
 /**
  * Chooses one node out of several by rendezvous hash: all who know the same nodes choose the same one, and a node that
@@ -10,9 +11,7 @@
  */
 final class Rendezvous {
 
-    private static final long FNV_OFFSET = 0xcbf29ce484222325L;
-    private static final long FNV_PRIME = 0x100000001b3L;
-    private static final long MIX_FACTOR = 0xff51afd7ed558ccdL;
+    private static final char SEPARATOR = '\n';
 
     private Rendezvous() {}
 
@@ -24,17 +23,7 @@
      * @return the node, or empty if there is none.
      */
     static Optional<String> first(final String subject, final Collection<String> nodes) {
-        Comparator<String> byHash = Comparator.comparingLong(node -> hash(subject, node));
+        Comparator<String> byHash = Comparator.comparingLong(node -> StableHash.of(subject + SEPARATOR + node));
         return nodes.stream().max(byHash.thenComparing(Comparator.naturalOrder()));
     }
-
-    private static long hash(final String subject, final String node) {
-        long hash = FNV_OFFSET;
-        String text = subject + '\n' + node;
-        for (int index = 0; index < text.length(); index++) {
-            hash = (hash ^ text.charAt(index)) * FNV_PRIME;
-        }
-        hash = (hash ^ hash >>> 33) * MIX_FACTOR;
-        return hash ^ hash >>> 33;
-    }
 }
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/ServingMembers.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/rollout/ServingMembers.java
@@ -5,14 +5,20 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.function.Supplier;
 import org.sequoiashunt.blackboard.Blackboard;
 import org.sequoiashunt.blackboard.Section;
 import org.sequoiashunt.membership.Member;
+import org.sequoiashunt.membership.MembershipView;
 import org.sequoiashunt.membership.ServedTarget;
+import org.sequoiashunt.membership.Standing;
 import org.sequoiashunt.time.Clock;
 
 /**
- * Tells which nodes serve a service, and in which versions, by the members on the blackboard.
+ * Tells which nodes serve a service, and in which versions.
+ *
+ * <p>A node uses {@link #of(Supplier, Clock)}: who is gone by its view of the members does not serve, so that another
+ * node takes over the control of a rollout. {@link #of(Blackboard, Clock)} takes every member at its word.
  *
  * <p>Thread-safe: the derived index is an immutable value behind one reference, rebuilt under this object's monitor
  * when the membership has changed, at most once per {@value #REFRESH_INTERVAL_MS} ms so that churn among thousands of
@@ -22,12 +28,14 @@
 
     private static final long REFRESH_INTERVAL_MS = 100;
 
-    private final Blackboard blackboard;
+    private final Supplier<Object> state;
+    private final Supplier<List<Member>> members;
     private final Clock clock;
-    private volatile Index index = new Index(-1, Long.MIN_VALUE / 2, Map.of());
+    private volatile Index index = new Index(new Object(), Long.MIN_VALUE / 2, Map.of());
 
-    private ServingMembers(final Blackboard blackboard, final Clock clock) {
-        this.blackboard = blackboard;
+    private ServingMembers(final Supplier<Object> state, final Supplier<List<Member>> members, final Clock clock) {
+        this.state = state;
+        this.members = members;
         this.clock = clock;
     }
 
@@ -41,7 +49,30 @@
     public static ServingMembers of(final Blackboard blackboard, final Clock clock) {
         Objects.requireNonNull(blackboard, "blackboard");
         Objects.requireNonNull(clock, "clock");
-        return new ServingMembers(blackboard, clock);
+        return new ServingMembers(
+                () -> blackboard.changeCount(Section.MEMBER),
+                () -> blackboard.values(Section.MEMBER, Member.class),
+                clock);
+    }
+
+    /**
+     * Creates a view of the members that are present.
+     *
+     * @param views gives the present view of the members, not null.
+     * @param clock the clock, not null.
+     * @return the view, never null.
+     */
+    public static ServingMembers of(final Supplier<MembershipView> views, final Clock clock) {
+        Objects.requireNonNull(views, "views");
+        Objects.requireNonNull(clock, "clock");
+        return new ServingMembers(views::get, () -> presentMembers(views.get()), clock);
+    }
+
+    private static List<Member> presentMembers(final MembershipView view) {
+        return view.all().stream()
+                .filter(standing -> standing.presence().isPresent())
+                .map(Standing::member)
+                .toList();
     }
 
     /**
@@ -74,22 +105,21 @@
     }
 
     private boolean isFresh(final Index present) {
-        return present.changes() == blackboard.changeCount(Section.MEMBER)
-                || clock.nowMs() - present.atMs() < REFRESH_INTERVAL_MS;
+        return present.state().equals(state.get()) || clock.nowMs() - present.atMs() < REFRESH_INTERVAL_MS;
     }
 
     private synchronized Index refresh() {
         if (isFresh(index)) {
             return index;
         }
-        long changes = blackboard.changeCount(Section.MEMBER);
+        Object present = state.get();
         Map<String, List<ServingNode>> nodes = new HashMap<>();
-        for (Member member : blackboard.values(Section.MEMBER, Member.class)) {
+        for (Member member : members.get()) {
             if (member.state().acceptsWork()) {
                 addServices(nodes, member);
             }
         }
-        index = new Index(changes, clock.nowMs(), nodes);
+        index = new Index(present, clock.nowMs(), nodes);
         return index;
     }
 
@@ -115,5 +145,5 @@
     public record ServingNode(String node, String failureDomain, List<String> targetVersions) {}
 
     /** What was derived at one time. Never changed after publication. */
-    private record Index(long changes, long atMs, Map<String, List<ServingNode>> nodes) {}
+    private record Index(Object state, long atMs, Map<String, List<ServingNode>> nodes) {}
 }
--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/execution/CrashTrackerPropertyTest.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/execution/CrashTrackerPropertyTest.java
@@ -18,7 +18,7 @@
 import org.sequoiashunt.call.CallRequest;
 import org.sequoiashunt.call.CallResult;
 import org.sequoiashunt.call.Reason;
-import org.sequoiashunt.execution.CrashTracker.Admission;
+import org.sequoiashunt.gate.Admission;
 import org.sequoiashunt.time.SteppedClock;
 
 /** One request crashes each target that runs it; others share those targets and are resent as well. */
--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/execution/CrashTrackerTest.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/execution/CrashTrackerTest.java
@@ -14,7 +14,7 @@
 import org.sequoiashunt.call.CallResult;
 import org.sequoiashunt.call.HeaderField;
 import org.sequoiashunt.call.Reason;
-import org.sequoiashunt.execution.CrashTracker.Admission;
+import org.sequoiashunt.gate.Admission;
 import org.sequoiashunt.time.SteppedClock;
 
 final class CrashTrackerTest {
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/ConfigurationCodec.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/ConfigurationCodec.java
@@ -67,7 +67,8 @@
         EntryProto.ServiceConfiguration.Builder builder = EntryProto.ServiceConfiguration.newBuilder()
                 .setService(service.service())
                 .setVersion(service.version())
-                .addAllHomeGroups(service.homeGroups());
+                .addAllHomeGroups(service.homeGroups())
+                .addAllFormerHomeGroups(service.formerHomeGroups());
         service.move().ifPresent(move -> builder.setMove(encode(move)));
         service.routes().forEach(route -> builder.addRoutes(encode(route)));
         return builder.build();
@@ -79,7 +80,8 @@
                 service.getVersion(),
                 service.hasMove() ? Optional.of(decode(service.getMove())) : Optional.empty(),
                 service.getRoutesList().stream().map(ConfigurationCodec::decode).toList(),
-                service.getHomeGroupsList());
+                service.getHomeGroupsList(),
+                service.getFormerHomeGroupsList());
     }
 
     private static EntryProto.Move encode(final Move move) {
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/wire/EntryProto.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/wire/EntryProto.java
@@ -8705,6 +8705,31 @@
      */
     com.google.protobuf.ByteString
         getHomeGroupsBytes(int index);
+
+    /**
+     * <code>repeated string former_home_groups = 6;</code>
+     * @return A list containing the formerHomeGroups.
+     */
+    java.util.List<java.lang.String>
+        getFormerHomeGroupsList();
+    /**
+     * <code>repeated string former_home_groups = 6;</code>
+     * @return The count of formerHomeGroups.
+     */
+    int getFormerHomeGroupsCount();
+    /**
+     * <code>repeated string former_home_groups = 6;</code>
+     * @param index The index of the element to return.
+     * @return The formerHomeGroups at the given index.
+     */
+    java.lang.String getFormerHomeGroups(int index);
+    /**
+     * <code>repeated string former_home_groups = 6;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the formerHomeGroups at the given index.
+     */
+    com.google.protobuf.ByteString
+        getFormerHomeGroupsBytes(int index);
   }
   /**
    * Protobuf type {@code sequoiashunt.link.ServiceConfiguration}
@@ -8733,6 +8758,8 @@
       routes_ = java.util.Collections.emptyList();
       homeGroups_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
+      formerHomeGroups_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -8936,6 +8963,43 @@
       return homeGroups_.getByteString(index);
     }
 
+    public static final int FORMER_HOME_GROUPS_FIELD_NUMBER = 6;
+    @SuppressWarnings("serial")
+    private com.google.protobuf.LazyStringArrayList formerHomeGroups_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    /**
+     * <code>repeated string former_home_groups = 6;</code>
+     * @return A list containing the formerHomeGroups.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getFormerHomeGroupsList() {
+      return formerHomeGroups_;
+    }
+    /**
+     * <code>repeated string former_home_groups = 6;</code>
+     * @return The count of formerHomeGroups.
+     */
+    public int getFormerHomeGroupsCount() {
+      return formerHomeGroups_.size();
+    }
+    /**
+     * <code>repeated string former_home_groups = 6;</code>
+     * @param index The index of the element to return.
+     * @return The formerHomeGroups at the given index.
+     */
+    public java.lang.String getFormerHomeGroups(int index) {
+      return formerHomeGroups_.get(index);
+    }
+    /**
+     * <code>repeated string former_home_groups = 6;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the formerHomeGroups at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getFormerHomeGroupsBytes(int index) {
+      return formerHomeGroups_.getByteString(index);
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -8965,6 +9029,9 @@
       for (int i = 0; i < homeGroups_.size(); i++) {
         com.google.protobuf.GeneratedMessage.writeString(output, 5, homeGroups_.getRaw(i));
       }
+      for (int i = 0; i < formerHomeGroups_.size(); i++) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 6, formerHomeGroups_.getRaw(i));
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -8996,6 +9063,14 @@
         size += dataSize;
         size += 1 * getHomeGroupsList().size();
       }
+      {
+        int dataSize = 0;
+        for (int i = 0; i < formerHomeGroups_.size(); i++) {
+          dataSize += computeStringSizeNoTag(formerHomeGroups_.getRaw(i));
+        }
+        size += dataSize;
+        size += 1 * getFormerHomeGroupsList().size();
+      }
       return size;
     }
     @java.lang.Override
@@ -9033,6 +9108,8 @@
           .equals(other.getRoutesList())) return false;
       if (!getHomeGroupsList()
           .equals(other.getHomeGroupsList())) return false;
+      if (!getFormerHomeGroupsList()
+          .equals(other.getFormerHomeGroupsList())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -9060,6 +9137,10 @@
         hash = (37 * hash) + HOME_GROUPS_FIELD_NUMBER;
         hash = (53 * hash) + getHomeGroupsList().hashCode();
       }
+      if (getFormerHomeGroupsCount() > 0) {
+        hash = (37 * hash) + FORMER_HOME_GROUPS_FIELD_NUMBER;
+        hash = (53 * hash) + getFormerHomeGroupsList().hashCode();
+      }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -9214,6 +9295,8 @@
         bitField0_ = (bitField0_ & ~0x00000008);
         homeGroups_ =
             com.google.protobuf.LazyStringArrayList.emptyList();
+        formerHomeGroups_ =
+            com.google.protobuf.LazyStringArrayList.emptyList();
         return this;
       }
 
@@ -9277,6 +9360,10 @@
           homeGroups_.makeImmutable();
           result.homeGroups_ = homeGroups_;
         }
+        if (((from_bitField0_ & 0x00000020) != 0)) {
+          formerHomeGroups_.makeImmutable();
+          result.formerHomeGroups_ = formerHomeGroups_;
+        }
         result.bitField0_ |= to_bitField0_;
       }
 
@@ -9341,6 +9428,16 @@
           }
           onChanged();
         }
+        if (!other.formerHomeGroups_.isEmpty()) {
+          if (formerHomeGroups_.isEmpty()) {
+            formerHomeGroups_ = other.formerHomeGroups_;
+            bitField0_ |= 0x00000020;
+          } else {
+            ensureFormerHomeGroupsIsMutable();
+            formerHomeGroups_.addAll(other.formerHomeGroups_);
+          }
+          onChanged();
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -9400,6 +9497,11 @@
                 homeGroups_.add(input.readStringRequireUtf8());
                 break;
               } // case 42
+              case 50: {
+                ensureFormerHomeGroupsIsMutable();
+                formerHomeGroups_.add(input.readStringRequireUtf8());
+                break;
+              } // case 50
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -10025,6 +10127,117 @@
         return this;
       }
 
+      private com.google.protobuf.LazyStringArrayList formerHomeGroups_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      private void ensureFormerHomeGroupsIsMutable() {
+        if (!formerHomeGroups_.isModifiable()) {
+          formerHomeGroups_ = new com.google.protobuf.LazyStringArrayList(formerHomeGroups_);
+        }
+        bitField0_ |= 0x00000020;
+      }
+      /**
+       * <code>repeated string former_home_groups = 6;</code>
+       * @return A list containing the formerHomeGroups.
+       */
+      public com.google.protobuf.ProtocolStringList
+          getFormerHomeGroupsList() {
+        formerHomeGroups_.makeImmutable();
+        return formerHomeGroups_;
+      }
+      /**
+       * <code>repeated string former_home_groups = 6;</code>
+       * @return The count of formerHomeGroups.
+       */
+      public int getFormerHomeGroupsCount() {
+        return formerHomeGroups_.size();
+      }
+      /**
+       * <code>repeated string former_home_groups = 6;</code>
+       * @param index The index of the element to return.
+       * @return The formerHomeGroups at the given index.
+       */
+      public java.lang.String getFormerHomeGroups(int index) {
+        return formerHomeGroups_.get(index);
+      }
+      /**
+       * <code>repeated string former_home_groups = 6;</code>
+       * @param index The index of the value to return.
+       * @return The bytes of the formerHomeGroups at the given index.
+       */
+      public com.google.protobuf.ByteString
+          getFormerHomeGroupsBytes(int index) {
+        return formerHomeGroups_.getByteString(index);
+      }
+      /**
+       * <code>repeated string former_home_groups = 6;</code>
+       * @param index The index to set the value at.
+       * @param value The formerHomeGroups to set.
+       * @return This builder for chaining.
+       */
+      public Builder setFormerHomeGroups(
+          int index, java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        ensureFormerHomeGroupsIsMutable();
+        formerHomeGroups_.set(index, value);
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated string former_home_groups = 6;</code>
+       * @param value The formerHomeGroups to add.
+       * @return This builder for chaining.
+       */
+      public Builder addFormerHomeGroups(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        ensureFormerHomeGroupsIsMutable();
+        formerHomeGroups_.add(value);
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated string former_home_groups = 6;</code>
+       * @param values The formerHomeGroups to add.
+       * @return This builder for chaining.
+       */
+      public Builder addAllFormerHomeGroups(
+          java.lang.Iterable<java.lang.String> values) {
+        ensureFormerHomeGroupsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, formerHomeGroups_);
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated string former_home_groups = 6;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearFormerHomeGroups() {
+        formerHomeGroups_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000020);;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated string former_home_groups = 6;</code>
+       * @param value The bytes of the formerHomeGroups to add.
+       * @return This builder for chaining.
+       */
+      public Builder addFormerHomeGroupsBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        ensureFormerHomeGroupsIsMutable();
+        formerHomeGroups_.add(value);
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:sequoiashunt.link.ServiceConfiguration)
     }
 
@@ -18120,33 +18333,33 @@
       "\n\004from\030\001 \001(\t\022\n\n\002to\030\002 \001(\t\022\024\n\014finish_by_ms" +
       "\030\003 \001(\003\"c\n\005Route\022\014\n\004name\030\001 \001(\t\022\023\n\013path_pr" +
       "efix\030\002 \001(\t\022\017\n\007methods\030\003 \003(\t\022\022\n\nidempoten" +
-      "t\030\004 \001(\010\022\022\n\ntimeout_ms\030\005 \001(\004\"\236\001\n\024ServiceC" +
+      "t\030\004 \001(\010\022\022\n\ntimeout_ms\030\005 \001(\004\"\272\001\n\024ServiceC" +
       "onfiguration\022\017\n\007service\030\001 \001(\t\022\017\n\007version" +
       "\030\002 \001(\t\022%\n\004move\030\003 \001(\0132\027.sequoiashunt.link" +
       ".Move\022(\n\006routes\030\004 \003(\0132\030.sequoiashunt.lin" +
-      "k.Route\022\023\n\013home_groups\030\005 \003(\t\")\n\013NodeAddr" +
-      "ess\022\014\n\004host\030\001 \001(\t\022\014\n\004port\030\002 \001(\r\"e\n\014Serve" +
-      "dTarget\022\016\n\006target\030\001 \001(\t\022\017\n\007service\030\002 \001(\t" +
-      "\022\026\n\016target_version\030\003 \001(\t\022\r\n\005slots\030\004 \001(\r\022" +
-      "\r\n\005state\030\005 \001(\r\"\317\001\n\006Member\022\014\n\004node\030\001 \001(\t\022" +
-      "\026\n\016failure_domain\030\002 \001(\t\022\016\n\006region\030\003 \001(\t\022" +
-      "/\n\007address\030\004 \001(\0132\036.sequoiashunt.link.Nod" +
-      "eAddress\022\r\n\005state\030\005 \001(\r\0220\n\007targets\030\006 \003(\013" +
-      "2\037.sequoiashunt.link.ServedTarget\022\035\n\025con" +
-      "figuration_version\030\007 \001(\004\"d\n\017RolloutProgr" +
-      "ess\022\014\n\004move\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\r\n\005st" +
-      "age\030\003 \001(\r\022\023\n\013share_parts\030\004 \001(\r\022\016\n\006reason" +
-      "\030\005 \001(\t\"\215\001\n\010Evidence\022\014\n\004node\030\001 \001(\t\022\017\n\007ser" +
-      "vice\030\002 \001(\t\022\026\n\016target_version\030\003 \001(\t\022\r\n\005ro" +
-      "ute\030\004 \001(\t\022\020\n\010requests\030\005 \001(\004\022\020\n\010failures\030" +
-      "\006 \001(\004\022\027\n\017latency_buckets\030\007 \003(\004\"N\n\022Quaran" +
-      "tinedRequest\022\023\n\013fingerprint\030\001 \001(\t\022\017\n\007cra" +
-      "shes\030\002 \001(\r\022\022\n\nexpires_ms\030\003 \001(\003\"6\n\006Roster" +
-      "\022\r\n\005group\030\001 \001(\t\022\r\n\005epoch\030\002 \001(\004\022\016\n\006guards" +
-      "\030\003 \003(\t\"\033\n\tSuspicion\022\016\n\006member\030\001 \001(\t\"*\n\tD" +
-      "eparture\022\016\n\006member\030\001 \001(\t\022\r\n\005at_ms\030\002 \001(\003B" +
-      "(\n\032org.sequoiashunt.link.wireB\nEntryProt" +
-      "ob\006proto3"
+      "k.Route\022\023\n\013home_groups\030\005 \003(\t\022\032\n\022former_h" +
+      "ome_groups\030\006 \003(\t\")\n\013NodeAddress\022\014\n\004host\030" +
+      "\001 \001(\t\022\014\n\004port\030\002 \001(\r\"e\n\014ServedTarget\022\016\n\006t" +
+      "arget\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\026\n\016target_v" +
+      "ersion\030\003 \001(\t\022\r\n\005slots\030\004 \001(\r\022\r\n\005state\030\005 \001" +
+      "(\r\"\317\001\n\006Member\022\014\n\004node\030\001 \001(\t\022\026\n\016failure_d" +
+      "omain\030\002 \001(\t\022\016\n\006region\030\003 \001(\t\022/\n\007address\030\004" +
+      " \001(\0132\036.sequoiashunt.link.NodeAddress\022\r\n\005" +
+      "state\030\005 \001(\r\0220\n\007targets\030\006 \003(\0132\037.sequoiash" +
+      "unt.link.ServedTarget\022\035\n\025configuration_v" +
+      "ersion\030\007 \001(\004\"d\n\017RolloutProgress\022\014\n\004move\030" +
+      "\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\r\n\005stage\030\003 \001(\r\022\023\n" +
+      "\013share_parts\030\004 \001(\r\022\016\n\006reason\030\005 \001(\t\"\215\001\n\010E" +
+      "vidence\022\014\n\004node\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\026" +
+      "\n\016target_version\030\003 \001(\t\022\r\n\005route\030\004 \001(\t\022\020\n" +
+      "\010requests\030\005 \001(\004\022\020\n\010failures\030\006 \001(\004\022\027\n\017lat" +
+      "ency_buckets\030\007 \003(\004\"N\n\022QuarantinedRequest" +
+      "\022\023\n\013fingerprint\030\001 \001(\t\022\017\n\007crashes\030\002 \001(\r\022\022" +
+      "\n\nexpires_ms\030\003 \001(\003\"6\n\006Roster\022\r\n\005group\030\001 " +
+      "\001(\t\022\r\n\005epoch\030\002 \001(\004\022\016\n\006guards\030\003 \003(\t\"\033\n\tSu" +
+      "spicion\022\016\n\006member\030\001 \001(\t\"*\n\tDeparture\022\016\n\006" +
+      "member\030\001 \001(\t\022\r\n\005at_ms\030\002 \001(\003B(\n\032org.sequo" +
+      "iashunt.link.wireB\nEntryProtob\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -18205,7 +18418,7 @@
     internal_static_sequoiashunt_link_ServiceConfiguration_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_sequoiashunt_link_ServiceConfiguration_descriptor,
-        new java.lang.String[] { "Service", "Version", "Move", "Routes", "HomeGroups", });
+        new java.lang.String[] { "Service", "Version", "Move", "Routes", "HomeGroups", "FormerHomeGroups", });
     internal_static_sequoiashunt_link_NodeAddress_descriptor =
       getDescriptor().getMessageType(7);
     internal_static_sequoiashunt_link_NodeAddress_fieldAccessorTable = new
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/BlockingLoop.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/BlockingLoop.java
@@ -2,7 +2,7 @@
 
 import java.util.Objects;
 import org.jboss.logging.Logger;
-import org.sequoiashunt.lead.BlockingTask;
+import org.sequoiashunt.blackboard.BlockingTask;
 
 /**
  * Thread that runs one task that may block on the store, again and again.
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/ClaimParts.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/ClaimParts.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.TreeMap;
 import java.util.random.RandomGenerator;
 import org.sequoiashunt.configuration.ConfigurationSnapshot;
 import org.sequoiashunt.execution.ClaimCoordinator;
@@ -12,7 +11,6 @@
 import org.sequoiashunt.execution.ClaimTiming;
 import org.sequoiashunt.execution.ControlMessenger;
 import org.sequoiashunt.execution.HomeGroupGuards;
-import org.sequoiashunt.execution.HomeGroupSource;
 import org.sequoiashunt.execution.HomeGroups;
 import org.sequoiashunt.execution.RosterRegister;
 import org.sequoiashunt.lead.ReplicaNode;
@@ -41,7 +39,8 @@
             final RandomGenerator random) {
         ControlMessenger messenger = new ControlMessenger(sender, node -> addressOf(replica, node));
         ClaimTiming timing = ClaimTiming.defaults();
-        HomeGroups homes = new HomeGroups(() -> homeGroups(replica), clock, timing, ClaimRule.all());
+        HomeGroups homes = new HomeGroups(
+                new ConfiguredHomeGroups(() -> replica.configuration().inForce()), clock, timing, ClaimRule.all());
         ClaimCoordinator coordinator =
                 new ClaimCoordinator(replica.blackboard(), homes, clock, timing, ClaimRule.all(), messenger);
         HomeGroupGuards guards = new HomeGroupGuards(new HomeGroupGuards.Ports(
@@ -60,16 +59,6 @@
         return replica.membership().view().find(node).map(Standing::member).map(Member::address);
     }
 
-    private static Map<String, HomeGroupSource.Lists> homeGroups(final ReplicaNode replica) {
-        Map<String, HomeGroupSource.Lists> groups = new TreeMap<>();
-        replica.configuration()
-                .inForce()
-                .ifPresent(snapshot -> snapshot.services()
-                        .forEach((service, configuration) ->
-                                groups.put(service, new HomeGroupSource.Lists(configuration.homeGroups(), List.of()))));
-        return groups;
-    }
-
     private static List<String> groupsOf(final ReplicaNode replica, final String failureDomain) {
         List<String> names = new ArrayList<>();
         groups(replica).forEach((group, domains) -> {
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/NodeServer.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/NodeServer.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicReference;
 import org.jboss.logging.Logger;
+import org.sequoiashunt.blackboard.BlockingTask;
 import org.sequoiashunt.configuration.ConfigurationException;
 import org.sequoiashunt.configuration.ConfigurationSnapshot;
 import org.sequoiashunt.dispatch.CallDispatcher;
@@ -18,7 +19,6 @@
 import org.sequoiashunt.gate.Gate;
 import org.sequoiashunt.http.HttpExchanger;
 import org.sequoiashunt.http.Timers;
-import org.sequoiashunt.lead.BlockingTask;
 import org.sequoiashunt.lead.NodePorts;
 import org.sequoiashunt.lead.ReplicaNode;
 import org.sequoiashunt.lifecycle.Closer;
@@ -111,8 +111,7 @@
         ClaimParts claims = ClaimParts.of(settings, replica, store.rosters(), sender, clock, random);
         CrashTracker crashes = new CrashTracker(settings.node(), replica.blackboard(), clock);
         HttpExchanger exchanger = closer.register(HttpExchanger.of(worker, clock, settings.maximumBodyBytes()));
-        gate = new Gate(
-                clock, new UndertowTargetCaller(exchanger, clock), rollout.ledger(), new CrashTrackerPolicy(crashes));
+        gate = new Gate(clock, new UndertowTargetCaller(exchanger, clock), rollout.ledger(), crashes);
         CallDispatcher dispatcher = new CallDispatcher(collaborators(link, rollout, claims));
         addControllers(rollout, claims, crashes);
         linkServer = closer.register(LinkServer.open(
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/RolloutParts.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/RolloutParts.java
@@ -1,7 +1,7 @@
 package org.sequoiashunt.node;
 
 import java.util.random.RandomGenerator;
-import org.sequoiashunt.lead.BlockingTask;
+import org.sequoiashunt.blackboard.BlockingTask;
 import org.sequoiashunt.lead.ReplicaNode;
 import org.sequoiashunt.rollout.EvidenceLedger;
 import org.sequoiashunt.rollout.LocalFaultDetector;
@@ -40,7 +40,7 @@
             final RandomGenerator random) {
         String node = settings.node();
         LocalStops stops = new LocalStops();
-        ServingMembers serving = ServingMembers.of(replica.blackboard(), clock);
+        ServingMembers serving = ServingMembers.of(() -> replica.membership().view(), clock);
         RolloutSealer sealer = RolloutSealer.of(node, replica.blackboard(), register, clock, random);
         RolloutController controller = RolloutController.of(
                 node,
--- /dev/null
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/CallerAdmissionTest.java
@@ -0,0 +1,48 @@
+package org.sequoiashunt.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+import org.sequoiashunt.call.Reason;
+
+class CallerAdmissionTest {
+
+    private final CallerAdmission admission = new CallerAdmission(2, 100);
+
+    @Test
+    void boundsTheNumberOfRequests() {
+        assertEquals(Optional.empty(), admission.enter(0));
+        assertEquals(Optional.empty(), admission.enter(0));
+        assertEquals(Optional.of(Reason.QUEUE_FULL), admission.enter(0));
+        admission.leave(0);
+        assertEquals(Optional.empty(), admission.enter(0));
+    }
+
+    @Test
+    void boundsTheBytesOfTheirBodies() {
+        assertEquals(Optional.empty(), admission.enter(60));
+        assertEquals(Optional.of(Reason.QUEUE_FULL), admission.enter(41));
+        assertEquals(Optional.empty(), admission.enter(40));
+    }
+
+    @Test
+    void drainEndsNewRequestsAndWaitsForThoseHeld() {
+        admission.enter(10);
+        CompletableFuture<Void> drained = admission.drain();
+        assertEquals(Optional.of(Reason.DRAINING), admission.enter(0));
+        assertFalse(drained.isDone());
+        admission.leave(10);
+        assertTrue(drained.isDone());
+    }
+
+    @Test
+    void refusesBoundsThatAreNotPositive() {
+        assertThrows(IllegalArgumentException.class, () -> new CallerAdmission(0, 1));
+        assertThrows(IllegalArgumentException.class, () -> new CallerAdmission(1, 0));
+    }
+}
--- a/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/ServiceDifference.java
+++ b/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/ServiceDifference.java
@@ -30,6 +30,10 @@
         if (!before.get().homeGroups().equals(after.get().homeGroups())) {
             lines.add("home groups were " + groups(before.get()) + ", are " + groups(after.get()));
         }
+        if (!before.get().formerHomeGroups().isEmpty()
+                && after.get().formerHomeGroups().isEmpty()) {
+            lines.add("former home groups dropped");
+        }
         describeRoutes(before.get(), after.get(), lines);
         return lines;
     }
--- a/sequoiashunt-platform/src/main/java/org/sequoiashunt/manifest/ServiceReader.java
+++ b/sequoiashunt-platform/src/main/java/org/sequoiashunt/manifest/ServiceReader.java
@@ -19,7 +19,7 @@
  */
 final class ServiceReader {
 
-    private static final List<String> KEYS = List.of("version", "move", "homeGroups", "routes");
+    private static final List<String> KEYS = List.of("version", "move", "homeGroups", "formerHomeGroups", "routes");
     private static final List<String> MOVE_KEYS = List.of("to", "finishBy");
 
     private final ProblemList problems;
@@ -40,9 +40,8 @@
         Optional<Move> move = mapping.find("move")
                 .flatMap(node -> MappingReader.of(node, mapping.pathOf("move"), problems))
                 .flatMap(reader -> readMove(version, reader));
-        List<String> homeGroups = mapping.find("homeGroups")
-                .map(node -> readHomeGroups(node, mapping.pathOf("homeGroups")))
-                .orElse(List.of());
+        List<String> homeGroups = readHomeGroups(mapping, "homeGroups");
+        List<String> formerHomeGroups = readHomeGroups(mapping, "formerHomeGroups");
         List<Route> routes = mapping.require("routes")
                 .map(node -> new RouteReader(problems).read(node, mapping.pathOf("routes")))
                 .orElse(List.of());
@@ -50,7 +49,7 @@
             return Optional.empty();
         }
         ServiceConfiguration configuration =
-                new ServiceConfiguration(service, version.orElseThrow(), move, routes, homeGroups);
+                new ServiceConfiguration(service, version.orElseThrow(), move, routes, homeGroups, formerHomeGroups);
         return checked(configuration, mapping);
     }
 
@@ -91,6 +90,12 @@
         }
     }
 
+    private List<String> readHomeGroups(final MappingReader mapping, final String key) {
+        return mapping.find(key)
+                .map(node -> readHomeGroups(node, mapping.pathOf(key)))
+                .orElse(List.of());
+    }
+
     private List<String> readHomeGroups(final Node node, final String path) {
         Set<String> named = new TreeSet<>();
         List<Node> elements = nodes.list(node, path).orElse(List.of());
--- a/sequoiashunt-platform/src/main/java/org/sequoiashunt/platform/ConfigurationCommitter.java
+++ b/sequoiashunt-platform/src/main/java/org/sequoiashunt/platform/ConfigurationCommitter.java
@@ -79,6 +79,7 @@
                 return early.get();
             }
             revision = head.map(StoredHead::revision).orElse(Store.ABSENT);
+            checkHomeGroups(request, current, retry);
             writeMissingParts(request, current, retry);
             record = writeRecord(recordOf(request, current), retry);
         } catch (StoreException exception) {
@@ -87,6 +88,14 @@
         return swapHead(record, revision, retry);
     }
 
+    private void checkHomeGroups(
+            final CommitRequest request, final Optional<CommitRecord> current, final StoreRetry retry)
+            throws StoreException, ConfigurationException {
+        if (current.isPresent()) {
+            new HomeGroupChange(log, clock.nowMs(), retry).check(current.get(), request.services());
+        }
+    }
+
     private Optional<CommitRecord> readCurrent(final Optional<StoredHead> head, final StoreRetry retry)
             throws StoreException, ConfigurationException {
         return head.isEmpty()
--- /dev/null
+++ b/sequoiashunt-platform/src/main/java/org/sequoiashunt/platform/HomeGroupChange.java
@@ -0,0 +1,110 @@
+package org.sequoiashunt.platform;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import org.sequoiashunt.configuration.ConfigurationException;
+import org.sequoiashunt.configuration.ServiceConfiguration;
+import org.sequoiashunt.execution.ClaimTiming;
+import org.sequoiashunt.store.StoreException;
+
+/**
+ * Refuses commits after which a key could be claimed in two home groups that do not ask each other.
+ *
+ * <p>A service whose home groups change must name the former ones, which are then asked as well. They may be dropped,
+ * or changed again, only when claims made before the change are no longer retained.
+ *
+ * <p>Confined to one thread: serves one commit.
+ */
+final class HomeGroupChange {
+
+    /** Time for the last node to put the change in force. */
+    private static final long ADOPTION_MS = 60_000;
+
+    /** Time for which former home groups must be named. */
+    static final long FORMER_MS = ClaimTiming.defaults().retentionMs() + ADOPTION_MS;
+
+    private static final long MS_PER_SECOND = 1_000;
+
+    private final CommitLog log;
+    private final long nowMs;
+    private final StoreRetry retry;
+
+    HomeGroupChange(final CommitLog log, final long nowMs, final StoreRetry retry) {
+        this.log = Objects.requireNonNull(log, "log");
+        this.nowMs = nowMs;
+        this.retry = Objects.requireNonNull(retry, "retry");
+    }
+
+    /**
+     * Checks a commit against the one in force.
+     *
+     * @param current the record of the commit in force, not null.
+     * @param services the services to commit, not null.
+     * @throws ConfigurationException if a service changes its home groups unsafely.
+     * @throws StoreException if the store did not answer.
+     */
+    void check(final CommitRecord current, final Map<String, ServiceConfiguration> services)
+            throws ConfigurationException, StoreException {
+        for (ServiceConfiguration after : services.values()) {
+            String digest = current.parts().get(after.service());
+            if (digest != null && !digest.equals(PartCodec.digest(after))) {
+                ServiceConfiguration before = retry.call(() -> log.readPart(digest));
+                check(current, before, after);
+            }
+        }
+    }
+
+    private void check(final CommitRecord current, final ServiceConfiguration before, final ServiceConfiguration after)
+            throws ConfigurationException, StoreException {
+        boolean moved = !before.homeGroups().equals(after.homeGroups());
+        boolean dropped = !before.formerHomeGroups().equals(after.formerHomeGroups());
+        if (moved && !before.formerHomeGroups().isEmpty()) {
+            throw refusal(after, "homeGroups", "changed before; drop formerHomeGroups first, in a commit of its own");
+        }
+        if (moved && !after.formerHomeGroups().equals(before.homeGroups())) {
+            throw refusal(after, "formerHomeGroups", "must be " + before.homeGroups() + ", since homeGroups changes");
+        }
+        if (!moved && dropped) {
+            checkDrop(current, before, after);
+        }
+    }
+
+    private void checkDrop(
+            final CommitRecord current, final ServiceConfiguration before, final ServiceConfiguration after)
+            throws ConfigurationException, StoreException {
+        if (!after.formerHomeGroups().isEmpty()) {
+            throw refusal(after, "formerHomeGroups", "may only be dropped, or follow a change of homeGroups");
+        }
+        long remainingMs = FORMER_MS - (nowMs - changedAtMs(current, before));
+        if (remainingMs > 0) {
+            long seconds = (remainingMs + MS_PER_SECOND - 1) / MS_PER_SECOND;
+            throw refusal(after, "formerHomeGroups", "must stay for another " + seconds + " s");
+        }
+    }
+
+    /** Walks back to the commit that named the former groups, but no further than needed to tell that it is old. */
+    private long changedAtMs(final CommitRecord current, final ServiceConfiguration named)
+            throws ConfigurationException, StoreException {
+        CommitRecord record = current;
+        while (record.previous() != null && nowMs - record.atMs() < FORMER_MS) {
+            String key = record.previous();
+            CommitRecord previous = retry.call(() -> log.readRecord(key));
+            String digest = previous.parts().get(named.service());
+            if (digest == null || !formerGroups(digest).equals(named.formerHomeGroups())) {
+                return record.atMs();
+            }
+            record = previous;
+        }
+        return record.atMs();
+    }
+
+    private List<String> formerGroups(final String digest) throws ConfigurationException, StoreException {
+        return retry.call(() -> log.readPart(digest)).formerHomeGroups();
+    }
+
+    private static ConfigurationException refusal(
+            final ServiceConfiguration service, final String key, final String reason) {
+        return new ConfigurationException("services." + service.service() + "." + key + ": " + reason);
+    }
+}
--- a/sequoiashunt-platform/src/main/java/org/sequoiashunt/platform/PartCodec.java
+++ b/sequoiashunt-platform/src/main/java/org/sequoiashunt/platform/PartCodec.java
@@ -91,9 +91,16 @@
      * @param move the move, null for none.
      * @param routes the routes in order.
      * @param homeGroups the home groups.
+     * @param formerHomeGroups the home groups before.
      */
     private record PartDocument(
-            String service, String version, MoveDocument move, List<RouteDocument> routes, List<String> homeGroups) {
+            String service,
+            String version,
+            MoveDocument move,
+            List<RouteDocument> routes,
+            List<String> homeGroups,
+
+            List<String> formerHomeGroups) {
 
         private static PartDocument of(final ServiceConfiguration configuration) {
             return new PartDocument(
@@ -101,13 +108,14 @@
                     configuration.version(),
                     configuration.move().map(MoveDocument::of).orElse(null),
                     configuration.routes().stream().map(RouteDocument::of).toList(),
-                    configuration.homeGroups());
+                    configuration.homeGroups(),
+                    configuration.formerHomeGroups());
         }
 
         private ServiceConfiguration toConfiguration() {
             Optional<Move> present = Optional.ofNullable(move).map(MoveDocument::toMove);
             List<Route> read = routes.stream().map(RouteDocument::toRoute).toList();
-            return new ServiceConfiguration(service, version, present, read, homeGroups);
+            return new ServiceConfiguration(service, version, present, read, homeGroups, formerHomeGroups);
         }
     }
 
--- /dev/null
+++ b/sequoiashunt-platform/src/test/java/org/sequoiashunt/http/HttpExchangerTest.java
@@ -0,0 +1,148 @@
+package org.sequoiashunt.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.sequoiashunt.call.Body;
+import org.sequoiashunt.call.CallAnswer;
+import org.sequoiashunt.http.HttpException.Kind;
+import org.sequoiashunt.peer.NodeAddress;
+import org.sequoiashunt.platform.SystemClock;
+import org.xnio.OptionMap;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+@Timeout(30)
+class HttpExchangerTest {
+
+    private static final int MAXIMUM_ANSWER_BYTES = 1_000;
+    private static final long TIMEOUT_MS = 5_000;
+    private static final long SHORT_TIMEOUT_MS = 200;
+    private static final HttpRequest REQUEST = new HttpRequest("GET", "/", List.of(), Body.EMPTY, true);
+
+    private XnioWorker worker;
+    private HttpExchanger exchanger;
+    private ServerSocket server;
+
+    @BeforeEach
+    void open() throws IOException {
+        worker = Xnio.getInstance().createWorker(OptionMap.EMPTY);
+        exchanger = HttpExchanger.of(worker, SystemClock.start(), MAXIMUM_ANSWER_BYTES);
+        server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        exchanger.close();
+        worker.shutdownNow();
+        server.close();
+    }
+
+    @Test
+    void givesBackTheWholeAnswer() throws Exception {
+        serve("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-Name: a\r\n\r\nhello", false);
+        CallAnswer answer = exchanger.send(address(), REQUEST, TIMEOUT_MS).get();
+        assertEquals(200, answer.status());
+        assertEquals("hello", new String(answer.body().bytes(), StandardCharsets.UTF_8));
+    }
+
+    @Test
+    void refusesAnswerThatIsCut() throws Exception {
+        serve("HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhello", true);
+        assertEquals(Kind.CUT, kindOfFailure(TIMEOUT_MS));
+    }
+
+    @Test
+    void refusesAnswerCutWithinItsChunks() throws Exception {
+        serve("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", true);
+        assertEquals(Kind.CUT, kindOfFailure(TIMEOUT_MS));
+    }
+
+    @Test
+    void refusesAnswerWhoseEndCannotBeToldFromACut() throws Exception {
+        serve("HTTP/1.1 200 OK\r\n\r\nhello", true);
+        assertEquals(Kind.MALFORMED, kindOfFailure(TIMEOUT_MS));
+    }
+
+    @Test
+    void refusesAnswerBeyondTheBound() throws Exception {
+        serve("HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n" + "x".repeat(2_000), false);
+        assertEquals(Kind.TOO_LARGE, kindOfFailure(TIMEOUT_MS));
+    }
+
+    @Test
+    void endsByItsTimeoutWhenThePeerIsSilent() throws Exception {
+        serve("", false);
+        assertEquals(Kind.TIMEOUT, kindOfFailure(SHORT_TIMEOUT_MS));
+    }
+
+    @Test
+    void saysThatNothingWasSentWithoutAConnection() throws Exception {
+        NodeAddress address = address();
+        server.close();
+        ExecutionException failure = assertThrows(
+                ExecutionException.class,
+                () -> exchanger.send(address, REQUEST, TIMEOUT_MS).get());
+        assertEquals(Kind.NOT_SENT, ((HttpException) failure.getCause()).kind());
+    }
+
+    @Test
+    void saysThatNothingWasSentWithoutTime() {
+        assertEquals(Kind.NOT_SENT, kindOfFailure(0));
+    }
+
+    private Kind kindOfFailure(final long timeoutMs) {
+        ExecutionException failure = assertThrows(
+                ExecutionException.class,
+                () -> exchanger.send(address(), REQUEST, timeoutMs).get(TIMEOUT_MS * 2, TimeUnit.MILLISECONDS));
+        return ((HttpException) failure.getCause()).kind();
+    }
+
+    private NodeAddress address() {
+        return new NodeAddress("127.0.0.1", server.getLocalPort());
+    }
+
+    /** Answers one connection with the text after its request's head, and closes it or leaves it open. */
+    private void serve(final String text, final boolean close) {
+        Thread thread = new Thread(() -> {
+            try {
+                Socket socket = server.accept();
+                readHead(socket.getInputStream());
+                OutputStream output = socket.getOutputStream();
+                output.write(text.getBytes(StandardCharsets.UTF_8));
+                output.flush();
+                if (close) {
+                    socket.close();
+                }
+            } catch (IOException exception) {
+                // The test has ended.
+                return;
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private static void readHead(final InputStream input) throws IOException {
+        int matched = 0;
+        while (matched < 4) {
+            int next = input.read();
+            boolean expected = next == (matched % 2 == 0 ? '\r' : '\n');
+            matched = expected ? matched + 1 : 0;
+        }
+    }
+}
