--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/BlockingLoop.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/BlockingLoop.java
@@ -12,6 +12,7 @@
 public final class BlockingLoop implements AutoCloseable {
 
     private static final long FAILURE_PAUSE_MS = 1_000;
+    private static final long END_MS = 500;
     private static final Logger LOGGER = Logger.getLogger(BlockingLoop.class);
 
     private final BlockingTask task;
@@ -64,9 +65,11 @@
         }
     }
 
+    /** Ends the thread. A step that waits for the store is interrupted, and waited for no longer than half a second. */
     @Override
-    public void close() {
+    public void close() throws InterruptedException {
         closed = true;
         thread.interrupt();
+        thread.join(END_MS);
     }
 }
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/NodeServer.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/NodeServer.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -66,6 +68,7 @@
     private final NodeSettings settings;
     private final NodeMetrics metrics = new NodeMetrics();
     private final CallerAdmission admission = CallerAdmission.standard();
+    private final List<BlockingLoop> storeLoops = new ArrayList<>();
     private ReplicaNode replica;
     private Gate gate;
     private LinkServer linkServer;
@@ -205,7 +208,7 @@
     }
 
     private void startTask(final String name, final BlockingTask task) {
-        closer.register(BlockingLoop.start(name, task));
+        storeLoops.add(closer.register(BlockingLoop.start(name, task)));
     }
 
     /**
@@ -221,9 +224,18 @@
         boolean complete = await(drained) && awaitLinkCalls(endMs);
         replica.membership().leave();
         Thread.sleep(DEPARTURE_MS);
+        releaseLead();
         LOGGER.infof("drained node=%s complete=%s", settings.node(), complete);
     }
 
+    /** Another node need not wait for the end of the lease, nor a commit for another lead. */
+    private void releaseLead() throws InterruptedException {
+        for (BlockingLoop storeLoop : storeLoops) {
+            storeLoop.close();
+        }
+        replica.lease().release();
+    }
+
     private boolean await(final CompletableFuture<Void> drained) throws InterruptedException {
         try {
             drained.get(settings.drainMs(), TimeUnit.MILLISECONDS);
