A request body that is cut or beyond the bound is never served

When a body did not arrive whole, the handler ended the exchange, and Undertow sends success for an exchange that ends without an answer. A body in chunks beyond the bound was read whole and served: the bound of the entity did not reach the conduit that reads chunks.

Ruled out: the dispatcher, which was not called in the first case.

Change: a connection whose request did not arrive whole is closed without an answer; the receiver has the bound as well, also for announcements.

--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/AdminHandler.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/AdminHandler.java
@@ -76,6 +76,7 @@
 
     private void receiveAnnouncement(final HttpServerExchange exchange, final String target) {
         exchange.setMaxEntitySize(MAXIMUM_ANNOUNCEMENT_BYTES);
+        exchange.getRequestReceiver().setMaxBufferSize(MAXIMUM_ANNOUNCEMENT_BYTES);
         exchange.getRequestReceiver()
                 .receiveFullBytes(
                         (received, bytes) -> announce(received, target, bytes),
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/CallerHandler.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/CallerHandler.java
@@ -3,6 +3,7 @@
 import io.undertow.io.Receiver;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.RequestTooBigException;
 import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
 import io.undertow.util.SameThreadExecutor;
@@ -108,6 +109,7 @@
 
     private void receive(final HttpServerExchange exchange) {
         exchange.setMaxEntitySize(maximumBodyBytes);
+        exchange.getRequestReceiver().setMaxBufferSize(maximumBodyBytes);
         Runnable cancelTimer = timers.after(RECEIVE_TIMEOUT_MS, () -> IoUtils.safeClose(exchange.getConnection()));
         exchange.getRequestReceiver()
                 .receiveFullBytes(
@@ -121,12 +123,14 @@
                         });
     }
 
+    /** A request that did not arrive whole gets no answer: ending the exchange would send one that says success. */
     private static void receiveFailed(final HttpServerExchange exchange, final IOException exception) {
-        if (exception instanceof Receiver.RequestToLargeException) {
+        boolean tooLarge =
+                exception instanceof Receiver.RequestToLargeException || exception instanceof RequestTooBigException;
+        if (tooLarge) {
             refuseLargeBody(exchange);
         } else {
-            exchange.setPersistent(false);
-            exchange.endExchange();
+            IoUtils.safeClose(exchange.getConnection());
         }
     }
 
