Statistics of targets that are gone are dropped

Cause: the selector's eviction was written but never called, so a node kept an entry for every target it ever saw. Change: a task calls it each minute. No test covers the call; the size was not measured before or after.

--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/NodeServer.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/NodeServer.java
@@ -58,6 +58,7 @@
 
     private static final long STORE_TIMEOUT_MS = 2_000;
     private static final long DRAIN_POLL_MS = 20;
+    private static final long EVICTION_PERIOD_MS = 60_000;
     private static final Logger LOGGER = Logger.getLogger(NodeServer.class);
 
     private final Closer closer = new Closer();
@@ -72,6 +73,7 @@
     private ReplicaNode replica;
     private Gate gate;
     private LinkServer linkServer;
+    private TargetSelector selector;
 
     private NodeServer(final NodeSettings settings) {
         this.settings = settings;
@@ -115,6 +117,7 @@
         CrashTracker crashes = new CrashTracker(settings.node(), replica.blackboard(), clock);
         HttpExchanger exchanger = closer.register(HttpExchanger.of(worker, clock, settings.maximumBodyBytes()));
         gate = new Gate(clock, new UndertowTargetCaller(exchanger, clock), rollout.ledger(), crashes);
+        selector = new TargetSelector(settings.failureDomain(), settings.region(), clock, random);
         CallDispatcher dispatcher = new CallDispatcher(collaborators(link, rollout, claims));
         addControllers(rollout, claims, crashes);
         linkServer = closer.register(LinkServer.open(
@@ -126,6 +129,7 @@
         openListeners(dispatcher);
         closer.register(loop);
         loop.start();
+        startTask("statistics-eviction", this::evictStatistics);
         replica.tasks().forEach(task -> startTask("store-" + task.getClass().getSimpleName(), task));
         startTask("rollout-sealing", rollout.sealing());
         startTask("roster-upkeep", claims.guards());
@@ -171,7 +175,7 @@
                 routingTable::get,
                 new MoveVersionChooser(rollout.shares(), random),
                 new MemberCandidates(() -> replica.membership().view()),
-                new TargetSelector(settings.failureDomain(), settings.region(), clock, random),
+                selector,
                 new LocalFirstGateCaller(settings.link(), gate, link),
                 claims.coordinator(),
                 new CallIdSource(settings.node(), clock.nowMs()),
@@ -207,6 +211,11 @@
         closer.register(HttpListener.open("admin", settings.admin(), admin));
     }
 
+    private long evictStatistics() {
+        selector.evict();
+        return EVICTION_PERIOD_MS;
+    }
+
     private void startTask(final String name, final BlockingTask task) {
         storeLoops.add(closer.register(BlockingLoop.start(name, task)));
     }
