--- a/sequoiashunt-platform/src/main/java/org/sequoiashunt/platform/CommitRequest.java
+++ b/sequoiashunt-commit/src/main/java/org/sequoiashunt/commit/CommitRequest.java
@@ -1,4 +1,4 @@
-package org.sequoiashunt.platform;
+package org.sequoiashunt.commit;
 
 import java.util.Collections;
 import java.util.List;
--- a/sequoiashunt-platform/src/main/java/org/sequoiashunt/platform/CommitResult.java
+++ b/sequoiashunt-commit/src/main/java/org/sequoiashunt/commit/CommitResult.java
@@ -1,4 +1,4 @@
-package org.sequoiashunt.platform;
+package org.sequoiashunt.commit;
 
 import java.util.Objects;
 import java.util.Optional;
--- a/sequoiashunt-platform/src/main/java/org/sequoiashunt/platform/ConfigurationCommitter.java
+++ b/sequoiashunt-commit/src/main/java/org/sequoiashunt/commit/ConfigurationCommitter.java
@@ -1,4 +1,4 @@
-package org.sequoiashunt.platform;
+package org.sequoiashunt.commit;
 
 import java.util.HashSet;
 import java.util.Map;
@@ -8,10 +8,10 @@
 import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.function.Supplier;
+import org.sequoiashunt.commit.CommitLog.StoredHead;
+import org.sequoiashunt.commit.CommitResult.Outcome;
 import org.sequoiashunt.configuration.ConfigurationException;
 import org.sequoiashunt.configuration.ServiceConfiguration;
-import org.sequoiashunt.platform.CommitLog.StoredHead;
-import org.sequoiashunt.platform.CommitResult.Outcome;
 import org.sequoiashunt.store.Store;
 import org.sequoiashunt.store.StoreConflictException;
 import org.sequoiashunt.store.StoreException;
--- a/sequoiashunt-platform/src/main/java/org/sequoiashunt/platform/HttpStore.java
+++ b/sequoiashunt-commit/src/main/java/org/sequoiashunt/commit/HttpStore.java
@@ -1,4 +1,4 @@
-package org.sequoiashunt.platform;
+package org.sequoiashunt.commit;
 
 import io.undertow.client.ClientRequest;
 import io.undertow.connector.ByteBufferPool;
@@ -16,6 +16,8 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.regex.Pattern;
+import org.sequoiashunt.http.HttpAnswer;
+import org.sequoiashunt.http.HttpCall;
 import org.sequoiashunt.lifecycle.Closer;
 import org.sequoiashunt.peer.NodeAddress;
 import org.sequoiashunt.store.Store;
--- a/sequoiashunt-platform/src/main/java/org/sequoiashunt/platform/JsonCodec.java
+++ b/sequoiashunt-commit/src/main/java/org/sequoiashunt/commit/JsonCodec.java
@@ -1,4 +1,4 @@
-package org.sequoiashunt.platform;
+package org.sequoiashunt.commit;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
--- a/sequoiashunt-platform/src/main/java/org/sequoiashunt/platform/StoreProtocol.java
+++ b/sequoiashunt-commit/src/main/java/org/sequoiashunt/commit/StoreProtocol.java
@@ -1,4 +1,4 @@
-package org.sequoiashunt.platform;
+package org.sequoiashunt.commit;
 
 import io.undertow.util.HttpString;
 import java.util.List;
--- a/sequoiashunt-platform/src/main/java/org/sequoiashunt/platform/HttpAnswer.java
+++ b/sequoiashunt-commit/src/main/java/org/sequoiashunt/http/HttpAnswer.java
@@ -1,4 +1,4 @@
-package org.sequoiashunt.platform;
+package org.sequoiashunt.http;
 
 import io.undertow.client.ClientResponse;
 import io.undertow.util.HeaderMap;
@@ -12,13 +12,19 @@
  * @param headers the headers.
  * @param body the body.
  */
-record HttpAnswer(int status, HeaderMap headers, byte[] body) {
+public record HttpAnswer(int status, HeaderMap headers, byte[] body) {
 
     static HttpAnswer of(final ClientResponse response, final byte[] body) {
         return new HttpAnswer(response.getResponseCode(), response.getResponseHeaders(), body);
     }
 
-    Optional<String> header(final HttpString name) {
+    /**
+     * Reads a header.
+     *
+     * @param name the name, not null.
+     * @return its first value, or empty.
+     */
+    public Optional<String> header(final HttpString name) {
         return Optional.ofNullable(headers.getFirst(name));
     }
 }
--- a/sequoiashunt-platform/src/main/java/org/sequoiashunt/platform/HttpCall.java
+++ b/sequoiashunt-commit/src/main/java/org/sequoiashunt/http/HttpCall.java
@@ -1,4 +1,4 @@
-package org.sequoiashunt.platform;
+package org.sequoiashunt.http;
 
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
@@ -29,7 +29,7 @@
  * <p>The connection is not kept: calls to the store are few, and a kept one may have gone silent for good. Create,
  * call {@link #run} once, and drop. The calling thread waits; all else happens on one thread of the worker.
  */
-final class HttpCall {
+public final class HttpCall {
 
     private static final int READ_BUFFER_BYTES = 16_384;
 
@@ -40,7 +40,14 @@
     private volatile ClientConnection connection;
     private volatile boolean sent;
 
-    HttpCall(final ClientRequest request, final byte[] body, final int maximumAnswerBytes) {
+    /**
+     * Creates a call.
+     *
+     * @param request the request line and headers, not null.
+     * @param body the body, not null.
+     * @param maximumAnswerBytes the largest body of an answer, in bytes.
+     */
+    public HttpCall(final ClientRequest request, final byte[] body, final int maximumAnswerBytes) {
         this.request = request;
         this.body = body;
         this.maximumAnswerBytes = maximumAnswerBytes;
@@ -49,10 +56,15 @@
     /**
      * Sends the request and waits for the whole answer. The connection is closed in any case.
      *
+     * @param server the scheme, IP number and port, not null.
+     * @param worker runs the connection, not null.
+     * @param buffers the buffers, not null.
+     * @param timeoutMs the longest time for the whole call, in milliseconds.
+     * @return the answer, never null.
      * @throws IOException if there is no whole answer in time; {@link #wasSent()} then tells whether the receiver may
      *     have seen the request.
      */
-    HttpAnswer run(final URI server, final XnioWorker worker, final ByteBufferPool buffers, final long timeoutMs)
+    public HttpAnswer run(final URI server, final XnioWorker worker, final ByteBufferPool buffers, final long timeoutMs)
             throws IOException {
         UndertowClient.getInstance().connect(callback(this::send), server, worker, buffers, OptionMap.EMPTY);
         try {
@@ -70,7 +82,12 @@
         }
     }
 
-    boolean wasSent() {
+    /**
+     * Tells whether the receiver may have seen the request.
+     *
+     * @return true if a connection stood.
+     */
+    public boolean wasSent() {
         return sent;
     }
 
--- a/sequoiashunt-platform/src/main/java/org/sequoiashunt/http/Timers.java
+++ b/sequoiashunt-commit/src/main/java/org/sequoiashunt/http/Timers.java
@@ -3,6 +3,7 @@
 import java.util.Objects;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import org.sequoiashunt.time.Delays;
 
 /**
  * Runs short tasks after a delay, on one thread of its own.
@@ -12,7 +13,7 @@
  *
  * <p>Thread-safe. Tasks must not block. After {@link #close()} no task runs.
  */
-public final class Timers implements AutoCloseable {
+public final class Timers implements Delays, AutoCloseable {
 
     private final ScheduledThreadPoolExecutor executor;
 
@@ -28,14 +29,12 @@
     }
 
     /**
-     * Runs a task after a delay.
+     * {@inheritDoc}
      *
-     * @param delayMs the delay in milliseconds; zero or less runs the task at once.
-     * @param task the task, not null.
-     * @return ends the timer when run; does nothing once the task has run.
      * @throws NullPointerException if the task is null.
      * @throws java.util.concurrent.RejectedExecutionException if the timers are closed.
      */
+    @Override
     public Runnable after(final long delayMs, final Runnable task) {
         Objects.requireNonNull(task, "task");
         var scheduled = executor.schedule(task, delayMs, TimeUnit.MILLISECONDS);
--- a/sequoiashunt-platform/src/main/java/org/sequoiashunt/manifest/ServiceReader.java
+++ b/sequoiashunt-commit/src/main/java/org/sequoiashunt/manifest/ServiceReader.java
@@ -7,10 +7,10 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
+import org.sequoiashunt.commit.PartCodec;
 import org.sequoiashunt.configuration.Move;
 import org.sequoiashunt.configuration.Route;
 import org.sequoiashunt.configuration.ServiceConfiguration;
-import org.sequoiashunt.platform.PartCodec;
 import org.sequoiashunt.store.Store;
 import org.yaml.snakeyaml.nodes.Node;
 
--- a/sequoiashunt-platform/src/test/java/org/sequoiashunt/platform/ConfigurationCommitterTest.java
+++ b/sequoiashunt-commit/src/test/java/org/sequoiashunt/commit/ConfigurationCommitterTest.java
@@ -1,4 +1,4 @@
-package org.sequoiashunt.platform;
+package org.sequoiashunt.commit;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -10,10 +10,10 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.sequoiashunt.commit.CommitResult.Outcome;
+import org.sequoiashunt.commit.FaultyStore.Fault;
 import org.sequoiashunt.configuration.ConfigurationException;
 import org.sequoiashunt.configuration.ConfigurationSource.RevisedHead;
-import org.sequoiashunt.platform.CommitResult.Outcome;
-import org.sequoiashunt.platform.FaultyStore.Fault;
 import org.sequoiashunt.store.Store;
 import org.sequoiashunt.store.StoreKeys;
 
--- a/sequoiashunt-platform/src/test/java/org/sequoiashunt/platform/HttpStoreTest.java
+++ b/sequoiashunt-commit/src/test/java/org/sequoiashunt/commit/HttpStoreTest.java
@@ -1,4 +1,4 @@
-package org.sequoiashunt.platform;
+package org.sequoiashunt.commit;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/call/CallRequest.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/call/CallRequest.java
@@ -21,6 +21,7 @@
  * @param idempotent whether running the request twice does no harm.
  * @param key the caller's idempotency key, if any.
  * @param deadlineMs when the call must have ended, in milliseconds of the local clock.
+ * @param urgency how the call ranks among others that wait for the same target.
  */
 public record CallRequest(
         String callId,
@@ -34,7 +35,8 @@
         Body body,
         boolean idempotent,
         Optional<String> key,
-        long deadlineMs) {
+        long deadlineMs,
+        CallUrgency urgency) {
 
     /**
      * Checks the components and copies the list.
@@ -52,5 +54,51 @@
         headers = List.copyOf(headers);
         Objects.requireNonNull(body, "body");
         Objects.requireNonNull(key, "key");
+        Objects.requireNonNull(urgency, "urgency");
+    }
+
+    /**
+     * Creates a call of ordinary urgency, whose answer is worth the same until its deadline.
+     *
+     * @param callId identity of this attempt.
+     * @param service the service called.
+     * @param route the name of the route matched.
+     * @param targetVersion the target version chosen.
+     * @param target the name of the target chosen.
+     * @param method the HTTP method.
+     * @param uri path and query.
+     * @param headers the headers for the target.
+     * @param body the whole body.
+     * @param idempotent whether running the request twice does no harm.
+     * @param key the caller's idempotency key, if any.
+     * @param deadlineMs when the call must have ended, in milliseconds of the local clock.
+     */
+    public CallRequest(
+            final String callId,
+            final String service,
+            final String route,
+            final String targetVersion,
+            final String target,
+            final String method,
+            final String uri,
+            final List<HeaderField> headers,
+            final Body body,
+            final boolean idempotent,
+            final Optional<String> key,
+            final long deadlineMs) {
+        this(
+                callId,
+                service,
+                route,
+                targetVersion,
+                target,
+                method,
+                uri,
+                headers,
+                body,
+                idempotent,
+                key,
+                deadlineMs,
+                CallUrgency.ordinary(deadlineMs));
     }
 }
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/call/CallResult.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/call/CallResult.java
@@ -13,8 +13,9 @@
  * @param reason why it ended so.
  * @param answer the target's answer.
  * @param load requests running and waiting at the gate when it answered, zero if not known.
+ * @param waitMs how long a call refused for want of a slot would have waited, in milliseconds, zero if not known.
  */
-public record CallResult(Outcome outcome, Reason reason, Optional<CallAnswer> answer, int load) {
+public record CallResult(Outcome outcome, Reason reason, Optional<CallAnswer> answer, int load, long waitMs) {
 
     /**
      * Checks the components.
@@ -28,6 +29,9 @@
         if (answer.isPresent() != (outcome == Outcome.COMPLETE)) {
             throw new IllegalArgumentException("answer and outcome do not fit: " + outcome);
         }
+        if (waitMs < 0) {
+            throw new IllegalArgumentException("waitMs must not be negative: " + waitMs);
+        }
     }
 
     /**
@@ -37,7 +41,7 @@
      * @return the result, never null.
      */
     public static CallResult complete(final CallAnswer answer) {
-        return new CallResult(Outcome.COMPLETE, Reason.ANSWERED, Optional.of(answer), 0);
+        return new CallResult(Outcome.COMPLETE, Reason.ANSWERED, Optional.of(answer), 0, 0);
     }
 
     /**
@@ -47,7 +51,7 @@
      * @return the result, never null.
      */
     public static CallResult notRun(final Reason reason) {
-        return new CallResult(Outcome.NOT_RUN, reason, Optional.empty(), 0);
+        return new CallResult(Outcome.NOT_RUN, reason, Optional.empty(), 0, 0);
     }
 
     /**
@@ -57,7 +61,7 @@
      * @return the result, never null.
      */
     public static CallResult unknown(final Reason reason) {
-        return new CallResult(Outcome.UNKNOWN, reason, Optional.empty(), 0);
+        return new CallResult(Outcome.UNKNOWN, reason, Optional.empty(), 0, 0);
     }
 
     /**
@@ -67,6 +71,16 @@
      * @return the result, never null.
      */
     public CallResult withLoad(final int newLoad) {
-        return new CallResult(outcome, reason, answer, newLoad);
+        return new CallResult(outcome, reason, answer, newLoad, waitMs);
+    }
+
+    /**
+     * Returns this result with the wait that the gate expected.
+     *
+     * @param newWaitMs the wait in milliseconds, zero or more.
+     * @return the result, never null.
+     */
+    public CallResult withWait(final long newWaitMs) {
+        return new CallResult(outcome, reason, answer, load, newWaitMs);
     }
 }
--- /dev/null
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/fleet/MoveState.java
@@ -0,0 +1,26 @@
+package org.sequoiashunt.fleet;
+
+/** How far a move of traffic to another version is. The order of the constants is part of the wire protocol. */
+public enum MoveState {
+    /** Traffic is being moved. */
+    RUNNING(false),
+    /** All traffic goes to the new version. */
+    COMPLETED(true),
+    /** The new version is bad and gets no traffic. */
+    ROLLED_BACK(true);
+
+    private final boolean sealed;
+
+    MoveState(final boolean sealed) {
+        this.sealed = sealed;
+    }
+
+    /**
+     * Tells whether the state never changes again.
+     *
+     * @return true for an outcome.
+     */
+    public boolean isSealed() {
+        return sealed;
+    }
+}
--- /dev/null
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/limit/RetryAdvice.java
@@ -0,0 +1,50 @@
+package org.sequoiashunt.limit;
+
+import java.util.Objects;
+import java.util.random.RandomGenerator;
+
+/**
+ * Tells a refused caller when to come back.
+ *
+ * <p>Answers bursts and the return of those that were refused: a caller is asked back when room is expected, within the
+ * part of its time in which it heeds the advice, and callers are spread so that they do not return together. One with
+ * little time left is asked back sooner.
+ *
+ * <p>Thread-safe if the source of chance is. Invariant: the advice is positive.
+ */
+public final class RetryAdvice {
+
+    /** Shortest advice: a node that comes back sooner finds the same queue. */
+    private static final long MINIMUM_MS = 40;
+
+    /** Callers heed advice of up to this part of their time left, as the users state. */
+    private static final double HEEDED_PART = 0.3;
+
+    /** Spread around the expected wait. */
+    private static final double SPREAD = 0.5;
+
+    private final RandomGenerator random;
+
+    /**
+     * Creates the advice.
+     *
+     * @param random source of chance, not null.
+     */
+    public RetryAdvice(final RandomGenerator random) {
+        this.random = Objects.requireNonNull(random, "random");
+    }
+
+    /**
+     * Computes when a caller should come back.
+     *
+     * @param waitMs the wait that the least loaded target expected, in milliseconds, zero if not known.
+     * @param remainingMs the time that the caller has left, in milliseconds.
+     * @return the delay in milliseconds.
+     */
+    public long delayMs(final long waitMs, final long remainingMs) {
+        double spread = 1 + SPREAD * (2 * random.nextDouble() - 1);
+        double wantedMs = Math.max(MINIMUM_MS, waitMs) * spread;
+        double heededMs = Math.max(MINIMUM_MS, remainingMs * HEEDED_PART);
+        return Math.max(1, Math.round(Math.min(wantedMs, heededMs)));
+    }
+}
--- /dev/null
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshAttempts.java
@@ -0,0 +1,206 @@
+package org.sequoiashunt.mesh;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.sequoiashunt.call.CallAnswer;
+import org.sequoiashunt.call.CallRequest;
+import org.sequoiashunt.call.CallResult;
+import org.sequoiashunt.call.CallUrgency;
+import org.sequoiashunt.call.Outcome;
+import org.sequoiashunt.call.Reason;
+import org.sequoiashunt.placement.Candidate;
+import org.sequoiashunt.slot.SlotGate;
+
+/**
+ * The attempts to serve one request, one after the other.
+ *
+ * <p>Guarded by its own monitor; calls and completions happen outside of it. Invariants: a request that is not
+ * idempotent goes to another target only if the one before has not run it; the request is reported as not run only if
+ * no attempt may have run it; no more attempts reach targets than the route allows.
+ */
+final class MeshAttempts {
+
+    /** Gates that may refuse a request before it is refused: each costs a round trip, and reports are fresh by then. */
+    private static final int MAXIMUM_REFUSALS = 3;
+
+    /** Part of the objective that is left for the way between caller and entry. */
+    private static final double OBJECTIVE_PART = 0.95;
+
+    private final MeshDispatcher.Parts parts;
+    private final MeshCall call;
+    private final MeshRoute route;
+    private final String service;
+    private final long deadlineMs;
+    private final boolean toNewVersion;
+    private final CompletableFuture<CallResult> result = new CompletableFuture<>();
+    private final Set<String> tried = new HashSet<>();
+    private int attempts;
+    private int arrivals;
+    private int refusals;
+    private long leastWaitMs = Long.MAX_VALUE;
+    private CallResult worstEnd;
+
+    MeshAttempts(final MeshDispatcher.Parts parts, final MeshCall call, final MeshRoute route, final String service) {
+        this.parts = parts;
+        this.call = call;
+        this.route = route;
+        this.service = service;
+        this.deadlineMs = Math.min(call.deadlineMs(), call.arrivedMs() + route.timeoutMs());
+        this.toNewVersion = parts.versions().chooseNew(service);
+    }
+
+    CompletableFuture<CallResult> result() {
+        return result;
+    }
+
+    /** Makes the next attempt, or ends the request. */
+    void next() {
+        if (result.isDone()) {
+            return;
+        }
+        if (parts.clock().nowMs() >= deadlineMs) {
+            finish(Reason.DEADLINE);
+            return;
+        }
+        Optional<Candidate> choice = choose();
+        if (choice.isEmpty()) {
+            finish(refusals > 0 ? Reason.QUEUE_FULL : Reason.NO_TARGET);
+            return;
+        }
+        if (!maySendAgain()) {
+            finish(Reason.QUEUE_FULL);
+            return;
+        }
+        send(choice.get());
+    }
+
+    private synchronized Optional<Candidate> choose() {
+        if (refusals >= MAXIMUM_REFUSALS) {
+            return Optional.empty();
+        }
+        List<Candidate> all = parts.candidates().candidates(service);
+        List<Candidate> eligible = parts.versions().filter(service, all, toNewVersion);
+        Optional<Candidate> choice = parts.placement().choose(eligible, route.name(), tried);
+        if (choice.isEmpty() && toNewVersion) {
+            eligible = parts.versions().filter(service, all, false);
+            choice = parts.placement().choose(eligible, route.name(), tried);
+        }
+        return choice;
+    }
+
+    /** The first arrival at a target is free, later ones spend the shared budget. */
+    private synchronized boolean maySendAgain() {
+        if (arrivals == 0) {
+            return true;
+        }
+        return arrivals < route.attempts() && parts.retries().spend(service);
+    }
+
+    private void send(final Candidate candidate) {
+        int attempt;
+        synchronized (this) {
+            attempts++;
+            attempt = attempts;
+            tried.add(candidate.report().target());
+        }
+        parts.observer().placed(call, route, candidate, attempt);
+        parts.candidates().sent(candidate);
+        CompletableFuture<CallResult> running = parts.gates().call(candidate.address(), request(candidate));
+        result.whenComplete((ended, failure) -> running.cancel(true));
+        running.whenComplete((ended, failure) -> {
+            CallResult known = failure == null ? ended : CallResult.unknown(Reason.CANCELLED);
+            ended(candidate, known);
+        });
+    }
+
+    private CallRequest request(final Candidate candidate) {
+        long objectiveMs = call.arrivedMs() + Math.round(route.objectiveMs() * OBJECTIVE_PART);
+        return new CallRequest(
+                parts.callIds().next(),
+                service,
+                route.name(),
+                candidate.report().version(),
+                candidate.report().target(),
+                call.method(),
+                call.uri(),
+                call.headers(),
+                call.body(),
+                route.idempotent(),
+                Optional.empty(),
+                deadlineMs,
+                new CallUrgency(route.rank(), objectiveMs));
+    }
+
+    private void ended(final Candidate candidate, final CallResult ended) {
+        boolean lost = ended.reason() == Reason.CONNECTION_FAILED;
+        parts.candidates().ended(candidate, lost && !candidate.node().isEmpty());
+        if (result.isDone()) {
+            return;
+        }
+        parts.observer().attemptEnded(call, route, candidate, ended);
+        if (note(ended)) {
+            next();
+        } else {
+            result.complete(ended);
+        }
+    }
+
+    /** Notes the end of an attempt and tells whether another one may follow. */
+    private synchronized boolean note(final CallResult ended) {
+        boolean mayHaveArrived = ended.outcome() != Outcome.NOT_RUN || ended.reason() == Reason.SHED;
+        if (mayHaveArrived) {
+            arrivals++;
+        } else {
+            refusals++;
+        }
+        if (ended.reason() == Reason.QUEUE_FULL) {
+            leastWaitMs = Math.min(leastWaitMs, ended.waitMs());
+        }
+        if (ended.outcome() == Outcome.NOT_RUN) {
+            return true;
+        }
+        worstEnd = ended;
+        return route.idempotent() && SlotGate.isFailure(ended) && isBeforeDeadline();
+    }
+
+    private boolean isBeforeDeadline() {
+        return parts.clock().nowMs() < deadlineMs;
+    }
+
+    /** Ends the request without a good answer: what a target said or may have done goes before a refusal. */
+    private void finish(final Reason reason) {
+        CallResult end;
+        synchronized (this) {
+            end = worstEnd;
+            if (end == null) {
+                long waitMs = leastWaitMs == Long.MAX_VALUE ? 0 : leastWaitMs;
+                end = CallResult.notRun(reason).withWait(waitMs);
+            }
+        }
+        result.complete(end);
+    }
+
+    /**
+     * Returns when the request must have ended.
+     *
+     * @return the time in milliseconds of the local clock.
+     */
+    long deadlineMs() {
+        return deadlineMs;
+    }
+
+    /** Ends the request because its time is up: an attempt under way may have run. */
+    void expire() {
+        CallResult end;
+        synchronized (this) {
+            Optional<CallAnswer> answer = worstEnd == null ? Optional.empty() : worstEnd.answer();
+            boolean mayRun = attempts > refusals;
+            end = mayRun ? CallResult.unknown(Reason.DEADLINE) : CallResult.notRun(Reason.DEADLINE);
+            end = answer.map(CallResult::complete).orElse(end);
+        }
+        result.complete(end);
+    }
+}
--- /dev/null
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshCall.java
@@ -0,0 +1,48 @@
+package org.sequoiashunt.mesh;
+
+import java.util.List;
+import java.util.Objects;
+import org.sequoiashunt.call.Body;
+import org.sequoiashunt.call.HeaderField;
+
+/**
+ * Caller's request as the entry took it in.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param requestId the caller's identity of the request.
+ * @param method the HTTP method.
+ * @param host the host that it names.
+ * @param path the path without a query.
+ * @param uri path and query as the caller sent them.
+ * @param headers the headers for the target, without hop-by-hop ones.
+ * @param body the whole body.
+ * @param arrivedMs when the request arrived, in milliseconds of the local clock.
+ * @param deadlineMs until when the caller waits, in milliseconds of the local clock.
+ */
+public record MeshCall(
+        String requestId,
+        String method,
+        String host,
+        String path,
+        String uri,
+        List<HeaderField> headers,
+        Body body,
+        long arrivedMs,
+        long deadlineMs) {
+
+    /**
+     * Checks the components and copies the list.
+     *
+     * @throws NullPointerException if a component is null.
+     */
+    public MeshCall {
+        Objects.requireNonNull(requestId, "requestId");
+        Objects.requireNonNull(method, "method");
+        Objects.requireNonNull(host, "host");
+        Objects.requireNonNull(path, "path");
+        Objects.requireNonNull(uri, "uri");
+        headers = List.copyOf(headers);
+        Objects.requireNonNull(body, "body");
+    }
+}
--- /dev/null
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshRoute.java
@@ -0,0 +1,54 @@
+package org.sequoiashunt.mesh;
+
+import java.util.List;
+import java.util.Objects;
+
+/**
+ * Route of a mesh whose operator names routes by host and path prefix.
+ *
+ * <p>Immutable and thread-safe. Invariants: the prefix begins and ends with a slash; at least one service has a weight
+ * above zero; times and attempts are positive.
+ *
+ * @param name the name of the route.
+ * @param host the host, in lower case.
+ * @param prefix the prefix of the paths.
+ * @param services the services that take the requests, with their weights.
+ * @param idempotent whether requests may run more than once.
+ * @param timeoutMs the longest time that a request is kept waiting, in milliseconds.
+ * @param objectiveMs the time within which an answer has its full worth, in milliseconds.
+ * @param rank the rank among routes; lower ranks are more urgent.
+ * @param attempts the most targets to which one request may be sent.
+ */
+public record MeshRoute(
+        String name,
+        String host,
+        String prefix,
+        List<WeightedService> services,
+        boolean idempotent,
+        long timeoutMs,
+        long objectiveMs,
+        int rank,
+        int attempts) {
+
+    /**
+     * Checks the components and copies the list.
+     *
+     * @throws NullPointerException if a component is null.
+     * @throws IllegalArgumentException if a component breaks an invariant.
+     */
+    public MeshRoute {
+        Objects.requireNonNull(name, "name");
+        Objects.requireNonNull(host, "host");
+        Objects.requireNonNull(prefix, "prefix");
+        services = List.copyOf(services);
+        if (!prefix.startsWith("/") || !prefix.endsWith("/")) {
+            throw new IllegalArgumentException("prefix must begin and end with a slash: " + prefix);
+        }
+        if (services.stream().mapToInt(WeightedService::weight).sum() < 1) {
+            throw new IllegalArgumentException("no service has a weight: " + name);
+        }
+        if (timeoutMs < 1 || objectiveMs < 1 || attempts < 1 || rank < 0) {
+            throw new IllegalArgumentException("times and attempts must be positive: " + name);
+        }
+    }
+}
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/CallCodec.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/CallCodec.java
@@ -8,6 +8,7 @@
 import org.sequoiashunt.call.CallAnswer;
 import org.sequoiashunt.call.CallRequest;
 import org.sequoiashunt.call.CallResult;
+import org.sequoiashunt.call.CallUrgency;
 import org.sequoiashunt.call.HeaderField;
 import org.sequoiashunt.call.Outcome;
 import org.sequoiashunt.call.Reason;
@@ -36,7 +37,10 @@
                 .setUri(request.uri())
                 .setIdempotent(request.idempotent())
                 .setBodyLength(request.body().length())
-                .setBody(bytes(request.body()));
+                .setBody(bytes(request.body()))
+                .setRank(request.urgency().rank())
+                .setObjectiveRemainingMs(
+                        freshness.getRemainingMs() + request.urgency().objectiveMs() - request.deadlineMs());
         request.headers().forEach(header -> builder.addHeaders(encode(header)));
         request.key().ifPresent(builder::setKey);
         return builder.build();
@@ -56,7 +60,8 @@
                 body(start.getBody()),
                 start.getIdempotent(),
                 start.hasKey() ? Optional.of(start.getKey()) : Optional.empty(),
-                deadlineMs);
+                deadlineMs,
+                urgency(start, deadlineMs));
     }
 
     static FrameProto.CallEnd encode(final long number, final String callId, final CallResult result) {
@@ -65,7 +70,8 @@
                 .setCallId(callId)
                 .setOutcome(Enums.code(result.outcome()))
                 .setReason(Enums.code(result.reason()))
-                .setLoad(result.load());
+                .setLoad(result.load())
+                .setWaitMs(result.waitMs());
         result.answer().ifPresent(answer -> encode(answer, builder));
         return builder.build();
     }
@@ -76,12 +82,18 @@
             Outcome outcome = Enums.decode(Outcome.values(), end.getOutcome());
             Reason reason = Enums.decode(Reason.values(), end.getReason());
             Optional<CallAnswer> answer = outcome == Outcome.COMPLETE ? Optional.of(answer(end)) : Optional.empty();
-            return new CallResult(outcome, reason, answer, end.getLoad());
+            return new CallResult(outcome, reason, answer, end.getLoad(), end.getWaitMs());
         } catch (IllegalArgumentException exception) {
             throw new LinkProtocolException(Refusal.MALFORMED, "invalid end of a call", exception);
         }
     }
 
+    /** The objective keeps its distance from the deadline, which accounts for the age of the frame. */
+    private static CallUrgency urgency(final FrameProto.CallStart start, final long deadlineMs) {
+        long distanceMs = start.getFreshness().getRemainingMs() - start.getObjectiveRemainingMs();
+        return new CallUrgency(Math.max(0, start.getRank()), deadlineMs - distanceMs);
+    }
+
     private static void encode(final CallAnswer answer, final FrameProto.CallEnd.Builder builder) {
         builder.setStatus(answer.status()).setBodyLength(answer.body().length()).setBody(bytes(answer.body()));
         answer.headers().forEach(header -> builder.addHeaders(encode(header)));
--- /dev/null
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/Deflated.java
@@ -0,0 +1,59 @@
+package org.sequoiashunt.link;
+
+import com.google.protobuf.ByteString;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.zip.Deflater;
+import java.util.zip.InflaterInputStream;
+import org.sequoiashunt.call.Body;
+
+/** Compresses documents for the way between nodes. Stateless and thread-safe. */
+final class Deflated {
+
+    /** Largest document: twice the largest value of the platform's store. */
+    private static final int MAXIMUM_BYTES = 2 << 20;
+
+    private static final int BUFFER_BYTES = 8_192;
+
+    private Deflated() {}
+
+    static ByteString of(final Body document) {
+        Deflater deflater = new Deflater(Deflater.BEST_SPEED);
+        try {
+            deflater.setInput(document.bytes());
+            deflater.finish();
+            ByteString.Output output = ByteString.newOutput();
+            byte[] buffer = new byte[BUFFER_BYTES];
+            while (!deflater.finished()) {
+                output.write(buffer, 0, deflater.deflate(buffer));
+            }
+            return output.toByteString();
+        } finally {
+            deflater.end();
+        }
+    }
+
+    /**
+     * Restores a document.
+     *
+     * @throws IllegalArgumentException if the bytes are not a compressed document, or one that is too large.
+     */
+    static Body inflate(final ByteString compressed) {
+        ByteArrayOutputStream document = new ByteArrayOutputStream();
+        byte[] buffer = new byte[BUFFER_BYTES];
+        try (InflaterInputStream input = new InflaterInputStream(new ByteArrayInputStream(compressed.toByteArray()))) {
+            int count = input.read(buffer);
+            while (count >= 0) {
+                document.write(buffer, 0, count);
+                if (document.size() > MAXIMUM_BYTES) {
+                    throw new IllegalArgumentException("the document exceeds " + MAXIMUM_BYTES + " bytes");
+                }
+                count = input.read(buffer);
+            }
+        } catch (IOException exception) {
+            throw new IllegalArgumentException("not a compressed document", exception);
+        }
+        return Body.of(document.toByteArray());
+    }
+}
--- /dev/null
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/FleetCodec.java
@@ -0,0 +1,185 @@
+package org.sequoiashunt.link;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import org.sequoiashunt.fleet.ConfigurationCopy;
+import org.sequoiashunt.fleet.ConfigurationRequest;
+import org.sequoiashunt.fleet.KnownNode;
+import org.sequoiashunt.fleet.MoveState;
+import org.sequoiashunt.fleet.NodeReport;
+import org.sequoiashunt.fleet.RouteTime;
+import org.sequoiashunt.fleet.TargetReport;
+import org.sequoiashunt.fleet.VersionMove;
+import org.sequoiashunt.fleet.VersionTally;
+import org.sequoiashunt.link.wire.FleetProto;
+import org.sequoiashunt.peer.ControlMessage;
+
+/** Codec of the messages about the fleet. Stateless and thread-safe. */
+public final class FleetCodec implements ControlCodec {
+
+    private static final int SUBJECT = 4;
+
+    @Override
+    public int subject() {
+        return SUBJECT;
+    }
+
+    @Override
+    public boolean handles(final ControlMessage message) {
+        return message instanceof NodeReport
+                || message instanceof ConfigurationRequest
+                || message instanceof ConfigurationCopy;
+    }
+
+    @Override
+    public ByteString encode(final ControlMessage message) {
+        FleetProto.Fleet.Builder builder = FleetProto.Fleet.newBuilder();
+        if (message instanceof NodeReport report) {
+            builder.setNodeReport(encode(report));
+        } else if (message instanceof ConfigurationRequest request) {
+            builder.setConfigurationRequest(FleetProto.ConfigurationRequest.newBuilder()
+                    .setReplyTo(MemberCodec.encode(request.replyTo()))
+                    .setKnownVersion(request.knownVersion()));
+        } else {
+            ConfigurationCopy copy = (ConfigurationCopy) message;
+            builder.setConfigurationCopy(FleetProto.ConfigurationCopy.newBuilder()
+                    .setVersion(copy.version())
+                    .setDocument(Deflated.of(copy.document())));
+        }
+        return builder.build().toByteString();
+    }
+
+    @Override
+    public ControlMessage decode(final ByteString payload) throws InvalidProtocolBufferException {
+        FleetProto.Fleet message = FleetProto.Fleet.parseFrom(payload);
+        return switch (message.getContentCase()) {
+            case NODE_REPORT -> decode(message.getNodeReport());
+            case CONFIGURATION_REQUEST ->
+                new ConfigurationRequest(
+                        MemberCodec.decode(message.getConfigurationRequest().getReplyTo()),
+                        message.getConfigurationRequest().getKnownVersion());
+            case CONFIGURATION_COPY ->
+                new ConfigurationCopy(
+                        message.getConfigurationCopy().getVersion(),
+                        Deflated.inflate(message.getConfigurationCopy().getDocument()));
+            default -> throw new IllegalArgumentException("fleet without a known message");
+        };
+    }
+
+    private static FleetProto.NodeReport encode(final NodeReport report) {
+        FleetProto.NodeReport.Builder builder = FleetProto.NodeReport.newBuilder()
+                .setNode(report.node())
+                .setIncarnation(report.incarnation())
+                .setSequence(report.sequence())
+                .setAddress(MemberCodec.encode(report.address()))
+                .setFailureDomain(report.failureDomain())
+                .setRegion(report.region())
+                .setLeaving(report.leaving())
+                .setConfigurationVersion(report.configurationVersion())
+                .addAllQuarantined(report.quarantined())
+                .addAllSuspects(report.suspects());
+        report.targets().forEach(target -> builder.addTargets(encode(target)));
+        report.tallies().forEach(tally -> builder.addTallies(encode(tally)));
+        report.moves().forEach(move -> builder.addMoves(encode(move)));
+        report.known()
+                .forEach(node -> builder.addKnown(FleetProto.KnownNode.newBuilder()
+                        .setNode(node.node())
+                        .setAddress(MemberCodec.encode(node.address()))));
+        return builder.build();
+    }
+
+    private static NodeReport decode(final FleetProto.NodeReport report) {
+        return new NodeReport(
+                report.getNode(),
+                report.getIncarnation(),
+                report.getSequence(),
+                MemberCodec.decode(report.getAddress()),
+                report.getFailureDomain(),
+                report.getRegion(),
+                report.getLeaving(),
+                report.getConfigurationVersion(),
+                report.getTargetsList().stream().map(FleetCodec::decode).toList(),
+                report.getTalliesList().stream().map(FleetCodec::decode).toList(),
+                report.getMovesList().stream().map(FleetCodec::decode).toList(),
+                report.getKnownList().stream()
+                        .map(node -> new KnownNode(node.getNode(), MemberCodec.decode(node.getAddress())))
+                        .toList(),
+                report.getQuarantinedList(),
+                report.getSuspectsList());
+    }
+
+    private static FleetProto.TargetReport encode(final TargetReport target) {
+        FleetProto.TargetReport.Builder builder = FleetProto.TargetReport.newBuilder()
+                .setTarget(target.target())
+                .setService(target.service())
+                .setVersion(target.version())
+                .setSlots(target.slots())
+                .setAccepting(target.accepting())
+                .setRunning(target.running())
+                .setWaiting(target.waiting())
+                .setMeanMs(target.meanMs())
+                .setFailurePermille(target.failurePermille())
+                .setWarmupLeftMs(target.warmupLeftMs());
+        target.routeTimes()
+                .forEach(time -> builder.addRouteTimes(
+                        FleetProto.RouteTime.newBuilder().setRoute(time.route()).setMeanMs(time.meanMs())));
+        return builder.build();
+    }
+
+    private static TargetReport decode(final FleetProto.TargetReport target) {
+        return new TargetReport(
+                target.getTarget(),
+                target.getService(),
+                target.getVersion(),
+                target.getSlots(),
+                target.getAccepting(),
+                target.getRunning(),
+                target.getWaiting(),
+                target.getMeanMs(),
+                target.getFailurePermille(),
+                target.getWarmupLeftMs(),
+                target.getRouteTimesList().stream()
+                        .map(time -> new RouteTime(time.getRoute(), time.getMeanMs()))
+                        .toList());
+    }
+
+    private static FleetProto.VersionTally encode(final VersionTally tally) {
+        return FleetProto.VersionTally.newBuilder()
+                .setService(tally.service())
+                .setVersion(tally.version())
+                .setRoute(tally.route())
+                .setAnswers(tally.answers())
+                .setFailures(tally.failures())
+                .setTotalMs(tally.totalMs())
+                .build();
+    }
+
+    private static VersionTally decode(final FleetProto.VersionTally tally) {
+        return new VersionTally(
+                tally.getService(),
+                tally.getVersion(),
+                tally.getRoute(),
+                tally.getAnswers(),
+                tally.getFailures(),
+                tally.getTotalMs());
+    }
+
+    private static FleetProto.VersionMove encode(final VersionMove move) {
+        return FleetProto.VersionMove.newBuilder()
+                .setService(move.service())
+                .setVersion(move.version())
+                .setOrder(move.order())
+                .setState(Enums.code(move.state()))
+                .setSharePermille(move.sharePermille())
+                .build();
+    }
+
+    private static VersionMove decode(final FleetProto.VersionMove move) {
+        return new VersionMove(
+                move.getService(),
+                move.getVersion(),
+                move.getOrder(),
+                Enums.decode(MoveState.values(), move.getState()),
+                move.getSharePermille());
+    }
+}
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/MessageCodec.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/MessageCodec.java
@@ -43,7 +43,7 @@
      * @return the registry, never null.
      */
     public static MessageCodec standard() {
-        return of(List.of(new ReplicationCodec(), new MembershipCodec(), new ClaimCodec()));
+        return of(List.of(new ReplicationCodec(), new MembershipCodec(), new ClaimCodec(), new FleetCodec()));
     }
 
     /**
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/wire/FrameProto.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/wire/FrameProto.java
@@ -6218,6 +6218,22 @@
      * @return The body.
      */
     com.google.protobuf.ByteString getBody();
+
+    /**
+     * <code>uint32 rank = 15;</code>
+     * @return The rank.
+     */
+    int getRank();
+
+    /**
+     * <pre>
+     * Time until the answer loses worth; negative once it has.
+     * </pre>
+     *
+     * <code>sint64 objective_remaining_ms = 16;</code>
+     * @return The objectiveRemainingMs.
+     */
+    long getObjectiveRemainingMs();
   }
   /**
    * <pre>
@@ -6707,6 +6723,32 @@
       return body_;
     }
 
+    public static final int RANK_FIELD_NUMBER = 15;
+    private int rank_ = 0;
+    /**
+     * <code>uint32 rank = 15;</code>
+     * @return The rank.
+     */
+    @java.lang.Override
+    public int getRank() {
+      return rank_;
+    }
+
+    public static final int OBJECTIVE_REMAINING_MS_FIELD_NUMBER = 16;
+    private long objectiveRemainingMs_ = 0L;
+    /**
+     * <pre>
+     * Time until the answer loses worth; negative once it has.
+     * </pre>
+     *
+     * <code>sint64 objective_remaining_ms = 16;</code>
+     * @return The objectiveRemainingMs.
+     */
+    @java.lang.Override
+    public long getObjectiveRemainingMs() {
+      return objectiveRemainingMs_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -6763,6 +6805,12 @@
       if (!body_.isEmpty()) {
         output.writeBytes(14, body_);
       }
+      if (rank_ != 0) {
+        output.writeUInt32(15, rank_);
+      }
+      if (objectiveRemainingMs_ != 0L) {
+        output.writeSInt64(16, objectiveRemainingMs_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -6820,6 +6868,14 @@
         size += com.google.protobuf.CodedOutputStream
           .computeBytesSize(14, body_);
       }
+      if (rank_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(15, rank_);
+      }
+      if (objectiveRemainingMs_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeSInt64Size(16, objectiveRemainingMs_);
+      }
       return size;
     }
     @java.lang.Override
@@ -6878,6 +6934,10 @@
           != other.getBodyLength()) return false;
       if (!getBody()
           .equals(other.getBody())) return false;
+      if (getRank()
+          != other.getRank()) return false;
+      if (getObjectiveRemainingMs()
+          != other.getObjectiveRemainingMs()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -6925,6 +6985,11 @@
       hash = (53 * hash) + getBodyLength();
       hash = (37 * hash) + BODY_FIELD_NUMBER;
       hash = (53 * hash) + getBody().hashCode();
+      hash = (37 * hash) + RANK_FIELD_NUMBER;
+      hash = (53 * hash) + getRank();
+      hash = (37 * hash) + OBJECTIVE_REMAINING_MS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getObjectiveRemainingMs());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -7091,6 +7156,8 @@
         key_ = "";
         bodyLength_ = 0;
         body_ = com.google.protobuf.ByteString.EMPTY;
+        rank_ = 0;
+        objectiveRemainingMs_ = 0L;
         return this;
       }
 
@@ -7181,6 +7248,12 @@
         if (((from_bitField0_ & 0x00002000) != 0)) {
           result.body_ = body_;
         }
+        if (((from_bitField0_ & 0x00004000) != 0)) {
+          result.rank_ = rank_;
+        }
+        if (((from_bitField0_ & 0x00008000) != 0)) {
+          result.objectiveRemainingMs_ = objectiveRemainingMs_;
+        }
         result.bitField0_ |= to_bitField0_;
       }
 
@@ -7277,6 +7350,12 @@
         if (!other.getBody().isEmpty()) {
           setBody(other.getBody());
         }
+        if (other.getRank() != 0) {
+          setRank(other.getRank());
+        }
+        if (other.getObjectiveRemainingMs() != 0L) {
+          setObjectiveRemainingMs(other.getObjectiveRemainingMs());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -7381,6 +7460,16 @@
                 bitField0_ |= 0x00002000;
                 break;
               } // case 114
+              case 120: {
+                rank_ = input.readUInt32();
+                bitField0_ |= 0x00004000;
+                break;
+              } // case 120
+              case 128: {
+                objectiveRemainingMs_ = input.readSInt64();
+                bitField0_ |= 0x00008000;
+                break;
+              } // case 128
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -8462,6 +8551,82 @@
         return this;
       }
 
+      private int rank_ ;
+      /**
+       * <code>uint32 rank = 15;</code>
+       * @return The rank.
+       */
+      @java.lang.Override
+      public int getRank() {
+        return rank_;
+      }
+      /**
+       * <code>uint32 rank = 15;</code>
+       * @param value The rank to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRank(int value) {
+
+        rank_ = value;
+        bitField0_ |= 0x00004000;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint32 rank = 15;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRank() {
+        bitField0_ = (bitField0_ & ~0x00004000);
+        rank_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private long objectiveRemainingMs_ ;
+      /**
+       * <pre>
+       * Time until the answer loses worth; negative once it has.
+       * </pre>
+       *
+       * <code>sint64 objective_remaining_ms = 16;</code>
+       * @return The objectiveRemainingMs.
+       */
+      @java.lang.Override
+      public long getObjectiveRemainingMs() {
+        return objectiveRemainingMs_;
+      }
+      /**
+       * <pre>
+       * Time until the answer loses worth; negative once it has.
+       * </pre>
+       *
+       * <code>sint64 objective_remaining_ms = 16;</code>
+       * @param value The objectiveRemainingMs to set.
+       * @return This builder for chaining.
+       */
+      public Builder setObjectiveRemainingMs(long value) {
+
+        objectiveRemainingMs_ = value;
+        bitField0_ |= 0x00008000;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Time until the answer loses worth; negative once it has.
+       * </pre>
+       *
+       * <code>sint64 objective_remaining_ms = 16;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearObjectiveRemainingMs() {
+        bitField0_ = (bitField0_ & ~0x00008000);
+        objectiveRemainingMs_ = 0L;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:sequoiashunt.link.CallStart)
     }
 
@@ -8594,6 +8759,12 @@
      * @return The body.
      */
     com.google.protobuf.ByteString getBody();
+
+    /**
+     * <code>uint64 wait_ms = 10;</code>
+     * @return The waitMs.
+     */
+    long getWaitMs();
   }
   /**
    * <pre>
@@ -8802,6 +8973,17 @@
       return body_;
     }
 
+    public static final int WAIT_MS_FIELD_NUMBER = 10;
+    private long waitMs_ = 0L;
+    /**
+     * <code>uint64 wait_ms = 10;</code>
+     * @return The waitMs.
+     */
+    @java.lang.Override
+    public long getWaitMs() {
+      return waitMs_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -8843,6 +9025,9 @@
       if (!body_.isEmpty()) {
         output.writeBytes(9, body_);
       }
+      if (waitMs_ != 0L) {
+        output.writeUInt64(10, waitMs_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -8887,6 +9072,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeBytesSize(9, body_);
       }
+      if (waitMs_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(10, waitMs_);
+      }
       return size;
     }
     @java.lang.Override
@@ -8929,6 +9118,8 @@
           != other.getBodyLength()) return false;
       if (!getBody()
           .equals(other.getBody())) return false;
+      if (getWaitMs()
+          != other.getWaitMs()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -8961,6 +9152,9 @@
       hash = (53 * hash) + getBodyLength();
       hash = (37 * hash) + BODY_FIELD_NUMBER;
       hash = (53 * hash) + getBody().hashCode();
+      hash = (37 * hash) + WAIT_MS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getWaitMs());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -9112,6 +9306,7 @@
         bitField0_ = (bitField0_ & ~0x00000040);
         bodyLength_ = 0;
         body_ = com.google.protobuf.ByteString.EMPTY;
+        waitMs_ = 0L;
         return this;
       }
 
@@ -9182,6 +9377,9 @@
         if (((from_bitField0_ & 0x00000100) != 0)) {
           result.body_ = body_;
         }
+        if (((from_bitField0_ & 0x00000200) != 0)) {
+          result.waitMs_ = waitMs_;
+        }
       }
 
       @java.lang.Override
@@ -9248,6 +9446,9 @@
         if (!other.getBody().isEmpty()) {
           setBody(other.getBody());
         }
+        if (other.getWaitMs() != 0L) {
+          setWaitMs(other.getWaitMs());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -9325,6 +9526,11 @@
                 bitField0_ |= 0x00000100;
                 break;
               } // case 74
+              case 80: {
+                waitMs_ = input.readUInt64();
+                bitField0_ |= 0x00000200;
+                break;
+              } // case 80
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -9872,6 +10078,38 @@
         return this;
       }
 
+      private long waitMs_ ;
+      /**
+       * <code>uint64 wait_ms = 10;</code>
+       * @return The waitMs.
+       */
+      @java.lang.Override
+      public long getWaitMs() {
+        return waitMs_;
+      }
+      /**
+       * <code>uint64 wait_ms = 10;</code>
+       * @param value The waitMs to set.
+       * @return This builder for chaining.
+       */
+      public Builder setWaitMs(long value) {
+
+        waitMs_ = value;
+        bitField0_ |= 0x00000200;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 wait_ms = 10;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearWaitMs() {
+        bitField0_ = (bitField0_ & ~0x00000200);
+        waitMs_ = 0L;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:sequoiashunt.link.CallEnd)
     }
 
@@ -12713,7 +12951,7 @@
       "bject\030\001 \001(\r\022\017\n\007payload\030\002 \001(\014\"F\n\tFreshnes" +
       "s\022\r\n\005stamp\030\001 \001(\004\022\024\n\014stamp_age_ms\030\002 \001(\004\022\024" +
       "\n\014remaining_ms\030\003 \001(\004\"%\n\006Header\022\014\n\004name\030\001" +
-      " \001(\t\022\r\n\005value\030\002 \001(\t\"\277\002\n\tCallStart\022\016\n\006num" +
+      " \001(\t\022\r\n\005value\030\002 \001(\t\"\355\002\n\tCallStart\022\016\n\006num" +
       "ber\030\001 \001(\004\022\017\n\007call_id\030\002 \001(\t\022/\n\tfreshness\030" +
       "\003 \001(\0132\034.sequoiashunt.link.Freshness\022\017\n\007s" +
       "ervice\030\004 \001(\t\022\r\n\005route\030\005 \001(\t\022\026\n\016target_ve" +
@@ -12721,21 +12959,23 @@
       "\001(\t\022\013\n\003uri\030\t \001(\t\022*\n\007headers\030\n \003(\0132\031.sequ" +
       "oiashunt.link.Header\022\022\n\nidempotent\030\013 \001(\010" +
       "\022\020\n\003key\030\014 \001(\tH\000\210\001\001\022\023\n\013body_length\030\r \001(\r\022" +
-      "\014\n\004body\030\016 \001(\014B\006\n\004_key\"\270\001\n\007CallEnd\022\016\n\006num" +
-      "ber\030\001 \001(\004\022\017\n\007call_id\030\002 \001(\t\022\017\n\007outcome\030\003 " +
-      "\001(\r\022\016\n\006reason\030\004 \001(\r\022\014\n\004load\030\005 \001(\r\022\016\n\006sta" +
-      "tus\030\006 \001(\r\022*\n\007headers\030\007 \003(\0132\031.sequoiashun" +
-      "t.link.Header\022\023\n\013body_length\030\010 \001(\r\022\014\n\004bo" +
-      "dy\030\t \001(\014\"3\n\nCallCancel\022\017\n\007call_id\030\001 \001(\t\022" +
-      "\024\n\014remaining_ms\030\002 \001(\004\"B\n\tCallQuery\022\016\n\006nu" +
-      "mber\030\001 \001(\004\022\017\n\007call_id\030\002 \001(\t\022\024\n\014remaining" +
-      "_ms\030\003 \001(\004\"\242\001\n\tCallState\022\016\n\006number\030\001 \001(\004\022" +
-      "\017\n\007call_id\030\002 \001(\t\0221\n\005state\030\003 \001(\0162\".sequoi" +
-      "ashunt.link.CallState.State\"A\n\005State\022\017\n\013" +
-      "UNSPECIFIED\020\000\022\020\n\014NOT_RECEIVED\020\001\022\013\n\007RUNNI" +
-      "NG\020\002\022\010\n\004LOST\020\003\"#\n\017CallAcknowledge\022\020\n\010cal" +
-      "l_ids\030\001 \003(\tB(\n\032org.sequoiashunt.link.wir" +
-      "eB\nFrameProtob\006proto3"
+      "\014\n\004body\030\016 \001(\014\022\014\n\004rank\030\017 \001(\r\022\036\n\026objective" +
+      "_remaining_ms\030\020 \001(\022B\006\n\004_key\"\311\001\n\007CallEnd\022" +
+      "\016\n\006number\030\001 \001(\004\022\017\n\007call_id\030\002 \001(\t\022\017\n\007outc" +
+      "ome\030\003 \001(\r\022\016\n\006reason\030\004 \001(\r\022\014\n\004load\030\005 \001(\r\022" +
+      "\016\n\006status\030\006 \001(\r\022*\n\007headers\030\007 \003(\0132\031.sequo" +
+      "iashunt.link.Header\022\023\n\013body_length\030\010 \001(\r" +
+      "\022\014\n\004body\030\t \001(\014\022\017\n\007wait_ms\030\n \001(\004\"3\n\nCallC" +
+      "ancel\022\017\n\007call_id\030\001 \001(\t\022\024\n\014remaining_ms\030\002" +
+      " \001(\004\"B\n\tCallQuery\022\016\n\006number\030\001 \001(\004\022\017\n\007cal" +
+      "l_id\030\002 \001(\t\022\024\n\014remaining_ms\030\003 \001(\004\"\242\001\n\tCal" +
+      "lState\022\016\n\006number\030\001 \001(\004\022\017\n\007call_id\030\002 \001(\t\022" +
+      "1\n\005state\030\003 \001(\0162\".sequoiashunt.link.CallS" +
+      "tate.State\"A\n\005State\022\017\n\013UNSPECIFIED\020\000\022\020\n\014" +
+      "NOT_RECEIVED\020\001\022\013\n\007RUNNING\020\002\022\010\n\004LOST\020\003\"#\n" +
+      "\017CallAcknowledge\022\020\n\010call_ids\030\001 \003(\tB(\n\032or" +
+      "g.sequoiashunt.link.wireB\nFrameProtob\006pr" +
+      "oto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -12788,13 +13028,13 @@
     internal_static_sequoiashunt_link_CallStart_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_sequoiashunt_link_CallStart_descriptor,
-        new java.lang.String[] { "Number", "CallId", "Freshness", "Service", "Route", "TargetVersion", "Target", "Method", "Uri", "Headers", "Idempotent", "Key", "BodyLength", "Body", });
+        new java.lang.String[] { "Number", "CallId", "Freshness", "Service", "Route", "TargetVersion", "Target", "Method", "Uri", "Headers", "Idempotent", "Key", "BodyLength", "Body", "Rank", "ObjectiveRemainingMs", });
     internal_static_sequoiashunt_link_CallEnd_descriptor =
       getDescriptor().getMessageType(8);
     internal_static_sequoiashunt_link_CallEnd_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_sequoiashunt_link_CallEnd_descriptor,
-        new java.lang.String[] { "Number", "CallId", "Outcome", "Reason", "Load", "Status", "Headers", "BodyLength", "Body", });
+        new java.lang.String[] { "Number", "CallId", "Outcome", "Reason", "Load", "Status", "Headers", "BodyLength", "Body", "WaitMs", });
     internal_static_sequoiashunt_link_CallCancel_descriptor =
       getDescriptor().getMessageType(9);
     internal_static_sequoiashunt_link_CallCancel_fieldAccessorTable = new
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/OwnedWorker.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/OwnedWorker.java
@@ -9,14 +9,19 @@
 /**
  * Threads for connections to targets and to the store. Thread-safe.
  */
-final class OwnedWorker implements AutoCloseable {
+public final class OwnedWorker implements AutoCloseable {
 
     private static final int IO_THREADS = 2;
     private static final int TASK_THREADS = 1;
 
     private final XnioWorker worker;
 
-    OwnedWorker() throws IOException {
+    /**
+     * Starts the threads.
+     *
+     * @throws IOException if they cannot be started.
+     */
+    public OwnedWorker() throws IOException {
         worker = Xnio.getInstance()
                 .createWorker(OptionMap.builder()
                         .set(Options.WORKER_NAME, "outgoing")
@@ -28,7 +33,12 @@
                         .getMap());
     }
 
-    XnioWorker worker() {
+    /**
+     * Returns the worker.
+     *
+     * @return the worker, never null; it ends with this object.
+     */
+    public XnioWorker worker() {
         return worker;
     }
 
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/StoreAccess.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/StoreAccess.java
@@ -1,13 +1,13 @@
 package org.sequoiashunt.node;
 
 import java.util.Objects;
+import org.sequoiashunt.commit.StoredConfiguration;
+import org.sequoiashunt.commit.StoredDomainRegister;
+import org.sequoiashunt.commit.StoredMoveRegister;
+import org.sequoiashunt.commit.StoredRosterRegister;
 import org.sequoiashunt.configuration.ConfigurationSource;
 import org.sequoiashunt.execution.RosterRegister;
 import org.sequoiashunt.membership.DomainRegister;
-import org.sequoiashunt.platform.StoredConfiguration;
-import org.sequoiashunt.platform.StoredDomainRegister;
-import org.sequoiashunt.platform.StoredMoveRegister;
-import org.sequoiashunt.platform.StoredRosterRegister;
 import org.sequoiashunt.rollout.MoveRegister;
 import org.sequoiashunt.store.Store;
 import org.sequoiashunt.time.Clock;
--- /dev/null
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/FleetController.java
@@ -0,0 +1,201 @@
+package org.sequoiashunt.node.mesh;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
+import java.util.random.RandomGenerator;
+import org.sequoiashunt.blackboard.Controller;
+import org.sequoiashunt.call.Body;
+import org.sequoiashunt.fleet.ConfigurationCopy;
+import org.sequoiashunt.fleet.ConfigurationRequest;
+import org.sequoiashunt.fleet.FleetView;
+import org.sequoiashunt.fleet.KnownNode;
+import org.sequoiashunt.fleet.MoveState;
+import org.sequoiashunt.fleet.NodeReport;
+import org.sequoiashunt.mesh.MoveBoard;
+import org.sequoiashunt.move.TallyBook;
+import org.sequoiashunt.peer.ControlMessage;
+import org.sequoiashunt.peer.PeerSender;
+import org.sequoiashunt.placement.Place;
+import org.sequoiashunt.slot.TargetGates;
+import org.sequoiashunt.time.Clock;
+
+/**
+ * Tells the other nodes about this one, hears about them, and shares configurations with nodes that lag.
+ *
+ * <p>Ticked by one thread; {@link #reportSoon} may be called from any.
+ */
+final class FleetController implements Controller {
+
+    /** Time between reports: load that is older misleads placement. */
+    private static final long REPORT_MS = 400;
+
+    /** Nodes named in each report, so that all learn of all within a few reports. */
+    private static final int NAMED_NODES = 3;
+
+    /** How long a node waits for its own watch before it asks a peer for a later configuration. */
+    private static final long LAG_MS = 350;
+
+    private final Place place;
+    private final long incarnation;
+    private final Parts parts;
+    private final AtomicBoolean due = new AtomicBoolean(true);
+    private long sequence;
+    private long reportedMs;
+    private long behindSinceMs = -1;
+
+    FleetController(final Place place, final long incarnation, final Parts parts) {
+        this.place = Objects.requireNonNull(place, "place");
+        this.incarnation = incarnation;
+        this.parts = Objects.requireNonNull(parts, "parts");
+    }
+
+    /** Sends a report at the next tick. */
+    void reportSoon() {
+        due.set(true);
+    }
+
+    @Override
+    public void tick() {
+        parts.gates().update();
+        parts.gates().tick();
+        long nowMs = parts.clock().nowMs();
+        if (due.getAndSet(false) || nowMs - reportedMs >= REPORT_MS) {
+            reportedMs = nowMs;
+            report();
+        }
+        askIfBehind(nowMs);
+    }
+
+    private void report() {
+        List<KnownNode> audience = new ArrayList<>(parts.fleet().audience());
+        audience.removeIf(node -> node.node().equals(place.node()));
+        NodeReport report = reportNow(audience);
+        for (KnownNode node : audience) {
+            parts.sender().send(node.address(), report);
+        }
+    }
+
+    private NodeReport reportNow(final List<KnownNode> audience) {
+        sequence++;
+        List<KnownNode> named = new ArrayList<>();
+        for (int index = 0; index < Math.min(NAMED_NODES, audience.size()); index++) {
+            named.add(audience.get(parts.random().nextInt(audience.size())));
+        }
+        return new NodeReport(
+                place.node(),
+                incarnation,
+                sequence,
+                place.address(),
+                place.failureDomain(),
+                place.region(),
+                parts.leaving().getAsBoolean(),
+                parts.configuration().version(),
+                parts.gates().reports(),
+                parts.tallies().tallies(this::isMoving),
+                List.copyOf(parts.board().all()),
+                named,
+                List.of(),
+                List.of());
+    }
+
+    private boolean isMoving(final String service) {
+        return parts.board()
+                .find(service)
+                .filter(move -> move.state() == MoveState.RUNNING)
+                .isPresent();
+    }
+
+    private void askIfBehind(final long nowMs) {
+        Optional<NodeReport> ahead = parts.fleet().live().stream()
+                .map(FleetView.Sighting::report)
+                .filter(report ->
+                        report.configurationVersion() > parts.configuration().version())
+                .findAny();
+        if (ahead.isEmpty()) {
+            behindSinceMs = -1;
+        } else if (behindSinceMs < 0) {
+            behindSinceMs = nowMs;
+        } else if (nowMs - behindSinceMs >= LAG_MS) {
+            behindSinceMs = nowMs;
+            parts.sender()
+                    .send(
+                            ahead.get().address(),
+                            new ConfigurationRequest(
+                                    place.address(), parts.configuration().version()));
+        }
+    }
+
+    @Override
+    public boolean receive(final String sender, final ControlMessage message) {
+        if (message instanceof NodeReport report) {
+            accept(report);
+        } else if (message instanceof ConfigurationRequest request) {
+            Optional<Body> document = parts.configuration().document();
+            if (document.isPresent() && parts.configuration().version() > request.knownVersion()) {
+                parts.sender()
+                        .send(
+                                request.replyTo(),
+                                new ConfigurationCopy(parts.configuration().version(), document.get()));
+            }
+        } else if (message instanceof ConfigurationCopy copy) {
+            parts.configuration().offer(copy.document(), sender);
+        } else {
+            return false;
+        }
+        return true;
+    }
+
+    private void accept(final NodeReport report) {
+        if (report.node().equals(place.node())) {
+            return;
+        }
+        FleetView.Change change = parts.fleet().accept(report);
+        if (change == FleetView.Change.OUTDATED) {
+            return;
+        }
+        report.moves().forEach(parts.board()::merge);
+        if (change == FleetView.Change.REGAINED) {
+            parts.log().log(
+                    LogKind.PEER,
+                    "peer",
+                    report.node(),
+                    "change",
+                    "found",
+                    "incarnation",
+                    report.incarnation(),
+                    "targets",
+                    report.targets().size());
+            reportSoon();
+        }
+    }
+
+    /**
+     * What the controller uses. Immutable; thread-safe as its parts are.
+     *
+     * @param clock the clock.
+     * @param random source of chance, used by one thread.
+     * @param fleet the other nodes.
+     * @param gates the gates of this node's targets.
+     * @param configuration the configuration in force.
+     * @param board the moves of traffic.
+     * @param tallies what this node's targets answered.
+     * @param sender sends messages to other nodes.
+     * @param leaving whether this node shuts down.
+     * @param log takes the decisions.
+     */
+    record Parts(
+            Clock clock,
+            RandomGenerator random,
+            FleetView fleet,
+            TargetGates gates,
+            ConfigurationKeeper configuration,
+            MoveBoard board,
+            TallyBook tallies,
+            PeerSender sender,
+            BooleanSupplier leaving,
+            DecisionLog log) {}
+}
--- /dev/null
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/GateReporter.java
@@ -0,0 +1,75 @@
+package org.sequoiashunt.node.mesh;
+
+import java.util.Objects;
+import org.sequoiashunt.call.CallRequest;
+import org.sequoiashunt.call.CallResult;
+import org.sequoiashunt.call.Outcome;
+import org.sequoiashunt.move.TallyBook;
+import org.sequoiashunt.slot.GateObserver;
+import org.sequoiashunt.target.TargetAnnouncement;
+
+/** Counts and logs what the gates decide. Thread-safe. */
+final class GateReporter implements GateObserver {
+
+    private final TallyBook tallies;
+    private final DecisionLog log;
+    private final MeshMetrics metrics;
+
+    GateReporter(final TallyBook tallies, final DecisionLog log, final MeshMetrics metrics) {
+        this.tallies = Objects.requireNonNull(tallies, "tallies");
+        this.log = Objects.requireNonNull(log, "log");
+        this.metrics = Objects.requireNonNull(metrics, "metrics");
+    }
+
+    @Override
+    public void admitted(
+            final TargetAnnouncement target, final CallRequest request, final int running, final int waiting) {
+        metrics.count("gate_admitted{service=\"" + target.service() + "\"}");
+    }
+
+    @Override
+    public void refused(final TargetAnnouncement target, final CallRequest request, final CallResult result) {
+        metrics.count("gate_refused{service=\"" + target.service() + "\",reason=\"" + result.reason() + "\"}");
+        log.log(
+                LogKind.GATE_REFUSED,
+                "call",
+                request.callId(),
+                "target",
+                target.target(),
+                "route",
+                request.route(),
+                "reason",
+                result.reason().text(),
+                "load",
+                result.load(),
+                "expectedWaitMs",
+                result.waitMs());
+    }
+
+    @Override
+    public void ended(
+            final TargetAnnouncement target,
+            final CallRequest request,
+            final CallResult result,
+            final long durationMs) {
+        tallies.record(request, result, durationMs);
+        metrics.count("target_ended{service=\"" + target.service() + "\",outcome=\""
+                + result.outcome().headerValue() + "\"}");
+        if (result.outcome() != Outcome.COMPLETE) {
+            log.log(
+                    LogKind.ATTEMPT,
+                    "call",
+                    request.callId(),
+                    "target",
+                    target.target(),
+                    "route",
+                    request.route(),
+                    "outcome",
+                    result.outcome().headerValue(),
+                    "reason",
+                    result.reason().text(),
+                    "durationMs",
+                    durationMs);
+        }
+    }
+}
--- /dev/null
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/OperatorWatch.java
@@ -0,0 +1,101 @@
+package org.sequoiashunt.node.mesh;
+
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.sequoiashunt.blackboard.BlockingTask;
+import org.sequoiashunt.mesh.MeshPlatform;
+import org.sequoiashunt.mesh.OperatorState;
+import org.sequoiashunt.store.StoreException;
+import org.sequoiashunt.time.Clock;
+
+/**
+ * Follows what the operator wants.
+ *
+ * <p>Waits are short, since a watch may hang without a sign. Changes in quick succession are joined: the node pauses and
+ * then reads the latest state, rather than taking each version in turn.
+ *
+ * <p>Confined to the thread of its loop.
+ */
+final class OperatorWatch implements BlockingTask {
+
+    /** Longest wait of a watch. With the time-out of a call, a watch that hangs is replaced within 2 s. */
+    private static final long WAIT_MS = 1_300;
+
+    /** Changes closer to each other than this are joined. */
+    private static final long SUCCESSION_MS = 900;
+
+    /** Pause before changes in quick succession are read. */
+    private static final long JOIN_PAUSE_MS = 250;
+
+    private static final long FIRST_RETRY_MS = 150;
+    private static final long LONGEST_RETRY_MS = 900;
+
+    private final MeshPlatform platform;
+    private final Clock clock;
+    private final RandomGenerator random;
+    private final Consumer<OperatorState> changes;
+    private final StoreHealth health;
+    private long revision = -1;
+    private long changedMs;
+    private long retryMs = FIRST_RETRY_MS;
+
+    OperatorWatch(
+            final MeshPlatform platform,
+            final Clock clock,
+            final RandomGenerator random,
+            final Consumer<OperatorState> changes,
+            final StoreHealth health) {
+        this.platform = Objects.requireNonNull(platform, "platform");
+        this.clock = Objects.requireNonNull(clock, "clock");
+        this.random = Objects.requireNonNull(random, "random");
+        this.changes = Objects.requireNonNull(changes, "changes");
+        this.health = Objects.requireNonNull(health, "health");
+        this.changedMs = clock.nowMs() - SUCCESSION_MS;
+    }
+
+    @Override
+    public long step() {
+        try {
+            long pauseMs = revision < 0 ? read() : watch();
+            health.answered();
+            retryMs = FIRST_RETRY_MS;
+            return pauseMs;
+        } catch (StoreException exception) {
+            health.failed("operator", exception.getMessage());
+            long pauseMs = retryMs / 2 + random.nextLong(retryMs);
+            retryMs = Math.min(LONGEST_RETRY_MS, retryMs * 2);
+            return pauseMs;
+        }
+    }
+
+    private long read() throws StoreException {
+        OperatorState state = platform.read();
+        changes.accept(state);
+        revision = state.revision();
+        return 0;
+    }
+
+    private long watch() throws StoreException {
+        Optional<OperatorState> changed = platform.watch(revision, WAIT_MS);
+        if (changed.isEmpty()) {
+            revision = -1;
+            return 0;
+        }
+        OperatorState state = changed.get();
+        revision = Math.max(revision, state.revision());
+        if (state.configuration().isEmpty() && state.orders().isEmpty()) {
+            return 0;
+        }
+        changes.accept(state);
+        long nowMs = clock.nowMs();
+        boolean succession = nowMs - changedMs < SUCCESSION_MS;
+        changedMs = nowMs;
+        if (succession) {
+            revision = -1;
+            return JOIN_PAUSE_MS;
+        }
+        return 0;
+    }
+}
--- /dev/null
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/PlacementReporter.java
@@ -0,0 +1,70 @@
+package org.sequoiashunt.node.mesh;
+
+import java.util.Objects;
+import org.sequoiashunt.call.CallResult;
+import org.sequoiashunt.call.Outcome;
+import org.sequoiashunt.mesh.DispatchObserver;
+import org.sequoiashunt.mesh.MeshCall;
+import org.sequoiashunt.mesh.MeshRoute;
+import org.sequoiashunt.placement.Candidate;
+
+/** Logs where requests are placed and how attempts fail. Thread-safe. */
+final class PlacementReporter implements DispatchObserver {
+
+    private final DecisionLog log;
+
+    PlacementReporter(final DecisionLog log) {
+        this.log = Objects.requireNonNull(log, "log");
+    }
+
+    @Override
+    public void placed(final MeshCall call, final MeshRoute route, final Candidate candidate, final int attempt) {
+        log.log(
+                LogKind.PLACED,
+                "request",
+                call.requestId(),
+                "route",
+                route.name(),
+                "attempt",
+                attempt,
+                "target",
+                candidate.report().target(),
+                "peer",
+                candidate.node(),
+                "distance",
+                candidate.distance().name(),
+                "load",
+                candidate.load(),
+                "slots",
+                candidate.report().slots(),
+                "reportAgeMs",
+                candidate.reportAgeMs());
+    }
+
+    @Override
+    public void attemptEnded(
+            final MeshCall call, final MeshRoute route, final Candidate candidate, final CallResult result) {
+        if (result.outcome() != Outcome.COMPLETE) {
+            log.log(
+                    LogKind.ATTEMPT,
+                    "request",
+                    call.requestId(),
+                    "route",
+                    route.name(),
+                    "target",
+                    candidate.report().target(),
+                    "peer",
+                    candidate.node(),
+                    "outcome",
+                    result.outcome().headerValue(),
+                    "reason",
+                    result.reason().text(),
+                    "load",
+                    result.load(),
+                    "expectedWaitMs",
+                    result.waitMs(),
+                    "reportAgeMs",
+                    candidate.reportAgeMs());
+        }
+    }
+}
--- a/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/CommitCommand.java
+++ b/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/CommitCommand.java
@@ -6,12 +6,12 @@
 import java.io.IOException;
 import java.util.HexFormat;
 import java.util.OptionalLong;
+import org.sequoiashunt.commit.CommitRequest;
+import org.sequoiashunt.commit.CommitResult;
+import org.sequoiashunt.commit.ConfigurationCommitter;
 import org.sequoiashunt.configuration.ConfigurationException;
 import org.sequoiashunt.manifest.Manifest;
 import org.sequoiashunt.manifest.ManifestException;
-import org.sequoiashunt.platform.CommitRequest;
-import org.sequoiashunt.platform.CommitResult;
-import org.sequoiashunt.platform.ConfigurationCommitter;
 import org.sequoiashunt.store.Store;
 
 /**
--- a/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/CommitText.java
+++ b/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/CommitText.java
@@ -1,9 +1,9 @@
 package org.sequoiashunt.operator;
 
+import org.sequoiashunt.commit.CommitRecord;
+import org.sequoiashunt.commit.CommitRequest;
+import org.sequoiashunt.commit.CommitResult;
 import org.sequoiashunt.configuration.ServiceConfiguration;
-import org.sequoiashunt.platform.CommitRecord;
-import org.sequoiashunt.platform.CommitRequest;
-import org.sequoiashunt.platform.CommitResult;
 
 /**
  * States plainly how a commit ended and what to do next. Not instantiable; thread-safe.
--- a/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/ExplainCommand.java
+++ b/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/ExplainCommand.java
@@ -7,13 +7,13 @@
 import java.util.Collection;
 import java.util.Locale;
 import java.util.Optional;
+import org.sequoiashunt.commit.CommitRecord;
 import org.sequoiashunt.configuration.ConfigurationException;
 import org.sequoiashunt.configuration.Move;
 import org.sequoiashunt.configuration.ServiceConfiguration;
 import org.sequoiashunt.manifest.Manifest;
 import org.sequoiashunt.manifest.ManifestException;
 import org.sequoiashunt.manifest.Spelling;
-import org.sequoiashunt.platform.CommitRecord;
 import org.sequoiashunt.store.StoreException;
 
 /**
--- a/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/HistoryCommand.java
+++ b/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/HistoryCommand.java
@@ -5,8 +5,8 @@
 import com.beust.jcommander.ParametersDelegate;
 import java.io.IOException;
 import java.util.Optional;
+import org.sequoiashunt.commit.CommitRecord;
 import org.sequoiashunt.configuration.ConfigurationException;
-import org.sequoiashunt.platform.CommitRecord;
 import org.sequoiashunt.store.StoreException;
 
 /**
--- a/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/HistoryText.java
+++ b/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/HistoryText.java
@@ -7,11 +7,11 @@
 import java.util.SortedMap;
 import java.util.SortedSet;
 import java.util.TreeSet;
+import org.sequoiashunt.commit.CommitRecord;
+import org.sequoiashunt.commit.MoveHistory;
 import org.sequoiashunt.configuration.ConfigurationException;
 import org.sequoiashunt.configuration.Move;
 import org.sequoiashunt.configuration.ServiceConfiguration;
-import org.sequoiashunt.platform.CommitRecord;
-import org.sequoiashunt.platform.MoveHistory;
 import org.sequoiashunt.store.StoreException;
 
 /**
--- a/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/MoveStatus.java
+++ b/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/MoveStatus.java
@@ -2,8 +2,8 @@
 
 import java.util.Objects;
 import java.util.Optional;
+import org.sequoiashunt.commit.MoveHistory;
 import org.sequoiashunt.configuration.Move;
-import org.sequoiashunt.platform.MoveHistory;
 import org.sequoiashunt.rollout.RolloutProgress;
 import org.sequoiashunt.rollout.Stage;
 
--- a/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/MoveText.java
+++ b/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/MoveText.java
@@ -1,7 +1,7 @@
 package org.sequoiashunt.operator;
 
+import org.sequoiashunt.commit.MoveHistory;
 import org.sequoiashunt.configuration.Move;
-import org.sequoiashunt.platform.MoveHistory;
 
 /**
  * States in one plain line where a move stands. Not instantiable; thread-safe.
--- a/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/Operator.java
+++ b/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/Operator.java
@@ -6,9 +6,9 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Objects;
+import org.sequoiashunt.commit.UnreadableValueException;
 import org.sequoiashunt.configuration.ConfigurationException;
 import org.sequoiashunt.manifest.ManifestException;
-import org.sequoiashunt.platform.UnreadableValueException;
 import org.sequoiashunt.store.StoreException;
 
 /**
--- a/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/OperatorEnvironment.java
+++ b/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/OperatorEnvironment.java
@@ -5,8 +5,8 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
+import org.sequoiashunt.commit.StoreRetry;
 import org.sequoiashunt.peer.NodeAddress;
-import org.sequoiashunt.platform.StoreRetry;
 import org.sequoiashunt.store.Store;
 import org.sequoiashunt.time.Clock;
 
--- a/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/OperatorMain.java
+++ b/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/OperatorMain.java
@@ -4,10 +4,10 @@
 import java.util.Optional;
 import java.util.logging.Level;
 import java.util.logging.Logger;
+import org.sequoiashunt.commit.HttpStore;
+import org.sequoiashunt.commit.SystemClock;
 import org.sequoiashunt.lifecycle.Closer;
 import org.sequoiashunt.lifecycle.ResourceCloseException;
-import org.sequoiashunt.platform.HttpStore;
-import org.sequoiashunt.platform.SystemClock;
 
 /**
  * Entry point of the operators' command {@code sequoiashunt}. Not instantiable; runs on the main thread.
--- a/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/RetryingStore.java
+++ b/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/RetryingStore.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
-import org.sequoiashunt.platform.StoreRetry;
+import org.sequoiashunt.commit.StoreRetry;
 import org.sequoiashunt.store.Store;
 import org.sequoiashunt.store.StoreException;
 import org.sequoiashunt.store.StoredLease;
--- a/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/StatusCommand.java
+++ b/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/StatusCommand.java
@@ -4,8 +4,8 @@
 import com.beust.jcommander.Parameters;
 import com.beust.jcommander.ParametersDelegate;
 import java.io.IOException;
+import org.sequoiashunt.commit.JsonCodec;
 import org.sequoiashunt.configuration.ConfigurationException;
-import org.sequoiashunt.platform.JsonCodec;
 import org.sequoiashunt.store.StoreException;
 
 /**
--- a/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/StatusReport.java
+++ b/sequoiashunt-operator/src/main/java/org/sequoiashunt/operator/StatusReport.java
@@ -6,11 +6,11 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import org.sequoiashunt.commit.CommitRecord;
 import org.sequoiashunt.configuration.ConfigurationException;
 import org.sequoiashunt.configuration.Move;
 import org.sequoiashunt.configuration.ServiceConfiguration;
 import org.sequoiashunt.membership.DomainSummary;
-import org.sequoiashunt.platform.CommitRecord;
 import org.sequoiashunt.store.StoreException;
 
 /**
--- a/sequoiashunt-operator/src/test/java/org/sequoiashunt/operator/OperatorFixture.java
+++ b/sequoiashunt-operator/src/test/java/org/sequoiashunt/operator/OperatorFixture.java
@@ -4,7 +4,7 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import org.approvaltests.Approvals;
-import org.sequoiashunt.platform.StoredMoveRegister;
+import org.sequoiashunt.commit.StoredMoveRegister;
 import org.sequoiashunt.rollout.RolloutProgress;
 import org.sequoiashunt.rollout.Stage;
 import org.sequoiashunt.store.MemoryStore;
--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/store/Admission.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/store/Admission.java
@@ -3,8 +3,8 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.SameThreadExecutor;
 import io.undertow.util.StatusCodes;
+import org.sequoiashunt.commit.StoreProtocol;
 import org.sequoiashunt.http.Timers;
-import org.sequoiashunt.platform.StoreProtocol;
 import org.sequoiashunt.time.Clock;
 
 /**
--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/store/StoreStandIn.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/store/StoreStandIn.java
@@ -6,9 +6,9 @@
 import io.undertow.server.HttpHandler;
 import java.net.InetSocketAddress;
 import java.util.Objects;
+import org.sequoiashunt.commit.StoreProtocol;
 import org.sequoiashunt.http.Timers;
 import org.sequoiashunt.peer.NodeAddress;
-import org.sequoiashunt.platform.StoreProtocol;
 import org.sequoiashunt.store.MemoryStore;
 import org.sequoiashunt.time.Clock;
 
--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/store/ValueHandler.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/store/ValueHandler.java
@@ -7,7 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import org.sequoiashunt.platform.StoreProtocol;
+import org.sequoiashunt.commit.StoreProtocol;
 import org.sequoiashunt.store.MemoryStore;
 import org.sequoiashunt.store.StoreConflictException;
 import org.sequoiashunt.store.StoreException;
--- a/sequoiashunt-trial/src/test/java/org/sequoiashunt/trial/store/OperatorOverHttpTest.java
+++ b/sequoiashunt-trial/src/test/java/org/sequoiashunt/trial/store/OperatorOverHttpTest.java
@@ -13,12 +13,12 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.sequoiashunt.commit.HttpStore;
 import org.sequoiashunt.lifecycle.Closer;
 import org.sequoiashunt.operator.CommandResult;
 import org.sequoiashunt.operator.ExitCode;
 import org.sequoiashunt.operator.Operator;
 import org.sequoiashunt.operator.OperatorEnvironment;
-import org.sequoiashunt.platform.HttpStore;
 import org.sequoiashunt.time.SteppedClock;
 
 /** Commits over HTTP while the store has faults; pauses advance a stepped clock. */
