One node in each region watches the store; tests of the mesh's decisions

Change: WatchDuty: the first live node of a region watches and passes changes on; a node without a recent confirmation of its version watches too. Ruled out: a lease for the watching node, which would cost calls and a pause after its death. Not measured yet.

--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/fleet/NodeReport.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/fleet/NodeReport.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Objects;
+import java.util.OptionalLong;
 import org.sequoiashunt.peer.ControlMessage;
 import org.sequoiashunt.peer.NodeAddress;
 
@@ -18,6 +19,8 @@
  * @param region the region.
  * @param leaving whether the node shuts down.
  * @param configurationVersion the version in force, zero for none.
+ * @param confirmedAgeMs how long ago the platform's store confirmed to the node itself that this version is the latest,
+ *     in milliseconds, empty if it never did.
  * @param targets the targets that announce themselves to it.
  * @param tallies what its targets answered, for services with a move.
  * @param moves the moves that it knows.
@@ -34,6 +37,7 @@
         String region,
         boolean leaving,
         long configurationVersion,
+        OptionalLong confirmedAgeMs,
         List<TargetReport> targets,
         List<VersionTally> tallies,
         List<VersionMove> moves,
@@ -52,6 +56,7 @@
         Objects.requireNonNull(address, "address");
         Objects.requireNonNull(failureDomain, "failureDomain");
         Objects.requireNonNull(region, "region");
+        Objects.requireNonNull(confirmedAgeMs, "confirmedAgeMs");
         targets = List.copyOf(targets);
         tallies = List.copyOf(tallies);
         moves = List.copyOf(moves);
--- /dev/null
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/fleet/Reports.java
@@ -0,0 +1,36 @@
+package org.sequoiashunt.fleet;
+
+import java.util.List;
+import java.util.OptionalLong;
+import org.sequoiashunt.peer.NodeAddress;
+
+/** Makes reports for tests. */
+public final class Reports {
+
+    private Reports() {}
+
+    public static NodeReport of(
+            final String node,
+            final String region,
+            final long incarnation,
+            final long sequence,
+            final long version,
+            final OptionalLong confirmedAgeMs) {
+        return new NodeReport(
+                node,
+                incarnation,
+                sequence,
+                new NodeAddress("10.0.0.1", 7),
+                "domain-" + region,
+                region,
+                false,
+                version,
+                confirmedAgeMs,
+                List.of(),
+                List.of(),
+                List.of(),
+                List.of(),
+                List.of(),
+                List.of());
+    }
+}
--- /dev/null
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/limit/RetryWindowTest.java
@@ -0,0 +1,88 @@
+package org.sequoiashunt.limit;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.sequoiashunt.time.SteppedClock;
+
+class RetryWindowTest {
+
+    private static final long WINDOW_MS = 10_000;
+
+    private final SteppedClock clock = SteppedClock.of(0);
+    private final RetryWindow window = new RetryWindow(clock, new RetryWindow.Bounds(0.2, 50, WINDOW_MS), () -> 10);
+
+    private int spendAll() {
+        int spent = 0;
+        while (window.spend("desk")) {
+            spent++;
+        }
+        return spent;
+    }
+
+    @Test
+    void spendsItsPartOfTheAllowanceWithoutLoad() {
+        assertEquals(3, spendAll());
+        assertFalse(window.spend("desk"));
+        assertTrue(window.spend("floor"), "services have budgets of their own");
+    }
+
+    @Test
+    void growsWithTheRequestsSeen() {
+        for (int request = 0; request < 100; request++) {
+            window.requested("desk");
+        }
+        assertEquals(17, spendAll());
+    }
+
+    @Test
+    void forgetsAfterTheWindow() {
+        spendAll();
+        clock.advance(WINDOW_MS - 1_000);
+        assertEquals(0, spendAll());
+        clock.advance(2_000);
+        assertEquals(3, spendAll());
+    }
+
+    @Test
+    void keepsTheBoundInEverySpanOfAStorm() {
+        Random random = new Random(11);
+        long[] spentAt = new long[400];
+        long[] requestedAt = new long[400];
+        for (int step = 0; step < 400; step++) {
+            for (int request = 0; request < random.nextInt(8); request++) {
+                window.requested("desk");
+                requestedAt[step]++;
+            }
+            spentAt[step] = spendAll();
+            clock.advance(100);
+        }
+        for (int first = 0; first + 100 <= 400; first++) {
+            long spent = 0;
+            long requested = 0;
+            for (int step = first; step < first + 100; step++) {
+                spent += spentAt[step];
+                requested += requestedAt[step];
+            }
+            long before = 0;
+            for (int step = Math.max(0, first - 50); step < first + 50; step++) {
+                before += requestedAt[step];
+            }
+            assertTrue(spent <= 0.2 * Math.max(requested, before) + 5, "span " + first + ": " + spent);
+        }
+    }
+
+    @Test
+    void adviceIsHeededAndSpread() {
+        RetryAdvice advice = new RetryAdvice(new Random(1));
+        for (int call = 0; call < 100; call++) {
+            long delayMs = advice.delayMs(200, 10_000);
+            assertTrue(delayMs >= 100 && delayMs <= 300, delayMs + " ms");
+            assertTrue(advice.delayMs(5_000, 300) <= 100);
+            assertTrue(advice.delayMs(0, 0) >= 1);
+        }
+    }
+}
--- /dev/null
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/mesh/MeshConfigurationTest.java
@@ -0,0 +1,53 @@
+package org.sequoiashunt.mesh;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class MeshConfigurationTest {
+
+    private static MeshRoute route(final String name, final String prefix, final String service) {
+        return new MeshRoute(
+                name, "desk.example", prefix, List.of(new WeightedService(service, 1)), true, 500, 100, 0, 2);
+    }
+
+    private static MeshConfiguration of(final MeshRoute... routes) {
+        return MeshConfiguration.of(1, List.of(routes), Set.of("desk"), CallerLimits.standard());
+    }
+
+    @Test
+    void theLongestPrefixWins() {
+        MeshConfiguration configuration = of(route("short", "/a/", "desk"), route("long", "/a/b/", "desk"));
+        assertEquals(
+                "long",
+                configuration.match("desk.example", "/a/b/c").orElseThrow().name());
+        assertEquals(
+                "short",
+                configuration.match("DESK.example:80", "/a/x").orElseThrow().name());
+        assertEquals(
+                "long",
+                configuration.match("desk.example", "/a/b/").orElseThrow().name());
+    }
+
+    @Test
+    void aPrefixEndsAtASlash() {
+        MeshConfiguration configuration = of(route("only", "/a/", "desk"));
+        assertTrue(configuration.match("desk.example", "/ab").isEmpty());
+        assertTrue(configuration.match("desk.example", "/a").isEmpty());
+        assertTrue(configuration.match("other.example", "/a/").isEmpty());
+    }
+
+    @Test
+    void refusesWhatIsNotWhole() {
+        assertThrows(IllegalArgumentException.class, () -> of(route("r", "/a/", "missing")));
+        assertThrows(IllegalArgumentException.class, () -> of(route("r", "/a/", "desk"), route("s", "/a/", "desk")));
+        assertThrows(IllegalArgumentException.class, () -> route("r", "a", "desk"));
+        assertThrows(
+                IllegalArgumentException.class,
+                () -> new MeshRoute("r", "h", "/", List.of(new WeightedService("desk", 0)), true, 1, 1, 0, 1));
+    }
+}
--- /dev/null
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/mesh/MeshDispatcherTest.java
@@ -0,0 +1,209 @@
+package org.sequoiashunt.mesh;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+import org.sequoiashunt.call.Body;
+import org.sequoiashunt.call.CallAnswer;
+import org.sequoiashunt.call.CallRequest;
+import org.sequoiashunt.call.CallResult;
+import org.sequoiashunt.call.Outcome;
+import org.sequoiashunt.call.Reason;
+import org.sequoiashunt.dispatch.CallIdSource;
+import org.sequoiashunt.fleet.FleetView;
+import org.sequoiashunt.fleet.NodeReport;
+import org.sequoiashunt.fleet.TargetReport;
+import org.sequoiashunt.limit.RetryWindow;
+import org.sequoiashunt.peer.NodeAddress;
+import org.sequoiashunt.placement.Candidate;
+import org.sequoiashunt.placement.CandidateSource;
+import org.sequoiashunt.placement.Place;
+import org.sequoiashunt.placement.Placement;
+import org.sequoiashunt.time.SteppedClock;
+
+class MeshDispatcherTest {
+
+    private final SteppedClock clock = SteppedClock.of(1_000);
+    private final FleetView fleet = new FleetView(clock);
+    private final List<CallRequest> sent = new ArrayList<>();
+    private final List<CompletableFuture<CallResult>> running = new ArrayList<>();
+    private final List<Runnable> expiries = new ArrayList<>();
+    private final RetryWindow retries = new RetryWindow(clock, new RetryWindow.Bounds(0.2, 30, 10_000), () -> 1);
+    private Optional<MeshConfiguration> configuration = Optional.of(configuration());
+
+    private static MeshConfiguration configuration() {
+        MeshRoute lookup =
+                new MeshRoute("lookup", "h", "/l/", List.of(new WeightedService("desk", 1)), true, 1_000, 400, 2, 2);
+        MeshRoute reserve =
+                new MeshRoute("reserve", "h", "/r/", List.of(new WeightedService("desk", 1)), false, 1_000, 400, 1, 2);
+        return MeshConfiguration.of(3, List.of(lookup, reserve), Set.of("desk"), CallerLimits.standard());
+    }
+
+    private MeshDispatcher dispatcher() {
+        for (int node = 1; node <= 3; node++) {
+            TargetReport target = new TargetReport("t" + node, "desk", "v1", 4, true, 0, 0, 50, 0, 0, List.of());
+            fleet.accept(new NodeReport(
+                    "n" + node,
+                    1,
+                    1,
+                    new NodeAddress("10.0.0." + node, 7),
+                    "d",
+                    "r",
+                    false,
+                    3,
+                    OptionalLong.empty(),
+                    List.of(target),
+                    List.of(),
+                    List.of(),
+                    List.of(),
+                    List.of(),
+                    List.of()));
+        }
+        Place place = new Place("self", new NodeAddress("10.0.0.9", 7), "d", "r");
+        return new MeshDispatcher(new MeshDispatcher.Parts(
+                clock,
+                (delayMs, task) -> {
+                    expiries.add(task);
+                    return () -> expiries.remove(task);
+                },
+                () -> configuration,
+                new SplitChooser(new Random(1)),
+                new VersionChooser(new MoveBoard(), new Random(1)),
+                new CandidateSource(place, fleet, List::of, clock),
+                new Placement(new Random(1)),
+                retries,
+                (gate, request) -> {
+                    sent.add(request);
+                    CompletableFuture<CallResult> call = new CompletableFuture<>();
+                    running.add(call);
+                    return call;
+                },
+                new CallIdSource("self", 1),
+                new Unobserved()));
+    }
+
+    private CompletableFuture<CallResult> dispatch(final String path) {
+        MeshDispatcher dispatcher = dispatcher();
+        MeshRoute route = dispatcher.match("h", path).route().orElseThrow();
+        return dispatcher.dispatch(
+                new MeshCall("id", "GET", "h", path, path, List.of(), Body.EMPTY, clock.nowMs(), clock.nowMs() + 5_000),
+                route);
+    }
+
+    private static CallResult answer(final int status) {
+        return CallResult.complete(new CallAnswer(status, List.of(), Body.EMPTY));
+    }
+
+    private void end(final int attempt, final CallResult result) {
+        running.get(attempt).complete(result);
+    }
+
+    @Test
+    void handsTheShorterDeadlineOn() {
+        dispatch("/l/1");
+        assertEquals(2_000, sent.get(0).deadlineMs(), "the route's timeout");
+        assertEquals(2, sent.get(0).urgency().rank());
+    }
+
+    @Test
+    void aRefusalIsTriedElsewhereWithoutSpendingTheBudget() {
+        CompletableFuture<CallResult> result = dispatch("/r/1");
+        end(0, CallResult.notRun(Reason.QUEUE_FULL).withWait(70));
+        end(1, CallResult.notRun(Reason.QUEUE_FULL).withWait(30));
+        end(2, CallResult.notRun(Reason.QUEUE_FULL).withWait(50));
+        assertEquals(Outcome.NOT_RUN, result.join().outcome());
+        assertEquals(30, result.join().waitMs());
+        assertEquals(3, sent.stream().map(CallRequest::target).distinct().count());
+        int left = 0;
+        while (retries.spend("desk")) {
+            left++;
+        }
+        assertEquals(21, left);
+    }
+
+    @Test
+    void whatMayHaveRunIsNeverSentAgainUnlessIdempotent() {
+        CompletableFuture<CallResult> once = dispatch("/r/1");
+        end(0, CallResult.unknown(Reason.CONNECTION_FAILED));
+        assertEquals(Outcome.UNKNOWN, once.join().outcome());
+        assertEquals(1, sent.size());
+        CompletableFuture<CallResult> repeatable = dispatch("/l/1");
+        end(1, CallResult.unknown(Reason.CONNECTION_FAILED));
+        end(2, answer(200));
+        assertEquals(200, repeatable.join().answer().orElseThrow().status());
+    }
+
+    @Test
+    void noMoreTargetsAreReachedThanTheRouteAllows() {
+        CompletableFuture<CallResult> result = dispatch("/l/1");
+        end(0, answer(500));
+        end(1, answer(500));
+        assertEquals(500, result.join().answer().orElseThrow().status(), "the target's own answer");
+        assertEquals(2, sent.size());
+    }
+
+    @Test
+    void aRefusalAfterARunIsNotReportedAsNotRun() {
+        CompletableFuture<CallResult> result = dispatch("/l/1");
+        end(0, CallResult.unknown(Reason.CONNECTION_FAILED));
+        end(1, CallResult.notRun(Reason.QUEUE_FULL));
+        end(2, CallResult.notRun(Reason.QUEUE_FULL));
+        assertEquals(Outcome.UNKNOWN, result.join().outcome());
+    }
+
+    @Test
+    void withoutBudgetTheFirstAnswerStands() {
+        while (retries.spend("desk")) {
+            clock.advance(0);
+        }
+        CompletableFuture<CallResult> result = dispatch("/l/1");
+        end(0, answer(500));
+        assertEquals(500, result.join().answer().orElseThrow().status());
+        assertEquals(1, sent.size());
+    }
+
+    @Test
+    void theTimeoutEndsARequestThatMayRun() {
+        CompletableFuture<CallResult> result = dispatch("/r/1");
+        expiries.get(0).run();
+        assertEquals(Reason.DEADLINE, result.join().reason());
+        assertEquals(Outcome.UNKNOWN, result.join().outcome());
+        assertTrue(running.get(0).isCancelled());
+    }
+
+    @Test
+    void aCallerWhoLeavesEndsTheAttempt() {
+        dispatch("/l/1").cancel(true);
+        assertTrue(running.get(0).isCancelled());
+        assertEquals(1, sent.size());
+    }
+
+    @Test
+    void withoutAConfigurationNothingIsDenied() {
+        configuration = Optional.empty();
+        assertEquals(Reason.NOT_READY, dispatcher().match("h", "/l/1").refusal());
+        configuration = Optional.of(configuration());
+        assertEquals(Reason.NO_ROUTE, dispatcher().match("h", "/x/").refusal());
+        assertFalse(dispatcher().match("h", "/x/").route().isPresent());
+    }
+
+    /** Observer that ignores everything. */
+    private static final class Unobserved implements DispatchObserver {
+
+        @Override
+        public void placed(final MeshCall call, final MeshRoute route, final Candidate candidate, final int attempt) {}
+
+        @Override
+        public void attemptEnded(
+                final MeshCall call, final MeshRoute route, final Candidate candidate, final CallResult result) {}
+    }
+}
--- /dev/null
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/mesh/SplitChooserTest.java
@@ -0,0 +1,32 @@
+package org.sequoiashunt.mesh;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+class SplitChooserTest {
+
+    @Test
+    void dealsByWeightOverShortSpans() {
+        MeshRoute route = new MeshRoute(
+                "r",
+                "h",
+                "/",
+                List.of(new WeightedService("a", 90), new WeightedService("b", 10), new WeightedService("c", 0)),
+                true,
+                1,
+                1,
+                0,
+                1);
+        SplitChooser chooser = new SplitChooser(new Random(7));
+        Map<String, Integer> counts = new HashMap<>();
+        for (int request = 0; request < 50; request++) {
+            counts.merge(chooser.choose(route), 1, Integer::sum);
+        }
+        assertEquals(Map.of("a", 45, "b", 5), counts);
+    }
+}
--- /dev/null
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/placement/PlacementTest.java
@@ -0,0 +1,86 @@
+package org.sequoiashunt.placement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.sequoiashunt.fleet.RouteTime;
+import org.sequoiashunt.fleet.TargetReport;
+import org.sequoiashunt.peer.NodeAddress;
+
+class PlacementTest {
+
+    private final Placement placement = new Placement(new Random(5));
+
+    private static Candidate candidate(
+            final String target, final Distance distance, final int load, final int meanMs, final int failures) {
+        TargetReport report = new TargetReport(
+                target, "desk", "v1", 10, true, load, 0, meanMs, failures, 0, List.of(new RouteTime("r", meanMs)));
+        return new Candidate("n-" + target, new NodeAddress("127.0.0.1", 4), distance, report, 0, 0);
+    }
+
+    private String choose(final Candidate... candidates) {
+        return placement
+                .choose(List.of(candidates), "r", Set.of())
+                .orElseThrow()
+                .report()
+                .target();
+    }
+
+    @Test
+    void prefersTheNearTargetWhileItHasRoom() {
+        assertEquals(
+                "near",
+                choose(candidate("near", Distance.DOMAIN, 5, 100, 0), candidate("far", Distance.REMOTE, 0, 100, 0)));
+    }
+
+    @Test
+    void spillsWhenTheWaitIsWorthTheTraffic() {
+        assertEquals(
+                "far",
+                choose(candidate("near", Distance.DOMAIN, 45, 100, 0), candidate("far", Distance.REMOTE, 0, 100, 0)));
+    }
+
+    @Test
+    void prefersFastTargets() {
+        assertEquals(
+                "fast",
+                choose(candidate("slow", Distance.DOMAIN, 0, 160, 0), candidate("fast", Distance.DOMAIN, 6, 70, 0)));
+    }
+
+    @Test
+    void avoidsTargetsThatFailInPart() {
+        assertEquals(
+                "sound",
+                choose(candidate("grey", Distance.DOMAIN, 0, 60, 450), candidate("sound", Distance.DOMAIN, 9, 100, 0)));
+    }
+
+    @Test
+    void aServiceThatFailsAsAWholeIsStillServed() {
+        assertTrue(placement
+                .choose(List.of(candidate("grey", Distance.DOMAIN, 0, 60, 1_000)), "r", Set.of())
+                .isPresent());
+    }
+
+    @Test
+    void equalTargetsShareByFreeSlots() {
+        int empty = 0;
+        for (int call = 0; call < 1_000; call++) {
+            empty += choose(candidate("half", Distance.DOMAIN, 5, 50, 0), candidate("empty", Distance.DOMAIN, 0, 50, 0))
+                            .equals("empty")
+                    ? 1
+                    : 0;
+        }
+        assertEquals(667, empty, 60);
+    }
+
+    @Test
+    void neverChoosesAnExcludedTarget() {
+        assertTrue(placement
+                .choose(List.of(candidate("a", Distance.NODE, 0, 1, 0)), "r", Set.of("a"))
+                .isEmpty());
+    }
+}
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/FleetCodec.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/FleetCodec.java
@@ -2,6 +2,7 @@
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.OptionalLong;
 import org.sequoiashunt.fleet.ConfigurationCopy;
 import org.sequoiashunt.fleet.ConfigurationRequest;
 import org.sequoiashunt.fleet.KnownNode;
@@ -78,6 +79,7 @@
                 .setConfigurationVersion(report.configurationVersion())
                 .addAllQuarantined(report.quarantined())
                 .addAllSuspects(report.suspects());
+        report.confirmedAgeMs().ifPresent(builder::setConfirmedAgeMs);
         report.targets().forEach(target -> builder.addTargets(encode(target)));
         report.tallies().forEach(tally -> builder.addTallies(encode(tally)));
         report.moves().forEach(move -> builder.addMoves(encode(move)));
@@ -98,6 +100,7 @@
                 report.getRegion(),
                 report.getLeaving(),
                 report.getConfigurationVersion(),
+                report.hasConfirmedAgeMs() ? OptionalLong.of(report.getConfirmedAgeMs()) : OptionalLong.empty(),
                 report.getTargetsList().stream().map(FleetCodec::decode).toList(),
                 report.getTalliesList().stream().map(FleetCodec::decode).toList(),
                 report.getMovesList().stream().map(FleetCodec::decode).toList(),
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/wire/FleetProto.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/wire/FleetProto.java
@@ -6265,6 +6265,25 @@
      * @return The suspects at the given index.
      */
     long getSuspects(int index);
+
+    /**
+     * <pre>
+     * Age of the node's own confirmation that its configuration is the latest; absent without one.
+     * </pre>
+     *
+     * <code>optional uint64 confirmed_age_ms = 15;</code>
+     * @return Whether the confirmedAgeMs field is set.
+     */
+    boolean hasConfirmedAgeMs();
+    /**
+     * <pre>
+     * Age of the node's own confirmation that its configuration is the latest; absent without one.
+     * </pre>
+     *
+     * <code>optional uint64 confirmed_age_ms = 15;</code>
+     * @return The confirmedAgeMs.
+     */
+    long getConfirmedAgeMs();
   }
   /**
    * Protobuf type {@code sequoiashunt.link.NodeReport}
@@ -6729,6 +6748,33 @@
     }
     private int suspectsMemoizedSerializedSize = -1;
 
+    public static final int CONFIRMED_AGE_MS_FIELD_NUMBER = 15;
+    private long confirmedAgeMs_ = 0L;
+    /**
+     * <pre>
+     * Age of the node's own confirmation that its configuration is the latest; absent without one.
+     * </pre>
+     *
+     * <code>optional uint64 confirmed_age_ms = 15;</code>
+     * @return Whether the confirmedAgeMs field is set.
+     */
+    @java.lang.Override
+    public boolean hasConfirmedAgeMs() {
+      return ((bitField0_ & 0x00000002) != 0);
+    }
+    /**
+     * <pre>
+     * Age of the node's own confirmation that its configuration is the latest; absent without one.
+     * </pre>
+     *
+     * <code>optional uint64 confirmed_age_ms = 15;</code>
+     * @return The confirmedAgeMs.
+     */
+    @java.lang.Override
+    public long getConfirmedAgeMs() {
+      return confirmedAgeMs_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -6794,6 +6840,9 @@
       for (int i = 0; i < suspects_.size(); i++) {
         output.writeFixed64NoTag(suspects_.getLong(i));
       }
+      if (((bitField0_ & 0x00000002) != 0)) {
+        output.writeUInt64(15, confirmedAgeMs_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -6885,6 +6934,10 @@
         }
         suspectsMemoizedSerializedSize = dataSize;
       }
+      if (((bitField0_ & 0x00000002) != 0)) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(15, confirmedAgeMs_);
+      }
       return size;
     }
     @java.lang.Override
@@ -6940,6 +6993,11 @@
           .equals(other.getQuarantinedList())) return false;
       if (!getSuspectsList()
           .equals(other.getSuspectsList())) return false;
+      if (hasConfirmedAgeMs() != other.hasConfirmedAgeMs()) return false;
+      if (hasConfirmedAgeMs()) {
+        if (getConfirmedAgeMs()
+            != other.getConfirmedAgeMs()) return false;
+      }
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -6997,6 +7055,11 @@
         hash = (37 * hash) + SUSPECTS_FIELD_NUMBER;
         hash = (53 * hash) + getSuspectsList().hashCode();
       }
+      if (hasConfirmedAgeMs()) {
+        hash = (37 * hash) + CONFIRMED_AGE_MS_FIELD_NUMBER;
+        hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+            getConfirmedAgeMs());
+      }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -7180,6 +7243,7 @@
         bitField0_ = (bitField0_ & ~0x00000800);
         quarantined_ = emptyLongList();
         suspects_ = emptyLongList();
+        confirmedAgeMs_ = 0L;
         return this;
       }
 
@@ -7289,6 +7353,10 @@
           suspects_.makeImmutable();
           result.suspects_ = suspects_;
         }
+        if (((from_bitField0_ & 0x00004000) != 0)) {
+          result.confirmedAgeMs_ = confirmedAgeMs_;
+          to_bitField0_ |= 0x00000002;
+        }
         result.bitField0_ |= to_bitField0_;
       }
 
@@ -7460,6 +7528,9 @@
           }
           onChanged();
         }
+        if (other.hasConfirmedAgeMs()) {
+          setConfirmedAgeMs(other.getConfirmedAgeMs());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -7612,6 +7683,11 @@
                 input.popLimit(limit);
                 break;
               } // case 114
+              case 120: {
+                confirmedAgeMs_ = input.readUInt64();
+                bitField0_ |= 0x00004000;
+                break;
+              } // case 120
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -9208,6 +9284,62 @@
         return this;
       }
 
+      private long confirmedAgeMs_ ;
+      /**
+       * <pre>
+       * Age of the node's own confirmation that its configuration is the latest; absent without one.
+       * </pre>
+       *
+       * <code>optional uint64 confirmed_age_ms = 15;</code>
+       * @return Whether the confirmedAgeMs field is set.
+       */
+      @java.lang.Override
+      public boolean hasConfirmedAgeMs() {
+        return ((bitField0_ & 0x00004000) != 0);
+      }
+      /**
+       * <pre>
+       * Age of the node's own confirmation that its configuration is the latest; absent without one.
+       * </pre>
+       *
+       * <code>optional uint64 confirmed_age_ms = 15;</code>
+       * @return The confirmedAgeMs.
+       */
+      @java.lang.Override
+      public long getConfirmedAgeMs() {
+        return confirmedAgeMs_;
+      }
+      /**
+       * <pre>
+       * Age of the node's own confirmation that its configuration is the latest; absent without one.
+       * </pre>
+       *
+       * <code>optional uint64 confirmed_age_ms = 15;</code>
+       * @param value The confirmedAgeMs to set.
+       * @return This builder for chaining.
+       */
+      public Builder setConfirmedAgeMs(long value) {
+
+        confirmedAgeMs_ = value;
+        bitField0_ |= 0x00004000;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Age of the node's own confirmation that its configuration is the latest; absent without one.
+       * </pre>
+       *
+       * <code>optional uint64 confirmed_age_ms = 15;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearConfirmedAgeMs() {
+        bitField0_ = (bitField0_ & ~0x00004000);
+        confirmedAgeMs_ = 0L;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:sequoiashunt.link.NodeReport)
     }
 
@@ -10517,7 +10649,7 @@
       "n\030\002 \001(\t\022\r\n\005state\030\003 \001(\r\022\026\n\016share_permille" +
       "\030\004 \001(\r\022\r\n\005order\030\005 \001(\003\"J\n\tKnownNode\022\014\n\004no" +
       "de\030\001 \001(\t\022/\n\007address\030\002 \001(\0132\036.sequoiashunt" +
-      ".link.NodeAddress\"\261\003\n\nNodeReport\022\014\n\004node" +
+      ".link.NodeAddress\"\345\003\n\nNodeReport\022\014\n\004node" +
       "\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\020\n\010sequence\030" +
       "\003 \001(\004\022/\n\007address\030\004 \001(\0132\036.sequoiashunt.li" +
       "nk.NodeAddress\022\026\n\016failure_domain\030\005 \001(\t\022\016" +
@@ -10528,12 +10660,13 @@
       "ly\022-\n\005moves\030\013 \003(\0132\036.sequoiashunt.link.Ve" +
       "rsionMove\022+\n\005known\030\014 \003(\0132\034.sequoiashunt." +
       "link.KnownNode\022\023\n\013quarantined\030\r \003(\006\022\020\n\010s" +
-      "uspects\030\016 \003(\006\"_\n\024ConfigurationRequest\0220\n" +
-      "\010reply_to\030\001 \001(\0132\036.sequoiashunt.link.Node" +
-      "Address\022\025\n\rknown_version\030\002 \001(\004\"6\n\021Config" +
-      "urationCopy\022\017\n\007version\030\001 \001(\004\022\020\n\010document" +
-      "\030\002 \001(\014B(\n\032org.sequoiashunt.link.wireB\nFl" +
-      "eetProtob\006proto3"
+      "uspects\030\016 \003(\006\022\035\n\020confirmed_age_ms\030\017 \001(\004H" +
+      "\000\210\001\001B\023\n\021_confirmed_age_ms\"_\n\024Configurati" +
+      "onRequest\0220\n\010reply_to\030\001 \001(\0132\036.sequoiashu" +
+      "nt.link.NodeAddress\022\025\n\rknown_version\030\002 \001" +
+      "(\004\"6\n\021ConfigurationCopy\022\017\n\007version\030\001 \001(\004" +
+      "\022\020\n\010document\030\002 \001(\014B(\n\032org.sequoiashunt.l" +
+      "ink.wireB\nFleetProtob\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -10581,7 +10714,7 @@
     internal_static_sequoiashunt_link_NodeReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_sequoiashunt_link_NodeReport_descriptor,
-        new java.lang.String[] { "Node", "Incarnation", "Sequence", "Address", "FailureDomain", "Region", "Leaving", "ConfigurationVersion", "Targets", "Tallies", "Moves", "Known", "Quarantined", "Suspects", });
+        new java.lang.String[] { "Node", "Incarnation", "Sequence", "Address", "FailureDomain", "Region", "Leaving", "ConfigurationVersion", "Targets", "Tallies", "Moves", "Known", "Quarantined", "Suspects", "ConfirmedAgeMs", });
     internal_static_sequoiashunt_link_ConfigurationRequest_descriptor =
       getDescriptor().getMessageType(7);
     internal_static_sequoiashunt_link_ConfigurationRequest_fieldAccessorTable = new
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/FleetController.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/FleetController.java
@@ -16,6 +16,7 @@
 import org.sequoiashunt.fleet.MoveState;
 import org.sequoiashunt.fleet.NodeReport;
 import org.sequoiashunt.mesh.MoveBoard;
+import org.sequoiashunt.mesh.WatchDuty;
 import org.sequoiashunt.move.TallyBook;
 import org.sequoiashunt.peer.ControlMessage;
 import org.sequoiashunt.peer.PeerSender;
@@ -37,7 +38,7 @@
     private static final int NAMED_NODES = 3;
 
     /** How long a node waits for its own watch before it asks a peer for a later configuration. */
-    private static final long LAG_MS = 350;
+    private static final long LAG_MS = 250;
 
     private final Place place;
     private final long incarnation;
@@ -94,6 +95,7 @@
                 place.region(),
                 parts.leaving().getAsBoolean(),
                 parts.configuration().version(),
+                parts.duty().confirmedAgeMs(),
                 parts.gates().reports(),
                 parts.tallies().tallies(this::isMoving),
                 List.copyOf(parts.board().all()),
@@ -129,6 +131,20 @@
         }
     }
 
+    /** Passes the configuration in force on to the nodes of this region that have an older one. */
+    void shareConfiguration() {
+        Optional<Body> document = parts.configuration().document();
+        long version = parts.configuration().version();
+        for (FleetView.Sighting sighting : parts.fleet().live()) {
+            NodeReport report = sighting.report();
+            if (document.isPresent()
+                    && report.region().equals(place.region())
+                    && report.configurationVersion() < version) {
+                parts.sender().send(report.address(), new ConfigurationCopy(version, document.get()));
+            }
+        }
+    }
+
     @Override
     public boolean receive(final String sender, final ControlMessage message) {
         if (message instanceof NodeReport report) {
@@ -142,7 +158,9 @@
                                 new ConfigurationCopy(parts.configuration().version(), document.get()));
             }
         } else if (message instanceof ConfigurationCopy copy) {
-            parts.configuration().offer(copy.document(), sender);
+            if (parts.configuration().offer(copy.document(), sender)) {
+                reportSoon();
+            }
         } else {
             return false;
         }
@@ -181,6 +199,7 @@
      * @param fleet the other nodes.
      * @param gates the gates of this node's targets.
      * @param configuration the configuration in force.
+     * @param duty whether this node watches the store.
      * @param board the moves of traffic.
      * @param tallies what this node's targets answered.
      * @param sender sends messages to other nodes.
@@ -193,6 +212,7 @@
             FleetView fleet,
             TargetGates gates,
             ConfigurationKeeper configuration,
+            WatchDuty duty,
             MoveBoard board,
             TallyBook tallies,
             PeerSender sender,
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
@@ -35,6 +35,7 @@
 import org.sequoiashunt.mesh.OperatorState;
 import org.sequoiashunt.mesh.SplitChooser;
 import org.sequoiashunt.mesh.VersionChooser;
+import org.sequoiashunt.mesh.WatchDuty;
 import org.sequoiashunt.move.TallyBook;
 import org.sequoiashunt.node.BlockingLoop;
 import org.sequoiashunt.node.ControlLoop;
@@ -76,6 +77,7 @@
     private final MeshPorts ports;
     private final DecisionLog log;
     private final ConfigurationKeeper configuration;
+    private final WatchDuty duty;
     private volatile boolean leaving;
     private volatile String service;
     private TargetGates gates;
@@ -91,6 +93,7 @@
         this.metrics = ports.metrics();
         this.log = closer.register(DecisionLog.start(settings.place().node(), clock, System.out));
         this.configuration = new ConfigurationKeeper(ports.platform(), log);
+        this.duty = new WatchDuty(settings.place(), fleet, configuration::version, clock);
     }
 
     /**
@@ -167,7 +170,7 @@
 
     private FleetController.Parts fleetParts() {
         return new FleetController.Parts(
-                clock, random, fleet, gates, configuration, board, tallies, links, () -> leaving, log);
+                clock, random, fleet, gates, configuration, duty, board, tallies, links, () -> leaving, log);
     }
 
     private EntryHandler.Parts entryParts() {
@@ -217,7 +220,7 @@
     private void startStoreTasks() {
         StoreHealth health = new StoreHealth(clock, log);
         KnownNode self = new KnownNode(settings.place().node(), settings.place().address());
-        startTask("operator", new OperatorWatch(ports.platform(), clock, random, this::changed, health));
+        startTask("operator", new OperatorWatch(duty, ports.platform(), clock, random, this::changed, health));
         startTask("entry", new NodeEntryTask(ports.platform(), self, fleet, random, health));
         startTask("moves", new MoveRecorder(ports.platform(), board, moveController, health));
     }
@@ -231,8 +234,9 @@
         state.orders().forEach(moveController::order);
         if (state.configuration().isPresent()
                 && configuration.offer(state.configuration().get(), "store")) {
-            fleetController.reportSoon();
+            fleetController.shareConfiguration();
         }
+        fleetController.reportSoon();
     }
 
     private boolean isReady() {
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/NodeEntryTask.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/NodeEntryTask.java
@@ -24,7 +24,7 @@
     private static final long RETRY_MS = 900;
 
     /** Renewals between two readings of the entries: nodes that were cut off find each other again. */
-    private static final int RENEWALS_PER_READING = 3;
+    private static final int RENEWALS_PER_READING = 6;
 
     private final MeshPlatform platform;
     private final KnownNode self;
@@ -62,7 +62,7 @@
             if (renewals % RENEWALS_PER_READING == 0) {
                 platform.nodes().forEach(fleet::meet);
             }
-            return RENEWAL_MS / 2 + random.nextLong(RENEWAL_MS / 2);
+            return RENEWAL_MS - random.nextLong(RENEWAL_MS / 4);
         } catch (StoreException exception) {
             health.failed("entry", exception.getMessage());
             return RETRY_MS / 2 + random.nextLong(RETRY_MS);
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/OperatorWatch.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/OperatorWatch.java
@@ -7,21 +7,25 @@
 import org.sequoiashunt.blackboard.BlockingTask;
 import org.sequoiashunt.mesh.MeshPlatform;
 import org.sequoiashunt.mesh.OperatorState;
+import org.sequoiashunt.mesh.WatchDuty;
 import org.sequoiashunt.store.StoreException;
 import org.sequoiashunt.time.Clock;
 
 /**
  * Follows what the operator wants.
  *
- * <p>Waits are short, since a watch may hang without a sign. Changes in quick succession are joined: the node pauses and
+ * <p>Watches while {@link WatchDuty} says so. Waits are short, since a watch may hang without a sign. Changes in quick succession are joined: the node pauses and
  * then reads the latest state, rather than taking each version in turn.
  *
  * <p>Confined to the thread of its loop.
  */
 final class OperatorWatch implements BlockingTask {
 
-    /** Longest wait of a watch. With the time-out of a call, a watch that hangs is replaced within 2 s. */
-    private static final long WAIT_MS = 1_300;
+    /** Longest wait of a watch: each one that ends without a change confirms what the nodes know. */
+    private static final long WAIT_MS = 800;
+
+    /** Pause of a node that need not watch: it looks at the confirmations of others this often. */
+    private static final long OFF_DUTY_MS = 100;
 
     /** Changes closer to each other than this are joined. */
     private static final long SUCCESSION_MS = 900;
@@ -32,6 +36,7 @@
     private static final long FIRST_RETRY_MS = 150;
     private static final long LONGEST_RETRY_MS = 900;
 
+    private final WatchDuty duty;
     private final MeshPlatform platform;
     private final Clock clock;
     private final RandomGenerator random;
@@ -42,11 +47,13 @@
     private long retryMs = FIRST_RETRY_MS;
 
     OperatorWatch(
+            final WatchDuty duty,
             final MeshPlatform platform,
             final Clock clock,
             final RandomGenerator random,
             final Consumer<OperatorState> changes,
             final StoreHealth health) {
+        this.duty = Objects.requireNonNull(duty, "duty");
         this.platform = Objects.requireNonNull(platform, "platform");
         this.clock = Objects.requireNonNull(clock, "clock");
         this.random = Objects.requireNonNull(random, "random");
@@ -57,6 +64,10 @@
 
     @Override
     public long step() {
+        if (!duty.isDue()) {
+            revision = -1;
+            return OFF_DUTY_MS;
+        }
         try {
             long pauseMs = revision < 0 ? read() : watch();
             health.answered();
@@ -74,6 +85,7 @@
         OperatorState state = platform.read();
         changes.accept(state);
         revision = state.revision();
+        duty.confirmed();
         return 0;
     }
 
@@ -85,10 +97,14 @@
         }
         OperatorState state = changed.get();
         revision = Math.max(revision, state.revision());
-        if (state.configuration().isEmpty() && state.orders().isEmpty()) {
+        if (!state.configuration().isEmpty() || !state.orders().isEmpty()) {
+            changes.accept(state);
+            duty.confirmed();
+        } else {
+            duty.confirmed();
+            changes.accept(state);
             return 0;
         }
-        changes.accept(state);
         long nowMs = clock.nowMs();
         boolean succession = nowMs - changedMs < SUCCESSION_MS;
         changedMs = nowMs;
--- /dev/null
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/NettyTargetCallerTest.java
@@ -0,0 +1,191 @@
+package org.sequoiashunt.node.mesh;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.sequoiashunt.call.Body;
+import org.sequoiashunt.call.CallAnswer;
+import org.sequoiashunt.call.CallRequest;
+import org.sequoiashunt.call.CallResult;
+import org.sequoiashunt.call.HeaderField;
+import org.sequoiashunt.call.Outcome;
+import org.sequoiashunt.call.Reason;
+import org.sequoiashunt.commit.SystemClock;
+import org.sequoiashunt.peer.NodeAddress;
+import org.sequoiashunt.time.Clock;
+
+@Timeout(20)
+class NettyTargetCallerTest {
+
+    private static final MeshHeaders NAMES =
+            new MeshHeaders("Request-Id", "Left-Ms", "Signature", "Expected", "Not-Run", "Caller");
+    private static final String WHOLE =
+            "HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\nSignature: s\r\nContent-Length: 5\r\n\r\nhello";
+
+    private final Clock clock = SystemClock.start();
+    private final NettyTargetCaller caller = NettyTargetCaller.start(NAMES, clock);
+    private ScriptedTarget target;
+
+    @AfterEach
+    void close() throws IOException {
+        caller.close();
+        if (target != null) {
+            target.close();
+        }
+    }
+
+    private CallResult call(final String id, final String method, final String body) throws Exception {
+        return start(id, method, body, 3_000).get(10, TimeUnit.SECONDS);
+    }
+
+    private CompletableFuture<CallResult> start(
+            final String id, final String method, final String body, final long leftMs) {
+        return caller.call(target.address(), request(id, method, body, leftMs));
+    }
+
+    private CallRequest request(final String id, final String method, final String body, final long leftMs) {
+        return new CallRequest(
+                "call-" + id,
+                "desk",
+                "lookup",
+                "v1",
+                "i-1",
+                method,
+                "/plates/1?x=%20y",
+                List.of(
+                        new HeaderField("Host", "desk.example"),
+                        new HeaderField("Request-Id", id),
+                        new HeaderField("Caller", "kiosk")),
+                Body.of(body.getBytes(java.nio.charset.StandardCharsets.ISO_8859_1)),
+                true,
+                Optional.empty(),
+                clock.nowMs() + leftMs);
+    }
+
+    private static String bodyOf(final CallResult result) {
+        CallAnswer answer = result.answer().orElseThrow();
+        return new String(answer.body().bytes(), java.nio.charset.StandardCharsets.ISO_8859_1);
+    }
+
+    @Test
+    void passesRequestsOnAndKeepsTheConnection() throws Exception {
+        target = new ScriptedTarget(WHOLE, WHOLE);
+        assertEquals("hello", bodyOf(call("a", "POST", "plate")));
+        assertEquals("hello", bodyOf(call("b", "GET", "")));
+        assertEquals(1, target.connectionCount());
+        String first = target.requests().get(0);
+        assertTrue(first.startsWith("POST /plates/1?x=%20y HTTP/1.1\n"), first);
+        assertTrue(first.contains("Expected: i-1\n") && first.contains("Caller: kiosk\n"), first);
+        assertTrue(first.matches("(?s).*Left-Ms: [0-9]+\n.*") && first.endsWith("\nplate"), first);
+    }
+
+    @Test
+    void passesOverALateAnswerToAnEarlierRequest() throws Exception {
+        String late = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nSignature: s\r\nContent-Length: 3\r\n\r\nold";
+        target = new ScriptedTarget(WHOLE, late + WHOLE);
+        call("a", "GET", "");
+        CallResult second = call("b", "POST", "x");
+        assertEquals("hello", bodyOf(second));
+        assertEquals(2, target.requests().size(), "the request was sent once");
+    }
+
+    @Test
+    void bytesAfterAnAnswerEndTheConnection() throws Exception {
+        target = new ScriptedTarget(WHOLE + WHOLE, WHOLE);
+        assertEquals("hello", bodyOf(call("a", "GET", "")));
+        Thread.sleep(100);
+        assertEquals("hello", bodyOf(call("b", "GET", "")));
+        assertEquals(2, target.connectionCount());
+    }
+
+    @Test
+    void anAnswerCutShortIsNone() throws Exception {
+        target = new ScriptedTarget(
+                "HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\nSignature: s\r\nContent-Length: 50\r\n\r\nhelFIN",
+                "HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhelloFIN");
+        assertEquals(Outcome.UNKNOWN, call("a", "GET", "").outcome());
+        assertEquals(Outcome.UNKNOWN, call("b", "GET", "").outcome());
+    }
+
+    @Test
+    void anAnswerWithoutALengthEndsWithItsConnection() throws Exception {
+        String unframed = "HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\nSignature: s\r\n\r\nhello";
+        target = new ScriptedTarget(unframed + "FIN", unframed + "RESET");
+        assertEquals("hello", bodyOf(call("a", "GET", "")));
+        assertEquals(Outcome.UNKNOWN, call("b", "GET", "").outcome(), "a reset is not an end");
+    }
+
+    @Test
+    void bytesThatAreNoAnswerAreNotPassedOn() throws Exception {
+        target = new ScriptedTarget("what is this\r\n\r\nFIN", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        assertEquals(Outcome.UNKNOWN, call("a", "GET", "").outcome());
+        assertEquals(Outcome.UNKNOWN, call("b", "GET", "").outcome(), "an answer without the echo");
+    }
+
+    @Test
+    void aSuccessNeedsTheSignatureAndNoEncoding() throws Exception {
+        target = new ScriptedTarget(
+                "HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\nContent-Length: 0\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\nSignature: s\r\nContent-Encoding: gzip\r\nContent-Length: 0\r\n"
+                        + "\r\n");
+        assertEquals(Reason.BAD_ANSWER, call("a", "GET", "").reason());
+        assertEquals(Reason.BAD_ANSWER, call("b", "GET", "").reason());
+    }
+
+    @Test
+    void aRefusalOfTheTargetIsNotRun() throws Exception {
+        target = new ScriptedTarget(
+                "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+                "HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n",
+                "HTTP/1.1 500 Broken\r\nRequest-Id: $ID\r\nSignature: s\r\nContent-Length: 0\r\n\r\n");
+        assertEquals(Outcome.NOT_RUN, call("a", "GET", "").outcome());
+        assertEquals(Outcome.NOT_RUN, call("b", "GET", "").outcome());
+        assertEquals(500, call("c", "GET", "").answer().orElseThrow().status());
+    }
+
+    @Test
+    void aSilentTargetEndsWithTheDeadline() throws Exception {
+        target = new ScriptedTarget("SILENT");
+        CallResult result = start("a", "GET", "", 200).get(2, TimeUnit.SECONDS);
+        assertEquals(Outcome.UNKNOWN, result.outcome());
+        assertEquals(Reason.DEADLINE, result.reason());
+    }
+
+    @Test
+    void aTargetThatIsDownHasNotRunTheCall() throws Exception {
+        target = new ScriptedTarget();
+        NodeAddress address = target.address();
+        target.close();
+        CallResult result = caller.call(address, request("a", "GET", "", 1_000)).get(5, TimeUnit.SECONDS);
+        assertEquals(Outcome.NOT_RUN, result.outcome());
+    }
+
+    @Test
+    void cancellingClosesTheConnection() throws Exception {
+        target = new ScriptedTarget("SILENT", WHOLE);
+        CompletableFuture<CallResult> running = start("a", "GET", "", 3_000);
+        while (target.requests().isEmpty()) {
+            Thread.sleep(5);
+        }
+        running.cancel(true);
+        assertEquals("hello", bodyOf(call("b", "GET", "")));
+        assertEquals(2, target.connectionCount());
+    }
+
+    @Test
+    void anAnnouncedIdleTimeIsRespected() throws Exception {
+        target = new ScriptedTarget(WHOLE.replace("Content-Length", "Keep-Alive: timeout=1\r\nContent-Length"), WHOLE);
+        call("a", "GET", "");
+        Thread.sleep(300);
+        call("b", "GET", "");
+        assertEquals(2, target.connectionCount(), "the last part of the idle time is not used");
+    }
+}
--- /dev/null
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/ScriptedTarget.java
@@ -0,0 +1,141 @@
+package org.sequoiashunt.node.mesh;
+
+import java.io.BufferedReader;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
+import org.sequoiashunt.peer.NodeAddress;
+
+/**
+ * Target that answers each request with the next step of a script, byte for byte.
+ *
+ * <p>In a step, {@code $ID} stands for the identity of the request; the word RESET, FIN or SILENT at its end resets,
+ * closes or keeps silent after the bytes before it.
+ */
+final class ScriptedTarget implements Closeable {
+
+    private final ServerSocket listener;
+    private final BlockingQueue<String> script = new LinkedBlockingQueue<>();
+    private final List<String> requests = new CopyOnWriteArrayList<>();
+    private final List<Socket> connections = new CopyOnWriteArrayList<>();
+
+    ScriptedTarget(final String... steps) throws IOException {
+        listener = new ServerSocket(0, 20, InetAddress.getByName("127.0.0.1"));
+        script.addAll(List.of(steps));
+        Thread thread = new Thread(this::accept, "scripted-target");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    NodeAddress address() {
+        return new NodeAddress("127.0.0.1", listener.getLocalPort());
+    }
+
+    List<String> requests() {
+        return requests;
+    }
+
+    int connectionCount() {
+        return connections.size();
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket socket = listener.accept();
+                connections.add(socket);
+                Thread thread = new Thread(() -> serve(socket), "scripted-connection");
+                thread.setDaemon(true);
+                thread.start();
+            }
+        } catch (IOException exception) {
+            // The listener was closed at the end of the test.
+            return;
+        }
+    }
+
+    private void serve(final Socket socket) {
+        try {
+            BufferedReader reader =
+                    new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+            OutputStream output = socket.getOutputStream();
+            String request = readRequest(reader);
+            while (request != null) {
+                requests.add(request);
+                if (!play(request, socket, output)) {
+                    return;
+                }
+                request = readRequest(reader);
+            }
+        } catch (IOException | InterruptedException exception) {
+            // The peer closed the connection, which ends the script for it.
+            return;
+        }
+    }
+
+    private boolean play(final String request, final Socket socket, final OutputStream output)
+            throws IOException, InterruptedException {
+        String step = script.take().replace("$ID", idOf(request));
+        boolean reset = step.endsWith("RESET");
+        boolean end = step.endsWith("FIN");
+        boolean silent = step.endsWith("SILENT");
+        String bytes = step.replaceAll("(RESET|FIN|SILENT)$", "");
+        output.write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+        output.flush();
+        if (reset) {
+            Thread.sleep(60);
+            socket.setSoLinger(true, 0);
+        }
+        if (reset || end) {
+            socket.close();
+        }
+        return !reset && !end && !silent;
+    }
+
+    private static String idOf(final String request) {
+        for (String line : request.split("\n")) {
+            if (line.startsWith("Request-Id: ")) {
+                return line.substring("Request-Id: ".length());
+            }
+        }
+        return "none";
+    }
+
+    private static String readRequest(final BufferedReader reader) throws IOException {
+        StringBuilder head = new StringBuilder();
+        int length = 0;
+        String line = reader.readLine();
+        while (line != null && !line.isEmpty()) {
+            head.append(line).append('\n');
+            if (line.toLowerCase(java.util.Locale.ROOT).startsWith("content-length: ")) {
+                length = Integer.parseInt(line.substring("content-length: ".length()));
+            }
+            line = reader.readLine();
+        }
+        if (line == null) {
+            return null;
+        }
+        head.append('\n');
+        for (int index = 0; index < length; index++) {
+            head.append((char) reader.read());
+        }
+        return head.toString();
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+        for (Socket connection : connections) {
+            connection.close();
+        }
+    }
+}
