One event loop for links and connections to targets

Ruled out: the reports between nodes (0.01 of a core a node without load). Most of it goes into handing a call from thread to thread and into the probes of links. Change: links and targets share one loop; links are probed at the pace of the reports; reports every 500 ms.

--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/fleet/FleetView.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/fleet/FleetView.java
@@ -23,8 +23,8 @@
  */
 public final class FleetView {
 
-    /** A node that has not reported for this long gets no work: four reports missed. */
-    public static final long LIVENESS_MS = 1_700;
+    /** A node that has not reported for this long gets no work: three reports missed, and the time of a link to be replaced. */
+    public static final long LIVENESS_MS = 2_000;
 
     /** A node that has not reported for this long is no longer told of, nor reported to. */
     static final long MEMORY_MS = 20_000;
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/LinkLimits.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/LinkLimits.java
@@ -79,6 +79,31 @@
                 16_384);
     }
 
+    /**
+     * Returns these bounds with other times for probing links.
+     *
+     * @param newPingIntervalMs how long a link on which something is awaited may be quiet before it is probed.
+     * @param newSilenceLimitMs how long such a link may be quiet before it is replaced.
+     * @return the bounds, never null.
+     * @throws IllegalArgumentException if a time is not positive.
+     */
+    public LinkLimits withProbing(final long newPingIntervalMs, final long newSilenceLimitMs) {
+        return new LinkLimits(
+                newPingIntervalMs,
+                newSilenceLimitMs,
+                openTimeoutMs,
+                unsentLimitMs,
+                askLimitMs,
+                idleLimitMs,
+                frameAgeLimitMs,
+                frameTimeLimitMs,
+                maximumFrameBytes,
+                maximumConnections,
+                pendingBytes,
+                retainedBytes,
+                retainedCalls);
+    }
+
     /**
      * Returns these bounds with room for bodies of a given length and the headers beside them.
      *
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/LinkThreads.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/LinkThreads.java
@@ -10,7 +10,7 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * The two threads of the links of a node, one for what it accepts and one for what it opens, with their buffers.
+ * The threads of the links of a node, for what it accepts and for what it opens, with their buffers.
  *
  * <p>Close it after the server and the client that use it. Thread-safe.
  */
@@ -40,8 +40,31 @@
      * @return the threads, never null.
      */
     public static LinkThreads start() {
+        return start(THREADS);
+    }
+
+    /**
+     * Starts one thread for both directions: on a VM with less than one core, handing calls from thread to thread costs
+     * more than it gains.
+     *
+     * @return the threads, never null.
+     */
+    public static LinkThreads single() {
+        return start(1);
+    }
+
+    private static LinkThreads start(final int threads) {
         DefaultThreadFactory factory = new DefaultThreadFactory("link", true);
-        return new LinkThreads(new MultiThreadIoEventLoopGroup(THREADS, factory, NioIoHandler.newFactory()));
+        return new LinkThreads(new MultiThreadIoEventLoopGroup(threads, factory, NioIoHandler.newFactory()));
+    }
+
+    /**
+     * Returns the event loop on which calls of other nodes arrive, for connections that serve them.
+     *
+     * @return the event loop, never null; it ends with this object.
+     */
+    public EventLoop callLoop() {
+        return accepting;
     }
 
     EventLoop accepting() {
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/FleetController.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/FleetController.java
@@ -32,7 +32,7 @@
 final class FleetController implements Controller {
 
     /** Time between reports: load that is older misleads placement. */
-    private static final long REPORT_MS = 400;
+    private static final long REPORT_MS = 500;
 
     /** Nodes named in each report, so that all learn of all within a few reports. */
     private static final int NAMED_NODES = 3;
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
@@ -56,6 +56,12 @@
     /** Longest body on a link. */
     private static final int MAXIMUM_LINK_BODY_BYTES = 4 << 20;
 
+    /** Quiet time after which a link is probed: reports come about as often. */
+    private static final long PING_INTERVAL_MS = 450;
+
+    /** Quiet time after which a link is replaced: two probes. */
+    private static final long SILENCE_LIMIT_MS = 1_000;
+
     /** Time after the signal to end in which callers still send new requests: they ask for readiness once a second. */
     private static final long LINGER_MS = 2_300;
 
@@ -123,7 +129,8 @@
         LinkContext context = linkContext();
         links = closer.register(LinkClient.open(context, random));
         TargetRegister register = new TargetRegister(clock, settings.announcementPeriodMs());
-        NettyTargetCaller targets = closer.register(NettyTargetCaller.start(ports.headers(), clock));
+        NettyTargetCaller targets =
+                closer.register(NettyTargetCaller.on(context.threads().callLoop(), ports.headers(), clock));
         GateReporter reporter = new GateReporter(tallies, log, metrics);
         gates = new TargetGates(register, new SlotGate.Ports(clock, targets, reporter));
         fleetController = new FleetController(settings.place(), incarnation, fleetParts());
@@ -158,11 +165,13 @@
     }
 
     private LinkContext linkContext() {
-        LinkThreads threads = closer.register(LinkThreads.start());
+        LinkThreads threads = closer.register(LinkThreads.single());
         return new LinkContext(
                 threads,
                 new LinkIdentity(settings.place().node(), incarnation),
-                LinkLimits.standard().withBodies(MAXIMUM_LINK_BODY_BYTES),
+                LinkLimits.standard()
+                        .withBodies(MAXIMUM_LINK_BODY_BYTES)
+                        .withProbing(PING_INTERVAL_MS, SILENCE_LIMIT_MS),
                 clock,
                 MessageCodec.standard(),
                 new LinkCounters());
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/NettyTargetCaller.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/NettyTargetCaller.java
@@ -6,17 +6,16 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponseDecoder;
-import io.netty.util.concurrent.DefaultThreadFactory;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
@@ -45,38 +44,37 @@
     /** Time after the deadline for the target's own answer to arrive. */
     private static final long DEADLINE_SLACK_MS = 40;
 
-    private static final long CLOSE_TIMEOUT_MS = 500;
-
-    private final MultiThreadIoEventLoopGroup group;
     private final EventLoop loop;
     private final MeshHeaders names;
     private final Clock clock;
     private final Map<NodeAddress, Deque<TargetConnection>> idle = new HashMap<>();
 
-    private NettyTargetCaller(final MultiThreadIoEventLoopGroup group, final MeshHeaders names, final Clock clock) {
-        this.group = group;
-        this.loop = group.next();
+    private NettyTargetCaller(final EventLoop loop, final MeshHeaders names, final Clock clock) {
+        this.loop = Objects.requireNonNull(loop, "loop");
         this.names = Objects.requireNonNull(names, "names");
         this.clock = Objects.requireNonNull(clock, "clock");
     }
 
     /**
-     * Starts the thread of the connections.
+     * Creates a caller.
      *
+     * @param loop runs the connections; it belongs to the caller of this method and outlives this object, not null.
      * @param names the names of the headers, not null.
      * @param clock the clock, not null.
      * @return the caller, never null.
      */
-    public static NettyTargetCaller start(final MeshHeaders names, final Clock clock) {
-        DefaultThreadFactory factory = new DefaultThreadFactory("target", true);
-        return new NettyTargetCaller(
-                new MultiThreadIoEventLoopGroup(1, factory, NioIoHandler.newFactory()), names, clock);
+    public static NettyTargetCaller on(final EventLoop loop, final MeshHeaders names, final Clock clock) {
+        return new NettyTargetCaller(loop, names, clock);
     }
 
     @Override
     public CompletableFuture<CallResult> call(final NodeAddress target, final CallRequest request) {
         CompletableFuture<CallResult> result = new CompletableFuture<>();
-        loop.execute(() -> begin(target, request, result));
+        if (loop.inEventLoop()) {
+            begin(target, request, result);
+        } else {
+            loop.execute(() -> begin(target, request, result));
+        }
         return result;
     }
 
@@ -195,10 +193,14 @@
         }
     }
 
-    /** Closes the connections; exchanges under way end as unknown. */
+    /** Closes the idle connections; exchanges under way go on. */
     @Override
     public void close() {
-        group.shutdownGracefully(0, CLOSE_TIMEOUT_MS, TimeUnit.MILLISECONDS)
-                .awaitUninterruptibly(CLOSE_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        loop.execute(() -> {
+            List<TargetConnection> all = new ArrayList<>();
+            idle.values().forEach(all::addAll);
+            idle.clear();
+            all.forEach(connection -> connection.channel().close());
+        });
     }
 }
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/NettyTargetCallerTest.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/NettyTargetCallerTest.java
@@ -19,6 +19,7 @@
 import org.sequoiashunt.call.Outcome;
 import org.sequoiashunt.call.Reason;
 import org.sequoiashunt.commit.SystemClock;
+import org.sequoiashunt.link.LinkThreads;
 import org.sequoiashunt.peer.NodeAddress;
 import org.sequoiashunt.time.Clock;
 
@@ -31,12 +32,14 @@
             "HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\nSignature: s\r\nContent-Length: 5\r\n\r\nhello";
 
     private final Clock clock = SystemClock.start();
-    private final NettyTargetCaller caller = NettyTargetCaller.start(NAMES, clock);
+    private final LinkThreads threads = LinkThreads.single();
+    private final NettyTargetCaller caller = NettyTargetCaller.on(threads.callLoop(), NAMES, clock);
     private ScriptedTarget target;
 
     @AfterEach
     void close() throws IOException {
         caller.close();
+        threads.close();
         if (target != null) {
             target.close();
         }
