Full services refuse at the entry; requests late in a shutdown are refused

Change: after 2.4 s of a shutdown new requests get 503 and the end of their connection; an entry that knows from reports and answers that no target can answer in time refuses at once; gates leave a margin for the spread of service times; load told with answers is used until the next report.

--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/fleet/TargetReport.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/fleet/TargetReport.java
@@ -45,6 +45,28 @@
         routeTimes = List.copyOf(routeTimes);
     }
 
+    /**
+     * Returns this report with a load that was told later.
+     *
+     * @param load the requests that run and wait.
+     * @return the report, never null.
+     */
+    public TargetReport withLoad(final int load) {
+        int nowRunning = Math.min(load, slots);
+        return new TargetReport(
+                target,
+                service,
+                version,
+                slots,
+                accepting,
+                nowRunning,
+                load - nowRunning,
+                meanMs,
+                failurePermille,
+                warmupLeftMs,
+                routeTimes);
+    }
+
     /**
      * Returns the time that the target takes for a route.
      *
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshAttempts.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshAttempts.java
@@ -23,8 +23,14 @@
  */
 final class MeshAttempts {
 
-    /** Gates that may refuse a request before it is refused: each costs a round trip, and reports are fresh by then. */
-    private static final int MAXIMUM_REFUSALS = 3;
+    /** Gates that may refuse a request before it is refused: their answers tell the load of the service. */
+    private static final int MAXIMUM_REFUSALS = 2;
+
+    /**
+     * How far the expected end may lie beyond the time that is left for a call to be sent all the same: reports are up
+     * to half a second old, and the gate knows better.
+     */
+    private static final double HOPE = 1.25;
 
     /** Part of the objective that is left for the way between caller and entry. */
     private static final double OBJECTIVE_PART = 0.95;
@@ -70,7 +76,7 @@
             finish(refusals > 0 ? Reason.QUEUE_FULL : Reason.NO_TARGET);
             return;
         }
-        if (!maySendAgain()) {
+        if (isHopeless(choice.get()) || !maySendAgain()) {
             finish(Reason.QUEUE_FULL);
             return;
         }
@@ -91,6 +97,27 @@
         return choice;
     }
 
+    /**
+     * Tells whether even the best target is known to be too full to answer in time. Such a request is refused before it
+     * crosses a link. One whose objective has passed still goes to a target with a free slot.
+     */
+    private synchronized boolean isHopeless(final Candidate best) {
+        double waitMs = best.waitMs();
+        if (waitMs <= 0) {
+            return false;
+        }
+        long leftMs = objectiveMs() - parts.clock().nowMs();
+        boolean hopeless = best.finishMs(route.name()) > Math.max(0, leftMs) * HOPE;
+        if (hopeless) {
+            leastWaitMs = Math.min(leastWaitMs, Math.round(waitMs));
+        }
+        return hopeless;
+    }
+
+    private long objectiveMs() {
+        return call.arrivedMs() + Math.round(route.objectiveMs() * OBJECTIVE_PART);
+    }
+
     /** The first arrival at a target is free, later ones spend the shared budget. */
     private synchronized boolean maySendAgain() {
         if (arrivals == 0) {
@@ -117,7 +144,6 @@
     }
 
     private CallRequest request(final Candidate candidate) {
-        long objectiveMs = call.arrivedMs() + Math.round(route.objectiveMs() * OBJECTIVE_PART);
         return new CallRequest(
                 parts.callIds().next(),
                 service,
@@ -131,12 +157,11 @@
                 route.idempotent(),
                 Optional.empty(),
                 deadlineMs,
-                new CallUrgency(route.rank(), objectiveMs));
+                new CallUrgency(route.rank(), objectiveMs()));
     }
 
     private void ended(final Candidate candidate, final CallResult ended) {
-        boolean lost = ended.reason() == Reason.CONNECTION_FAILED;
-        parts.candidates().ended(candidate, lost && !candidate.node().isEmpty());
+        parts.candidates().ended(candidate, ended);
         if (result.isDone()) {
             return;
         }
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/placement/CandidateSource.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/placement/CandidateSource.java
@@ -1,11 +1,14 @@
 package org.sequoiashunt.placement;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.function.Supplier;
+import org.sequoiashunt.call.CallResult;
+import org.sequoiashunt.call.Reason;
 import org.sequoiashunt.fleet.FleetView;
 import org.sequoiashunt.fleet.NodeReport;
 import org.sequoiashunt.fleet.TargetReport;
@@ -23,11 +26,18 @@
     /** How long a node is passed over after a call to it was lost: two reports. */
     private static final long AVOID_MS = 900;
 
+    /** Targets whose latest load is remembered; more than a service has. */
+    private static final int MAXIMUM_OBSERVATIONS = 1_024;
+
+    /** Calls remembered for each target: more are not sent between two reports. */
+    private static final int MAXIMUM_REMEMBERED = 256;
+
     private final Place place;
     private final FleetView fleet;
     private final Supplier<List<TargetReport>> own;
     private final Clock clock;
     private final Map<String, Outstanding> outstanding = new HashMap<>();
+    private final Map<String, Observation> observations = new HashMap<>();
     private final Map<String, Long> avoidedUntilMs = new HashMap<>();
 
     /**
@@ -80,18 +90,22 @@
         return report.accepting() && report.service().equals(service);
     }
 
-    private Candidate candidate(final FleetView.Sighting sighting, final TargetReport report, final long nowMs) {
+    private Candidate candidate(final FleetView.Sighting sighting, final TargetReport reported, final long nowMs) {
         NodeReport node = sighting.report();
+        Observation observation = observations.get(reported.target());
+        boolean isFresher = observation != null && observation.atMs() > sighting.atMs();
+        TargetReport report = isFresher ? reported.withLoad(observation.load()) : reported;
+        long knownAtMs = isFresher ? observation.atMs() : sighting.atMs();
         boolean sameDomain = node.failureDomain().equals(place.failureDomain());
         boolean sameRegion = node.region().equals(place.region());
         Outstanding sent = outstanding.get(report.target());
-        int sentSince = sent == null ? 0 : sent.sinceReport(node.sequence());
+        int sentSince = sent == null ? 0 : sent.sinceMs(knownAtMs);
         return new Candidate(
                 node.node(),
                 node.address(),
                 Distance.of(false, sameDomain, sameRegion),
                 report,
-                nowMs - sighting.atMs(),
+                nowMs - knownAtMs,
                 sentSince);
     }
 
@@ -102,12 +116,9 @@
      */
     public synchronized void sent(final Candidate candidate) {
         if (candidate.distance() != Distance.NODE) {
-            long sequence = fleet.find(candidate.node())
-                    .map(sighting -> sighting.report().sequence())
-                    .orElse(0L);
             outstanding
                     .computeIfAbsent(candidate.report().target(), unused -> new Outstanding())
-                    .sent(sequence);
+                    .sent(clock.nowMs());
         }
     }
 
@@ -115,48 +126,54 @@
      * Notes that a call has ended.
      *
      * @param candidate where it went, not null.
-     * @param lost whether the node could not be reached or went silent.
+     * @param result how it ended, with the load that its gate told, not null.
      */
-    public synchronized void ended(final Candidate candidate, final boolean lost) {
-        Outstanding sent = outstanding.get(candidate.report().target());
+    public synchronized void ended(final Candidate candidate, final CallResult result) {
+        long nowMs = clock.nowMs();
+        String target = candidate.report().target();
+        Outstanding sent = outstanding.get(target);
         if (sent != null && sent.ended()) {
-            outstanding.remove(candidate.report().target());
+            outstanding.remove(target);
         }
+        boolean lost = result.reason() == Reason.CONNECTION_FAILED;
         if (lost) {
-            avoidedUntilMs.put(candidate.node(), clock.nowMs() + AVOID_MS);
+            avoidedUntilMs.put(candidate.node(), nowMs + AVOID_MS);
+        } else if (candidate.distance() != Distance.NODE && result.load() > 0) {
+            if (observations.size() >= MAXIMUM_OBSERVATIONS) {
+                observations.clear();
+            }
+            observations.put(target, new Observation(result.load(), nowMs));
         }
     }
 
+    /** Load of a target as its gate told it with an answer. Immutable and thread-safe. */
+    private record Observation(int load, long atMs) {}
+
     /** Calls that this node has sent to one target. Guarded by the source. */
     private static final class Outstanding {
 
+        private final ArrayDeque<Long> sentMs = new ArrayDeque<>();
         private int total;
-        private int sinceReport;
-        private long reportSequence = -1;
 
-        private void sent(final long sequence) {
-            noteReport(sequence);
+        private void sent(final long nowMs) {
             total++;
-            sinceReport++;
+            sentMs.addLast(nowMs);
+            if (sentMs.size() > MAXIMUM_REMEMBERED) {
+                sentMs.removeFirst();
+            }
         }
 
         private boolean ended() {
             total--;
-            sinceReport = Math.max(0, Math.min(sinceReport, total));
             return total <= 0;
         }
 
-        private int sinceReport(final long sequence) {
-            noteReport(sequence);
-            return sinceReport;
-        }
-
-        /** A later report counts the calls sent before it. */
-        private void noteReport(final long sequence) {
-            if (sequence != reportSequence) {
-                reportSequence = sequence;
-                sinceReport = 0;
+        /** Counts the calls that what is known of the target does not include yet. */
+        private int sinceMs(final long knownAtMs) {
+            while (!sentMs.isEmpty() && sentMs.peekFirst() < knownAtMs) {
+                sentMs.removeFirst();
             }
+            return Math.min(sentMs.size(), total);
         }
     }
 }
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/SlotGate.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/SlotGate.java
@@ -26,6 +26,9 @@
 
     private static final int FIRST_FAILURE_STATUS = 500;
 
+    /** How much longer than the mean a call may take: about four of five calls take less. */
+    private static final double SERVICE_MARGIN = 1.25;
+
     private final Ports ports;
     private final SlotQueue queue;
     private final TargetStatistics statistics = new TargetStatistics();
@@ -93,7 +96,7 @@
     }
 
     private synchronized long latestStartMs(final CallRequest request, final long nowMs) {
-        long serviceMs = statistics.timeMs(request.route(), queue.meanMs());
+        long serviceMs = Math.round(SERVICE_MARGIN * statistics.timeMs(request.route(), queue.meanMs()));
         return Math.max(nowMs, Math.min(request.urgency().objectiveMs(), request.deadlineMs()) - serviceMs);
     }
 
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/EntryHandler.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/EntryHandler.java
@@ -18,6 +18,7 @@
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.sequoiashunt.call.Body;
@@ -51,7 +52,7 @@
 
     private final Parts parts;
     private final AtomicInteger held = new AtomicInteger();
-    private final java.util.concurrent.atomic.AtomicLong heldBytes = new java.util.concurrent.atomic.AtomicLong();
+    private final AtomicLong heldBytes = new AtomicLong();
 
     EntryHandler(final Parts parts) {
         this.parts = Objects.requireNonNull(parts, "parts");
@@ -85,6 +86,11 @@
             refuse(exchange, StatusCodes.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
             return;
         }
+        if (parts.closing().getAsBoolean()) {
+            exchange.setPersistent(false);
+            refuse(exchange, ids.getFirst(), match.route().get(), arrivedMs, CallResult.notRun(Reason.DRAINING));
+            return;
+        }
         if (held.get() >= MAXIMUM_REQUESTS || heldBytes.get() + bytes > MAXIMUM_BODY_BYTES) {
             refuse(exchange, ids.getFirst(), match.route().get(), arrivedMs, CallResult.notRun(Reason.QUEUE_FULL));
             return;
@@ -314,6 +320,7 @@
      * @param limits the bounds for callers in force.
      * @param ownService the service of this VM.
      * @param leaving whether the node shuts down.
+     * @param closing whether it shuts down too soon for another request.
      * @param metrics counts the requests.
      * @param log takes the decisions.
      */
@@ -325,6 +332,7 @@
             Supplier<CallerLimits> limits,
             Supplier<String> ownService,
             BooleanSupplier leaving,
+            BooleanSupplier closing,
             MeshMetrics metrics,
             DecisionLog log) {}
 }
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
@@ -62,8 +62,8 @@
     /** Quiet time after which a link is replaced: two probes. */
     private static final long SILENCE_LIMIT_MS = 1_000;
 
-    /** Time after the signal to end in which callers still send new requests: they ask for readiness once a second. */
-    private static final long LINGER_MS = 2_300;
+    /** Time after the signal to end in which new requests are served: callers notice within two questions, one a second. */
+    private static final long LINGER_MS = 2_400;
 
     /** Time before the forced end at which the node ends by itself. */
     private static final long END_MARGIN_MS = 400;
@@ -85,6 +85,7 @@
     private final ConfigurationKeeper configuration;
     private final WatchDuty duty;
     private volatile boolean leaving;
+    private volatile boolean closing;
     private volatile String service;
     private TargetGates gates;
     private FleetController fleetController;
@@ -206,6 +207,7 @@
                 () -> configuration.current().map(MeshConfiguration::limits).orElse(CallerLimits.standard()),
                 () -> service,
                 () -> leaving,
+                () -> closing,
                 metrics,
                 log);
     }
@@ -283,8 +285,8 @@
         log.log(LogKind.STOP, "phase", "draining", "held", entry.held(), "running", gates.running());
         long endMs = startedMs + Math.max(LINGER_MS, settings.shutdownMs() - END_MARGIN_MS);
         while (clock.nowMs() < endMs) {
-            boolean lingers = clock.nowMs() - startedMs < LINGER_MS;
-            if (!lingers && entry.held() == 0 && gates.running() == 0) {
+            closing = clock.nowMs() - startedMs >= LINGER_MS;
+            if (closing && entry.held() == 0 && gates.running() == 0) {
                 break;
             }
             Thread.sleep(POLL_MS);
