--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/fleet/NodeReport.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/fleet/NodeReport.java
@@ -25,8 +25,6 @@
  * @param tallies what its targets answered, for services with a move.
  * @param moves the moves that it knows.
  * @param known nodes that it knows.
- * @param quarantined fingerprints of requests that crash targets.
- * @param suspects fingerprints of requests that ran when a target crashed.
  */
 public record NodeReport(
         String node,
@@ -41,9 +39,7 @@
         List<TargetReport> targets,
         List<VersionTally> tallies,
         List<VersionMove> moves,
-        List<KnownNode> known,
-        List<Long> quarantined,
-        List<Long> suspects)
+        List<KnownNode> known)
         implements ControlMessage {
 
     /**
@@ -61,7 +57,5 @@
         tallies = List.copyOf(tallies);
         moves = List.copyOf(moves);
         known = List.copyOf(known);
-        quarantined = List.copyOf(quarantined);
-        suspects = List.copyOf(suspects);
     }
 }
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/WatchDuty.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/WatchDuty.java
@@ -11,7 +11,7 @@
 /**
  * Decides whether this node watches the platform's store.
  *
- * <p>One node in each region watches, the live one with the first name, and passes on what it reads: a change that every
+ * <p>One node in each region watches, the live one with the first name, and passes on what it reads: a change that each
  * node reads for itself would fill the paid link between regions. Each report tells how long ago the store confirmed a
  * node's version. A node that knows of no recent confirmation of its own version watches too, whatever the reason: the
  * watching node was killed, its watch hangs, or the store turns it away. The delay grows with the node's rank, so that
--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/fleet/FleetViewTest.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/fleet/FleetViewTest.java
@@ -58,9 +58,7 @@
                 List.of(),
                 List.of(),
                 List.of(),
-                List.of(other),
-                List.of(),
-                List.of());
+                List.of(other));
         view.accept(report);
         assertTrue(view.audience().contains(other));
     }
--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/fleet/Reports.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/fleet/Reports.java
@@ -29,8 +29,6 @@
                 List.of(),
                 List.of(),
                 List.of(),
-                List.of(),
-                List.of(),
                 List.of());
     }
 }
--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/mesh/MeshDispatcherTest.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/mesh/MeshDispatcherTest.java
@@ -75,8 +75,6 @@
                     List.of(target),
                     List.of(),
                     List.of(),
-                    List.of(),
-                    List.of(),
                     List.of()));
         }
         Place place = new Place("self", new NodeAddress("10.0.0.9", 7), "d", "r");
@@ -103,11 +101,20 @@
     }
 
     private CompletableFuture<CallResult> dispatch(final String path) {
-        MeshDispatcher dispatcher = dispatcher();
-        MeshRoute route = dispatcher.match("h", path).route().orElseThrow();
-        return dispatcher.dispatch(
-                new MeshCall("id", "GET", "h", path, path, List.of(), Body.EMPTY, clock.nowMs(), clock.nowMs() + 5_000),
-                route);
+        MeshRoute route = dispatcher().match("h", path).route().orElseThrow();
+        return dispatcher()
+                .dispatch(
+                        new MeshCall(
+                                "id",
+                                "GET",
+                                "h",
+                                path,
+                                path,
+                                List.of(),
+                                Body.EMPTY,
+                                clock.nowMs(),
+                                clock.nowMs() + 5_000),
+                        route);
     }
 
     private static CallResult answer(final int status) {
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/FleetCodec.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/FleetCodec.java
@@ -76,9 +76,7 @@
                 .setFailureDomain(report.failureDomain())
                 .setRegion(report.region())
                 .setLeaving(report.leaving())
-                .setConfigurationVersion(report.configurationVersion())
-                .addAllQuarantined(report.quarantined())
-                .addAllSuspects(report.suspects());
+                .setConfigurationVersion(report.configurationVersion());
         report.confirmedAgeMs().ifPresent(builder::setConfirmedAgeMs);
         report.targets().forEach(target -> builder.addTargets(encode(target)));
         report.tallies().forEach(tally -> builder.addTallies(encode(tally)));
@@ -106,9 +104,7 @@
                 report.getMovesList().stream().map(FleetCodec::decode).toList(),
                 report.getKnownList().stream()
                         .map(node -> new KnownNode(node.getNode(), MemberCodec.decode(node.getAddress())))
-                        .toList(),
-                report.getQuarantinedList(),
-                report.getSuspectsList());
+                        .toList());
     }
 
     private static FleetProto.TargetReport encode(final TargetReport target) {
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/wire/FleetProto.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/wire/FleetProto.java
@@ -6232,46 +6232,12 @@
     org.sequoiashunt.link.wire.FleetProto.KnownNodeOrBuilder getKnownOrBuilder(
         int index);
 
-    /**
-     * <code>repeated fixed64 quarantined = 13;</code>
-     * @return A list containing the quarantined.
-     */
-    java.util.List<java.lang.Long> getQuarantinedList();
-    /**
-     * <code>repeated fixed64 quarantined = 13;</code>
-     * @return The count of quarantined.
-     */
-    int getQuarantinedCount();
-    /**
-     * <code>repeated fixed64 quarantined = 13;</code>
-     * @param index The index of the element to return.
-     * @return The quarantined at the given index.
-     */
-    long getQuarantined(int index);
-
-    /**
-     * <code>repeated fixed64 suspects = 14;</code>
-     * @return A list containing the suspects.
-     */
-    java.util.List<java.lang.Long> getSuspectsList();
-    /**
-     * <code>repeated fixed64 suspects = 14;</code>
-     * @return The count of suspects.
-     */
-    int getSuspectsCount();
-    /**
-     * <code>repeated fixed64 suspects = 14;</code>
-     * @param index The index of the element to return.
-     * @return The suspects at the given index.
-     */
-    long getSuspects(int index);
-
     /**
      * <pre>
      * Age of the node's own confirmation that its configuration is the latest; absent without one.
      * </pre>
      *
-     * <code>optional uint64 confirmed_age_ms = 15;</code>
+     * <code>optional uint64 confirmed_age_ms = 13;</code>
      * @return Whether the confirmedAgeMs field is set.
      */
     boolean hasConfirmedAgeMs();
@@ -6280,7 +6246,7 @@
      * Age of the node's own confirmation that its configuration is the latest; absent without one.
      * </pre>
      *
-     * <code>optional uint64 confirmed_age_ms = 15;</code>
+     * <code>optional uint64 confirmed_age_ms = 13;</code>
      * @return The confirmedAgeMs.
      */
     long getConfirmedAgeMs();
@@ -6314,8 +6280,6 @@
       tallies_ = java.util.Collections.emptyList();
       moves_ = java.util.Collections.emptyList();
       known_ = java.util.Collections.emptyList();
-      quarantined_ = emptyLongList();
-      suspects_ = emptyLongList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -6688,74 +6652,14 @@
       return known_.get(index);
     }
 
-    public static final int QUARANTINED_FIELD_NUMBER = 13;
-    @SuppressWarnings("serial")
-    private com.google.protobuf.Internal.LongList quarantined_ =
-        emptyLongList();
-    /**
-     * <code>repeated fixed64 quarantined = 13;</code>
-     * @return A list containing the quarantined.
-     */
-    @java.lang.Override
-    public java.util.List<java.lang.Long>
-        getQuarantinedList() {
-      return quarantined_;
-    }
-    /**
-     * <code>repeated fixed64 quarantined = 13;</code>
-     * @return The count of quarantined.
-     */
-    public int getQuarantinedCount() {
-      return quarantined_.size();
-    }
-    /**
-     * <code>repeated fixed64 quarantined = 13;</code>
-     * @param index The index of the element to return.
-     * @return The quarantined at the given index.
-     */
-    public long getQuarantined(int index) {
-      return quarantined_.getLong(index);
-    }
-    private int quarantinedMemoizedSerializedSize = -1;
-
-    public static final int SUSPECTS_FIELD_NUMBER = 14;
-    @SuppressWarnings("serial")
-    private com.google.protobuf.Internal.LongList suspects_ =
-        emptyLongList();
-    /**
-     * <code>repeated fixed64 suspects = 14;</code>
-     * @return A list containing the suspects.
-     */
-    @java.lang.Override
-    public java.util.List<java.lang.Long>
-        getSuspectsList() {
-      return suspects_;
-    }
-    /**
-     * <code>repeated fixed64 suspects = 14;</code>
-     * @return The count of suspects.
-     */
-    public int getSuspectsCount() {
-      return suspects_.size();
-    }
-    /**
-     * <code>repeated fixed64 suspects = 14;</code>
-     * @param index The index of the element to return.
-     * @return The suspects at the given index.
-     */
-    public long getSuspects(int index) {
-      return suspects_.getLong(index);
-    }
-    private int suspectsMemoizedSerializedSize = -1;
-
-    public static final int CONFIRMED_AGE_MS_FIELD_NUMBER = 15;
+    public static final int CONFIRMED_AGE_MS_FIELD_NUMBER = 13;
     private long confirmedAgeMs_ = 0L;
     /**
      * <pre>
      * Age of the node's own confirmation that its configuration is the latest; absent without one.
      * </pre>
      *
-     * <code>optional uint64 confirmed_age_ms = 15;</code>
+     * <code>optional uint64 confirmed_age_ms = 13;</code>
      * @return Whether the confirmedAgeMs field is set.
      */
     @java.lang.Override
@@ -6767,7 +6671,7 @@
      * Age of the node's own confirmation that its configuration is the latest; absent without one.
      * </pre>
      *
-     * <code>optional uint64 confirmed_age_ms = 15;</code>
+     * <code>optional uint64 confirmed_age_ms = 13;</code>
      * @return The confirmedAgeMs.
      */
     @java.lang.Override
@@ -6789,7 +6693,6 @@
     @java.lang.Override
     public void writeTo(com.google.protobuf.CodedOutputStream output)
                         throws java.io.IOException {
-      getSerializedSize();
       if (!com.google.protobuf.GeneratedMessage.isStringEmpty(node_)) {
         com.google.protobuf.GeneratedMessage.writeString(output, 1, node_);
       }
@@ -6826,22 +6729,8 @@
       for (int i = 0; i < known_.size(); i++) {
         output.writeMessage(12, known_.get(i));
       }
-      if (getQuarantinedList().size() > 0) {
-        output.writeUInt32NoTag(106);
-        output.writeUInt32NoTag(quarantinedMemoizedSerializedSize);
-      }
-      for (int i = 0; i < quarantined_.size(); i++) {
-        output.writeFixed64NoTag(quarantined_.getLong(i));
-      }
-      if (getSuspectsList().size() > 0) {
-        output.writeUInt32NoTag(114);
-        output.writeUInt32NoTag(suspectsMemoizedSerializedSize);
-      }
-      for (int i = 0; i < suspects_.size(); i++) {
-        output.writeFixed64NoTag(suspects_.getLong(i));
-      }
       if (((bitField0_ & 0x00000002) != 0)) {
-        output.writeUInt64(15, confirmedAgeMs_);
+        output.writeUInt64(13, confirmedAgeMs_);
       }
       getUnknownFields().writeTo(output);
     }
@@ -6912,31 +6801,9 @@
             }
             size += 1 * count;
           }
-      {
-        int dataSize = 0;
-        dataSize = 8 * getQuarantinedList().size();
-        size += dataSize;
-        if (!getQuarantinedList().isEmpty()) {
-          size += 1;
-          size += com.google.protobuf.CodedOutputStream
-              .computeInt32SizeNoTag(dataSize);
-        }
-        quarantinedMemoizedSerializedSize = dataSize;
-      }
-      {
-        int dataSize = 0;
-        dataSize = 8 * getSuspectsList().size();
-        size += dataSize;
-        if (!getSuspectsList().isEmpty()) {
-          size += 1;
-          size += com.google.protobuf.CodedOutputStream
-              .computeInt32SizeNoTag(dataSize);
-        }
-        suspectsMemoizedSerializedSize = dataSize;
-      }
       if (((bitField0_ & 0x00000002) != 0)) {
         size += com.google.protobuf.CodedOutputStream
-          .computeUInt64Size(15, confirmedAgeMs_);
+          .computeUInt64Size(13, confirmedAgeMs_);
       }
       return size;
     }
@@ -6989,10 +6856,6 @@
           .equals(other.getMovesList())) return false;
       if (!getKnownList()
           .equals(other.getKnownList())) return false;
-      if (!getQuarantinedList()
-          .equals(other.getQuarantinedList())) return false;
-      if (!getSuspectsList()
-          .equals(other.getSuspectsList())) return false;
       if (hasConfirmedAgeMs() != other.hasConfirmedAgeMs()) return false;
       if (hasConfirmedAgeMs()) {
         if (getConfirmedAgeMs()
@@ -7047,14 +6910,6 @@
         hash = (37 * hash) + KNOWN_FIELD_NUMBER;
         hash = (53 * hash) + getKnownList().hashCode();
       }
-      if (getQuarantinedCount() > 0) {
-        hash = (37 * hash) + QUARANTINED_FIELD_NUMBER;
-        hash = (53 * hash) + getQuarantinedList().hashCode();
-      }
-      if (getSuspectsCount() > 0) {
-        hash = (37 * hash) + SUSPECTS_FIELD_NUMBER;
-        hash = (53 * hash) + getSuspectsList().hashCode();
-      }
       if (hasConfirmedAgeMs()) {
         hash = (37 * hash) + CONFIRMED_AGE_MS_FIELD_NUMBER;
         hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
@@ -7241,8 +7096,6 @@
           knownBuilder_.clear();
         }
         bitField0_ = (bitField0_ & ~0x00000800);
-        quarantined_ = emptyLongList();
-        suspects_ = emptyLongList();
         confirmedAgeMs_ = 0L;
         return this;
       }
@@ -7346,14 +7199,6 @@
           result.configurationVersion_ = configurationVersion_;
         }
         if (((from_bitField0_ & 0x00001000) != 0)) {
-          quarantined_.makeImmutable();
-          result.quarantined_ = quarantined_;
-        }
-        if (((from_bitField0_ & 0x00002000) != 0)) {
-          suspects_.makeImmutable();
-          result.suspects_ = suspects_;
-        }
-        if (((from_bitField0_ & 0x00004000) != 0)) {
           result.confirmedAgeMs_ = confirmedAgeMs_;
           to_bitField0_ |= 0x00000002;
         }
@@ -7506,28 +7351,6 @@
             }
           }
         }
-        if (!other.quarantined_.isEmpty()) {
-          if (quarantined_.isEmpty()) {
-            quarantined_ = other.quarantined_;
-            quarantined_.makeImmutable();
-            bitField0_ |= 0x00001000;
-          } else {
-            ensureQuarantinedIsMutable();
-            quarantined_.addAll(other.quarantined_);
-          }
-          onChanged();
-        }
-        if (!other.suspects_.isEmpty()) {
-          if (suspects_.isEmpty()) {
-            suspects_ = other.suspects_;
-            suspects_.makeImmutable();
-            bitField0_ |= 0x00002000;
-          } else {
-            ensureSuspectsIsMutable();
-            suspects_.addAll(other.suspects_);
-          }
-          onChanged();
-        }
         if (other.hasConfirmedAgeMs()) {
           setConfirmedAgeMs(other.getConfirmedAgeMs());
         }
@@ -7649,45 +7472,11 @@
                 }
                 break;
               } // case 98
-              case 105: {
-                long v = input.readFixed64();
-                ensureQuarantinedIsMutable();
-                quarantined_.addLong(v);
-                break;
-              } // case 105
-              case 106: {
-                int length = input.readRawVarint32();
-                int limit = input.pushLimit(length);
-                int alloc = length > 4096 ? 4096 : length;
-                ensureQuarantinedIsMutable(alloc / 8);
-                while (input.getBytesUntilLimit() > 0) {
-                  quarantined_.addLong(input.readFixed64());
-                }
-                input.popLimit(limit);
-                break;
-              } // case 106
-              case 113: {
-                long v = input.readFixed64();
-                ensureSuspectsIsMutable();
-                suspects_.addLong(v);
-                break;
-              } // case 113
-              case 114: {
-                int length = input.readRawVarint32();
-                int limit = input.pushLimit(length);
-                int alloc = length > 4096 ? 4096 : length;
-                ensureSuspectsIsMutable(alloc / 8);
-                while (input.getBytesUntilLimit() > 0) {
-                  suspects_.addLong(input.readFixed64());
-                }
-                input.popLimit(limit);
-                break;
-              } // case 114
-              case 120: {
+              case 104: {
                 confirmedAgeMs_ = input.readUInt64();
-                bitField0_ |= 0x00004000;
+                bitField0_ |= 0x00001000;
                 break;
-              } // case 120
+              } // case 104
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -9104,205 +8893,25 @@
         return knownBuilder_;
       }
 
-      private com.google.protobuf.Internal.LongList quarantined_ = emptyLongList();
-      private void ensureQuarantinedIsMutable() {
-        if (!quarantined_.isModifiable()) {
-          quarantined_ = makeMutableCopy(quarantined_);
-        }
-        bitField0_ |= 0x00001000;
-      }
-      private void ensureQuarantinedIsMutable(int capacity) {
-        if (!quarantined_.isModifiable()) {
-          quarantined_ = makeMutableCopy(quarantined_, capacity);
-        }
-        bitField0_ |= 0x00001000;
-      }
-      /**
-       * <code>repeated fixed64 quarantined = 13;</code>
-       * @return A list containing the quarantined.
-       */
-      public java.util.List<java.lang.Long>
-          getQuarantinedList() {
-        quarantined_.makeImmutable();
-        return quarantined_;
-      }
-      /**
-       * <code>repeated fixed64 quarantined = 13;</code>
-       * @return The count of quarantined.
-       */
-      public int getQuarantinedCount() {
-        return quarantined_.size();
-      }
-      /**
-       * <code>repeated fixed64 quarantined = 13;</code>
-       * @param index The index of the element to return.
-       * @return The quarantined at the given index.
-       */
-      public long getQuarantined(int index) {
-        return quarantined_.getLong(index);
-      }
-      /**
-       * <code>repeated fixed64 quarantined = 13;</code>
-       * @param index The index to set the value at.
-       * @param value The quarantined to set.
-       * @return This builder for chaining.
-       */
-      public Builder setQuarantined(
-          int index, long value) {
-
-        ensureQuarantinedIsMutable();
-        quarantined_.setLong(index, value);
-        bitField0_ |= 0x00001000;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>repeated fixed64 quarantined = 13;</code>
-       * @param value The quarantined to add.
-       * @return This builder for chaining.
-       */
-      public Builder addQuarantined(long value) {
-
-        ensureQuarantinedIsMutable();
-        quarantined_.addLong(value);
-        bitField0_ |= 0x00001000;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>repeated fixed64 quarantined = 13;</code>
-       * @param values The quarantined to add.
-       * @return This builder for chaining.
-       */
-      public Builder addAllQuarantined(
-          java.lang.Iterable<? extends java.lang.Long> values) {
-        ensureQuarantinedIsMutable();
-        com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, quarantined_);
-        bitField0_ |= 0x00001000;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>repeated fixed64 quarantined = 13;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearQuarantined() {
-        quarantined_ = emptyLongList();
-        bitField0_ = (bitField0_ & ~0x00001000);
-        onChanged();
-        return this;
-      }
-
-      private com.google.protobuf.Internal.LongList suspects_ = emptyLongList();
-      private void ensureSuspectsIsMutable() {
-        if (!suspects_.isModifiable()) {
-          suspects_ = makeMutableCopy(suspects_);
-        }
-        bitField0_ |= 0x00002000;
-      }
-      private void ensureSuspectsIsMutable(int capacity) {
-        if (!suspects_.isModifiable()) {
-          suspects_ = makeMutableCopy(suspects_, capacity);
-        }
-        bitField0_ |= 0x00002000;
-      }
-      /**
-       * <code>repeated fixed64 suspects = 14;</code>
-       * @return A list containing the suspects.
-       */
-      public java.util.List<java.lang.Long>
-          getSuspectsList() {
-        suspects_.makeImmutable();
-        return suspects_;
-      }
-      /**
-       * <code>repeated fixed64 suspects = 14;</code>
-       * @return The count of suspects.
-       */
-      public int getSuspectsCount() {
-        return suspects_.size();
-      }
-      /**
-       * <code>repeated fixed64 suspects = 14;</code>
-       * @param index The index of the element to return.
-       * @return The suspects at the given index.
-       */
-      public long getSuspects(int index) {
-        return suspects_.getLong(index);
-      }
-      /**
-       * <code>repeated fixed64 suspects = 14;</code>
-       * @param index The index to set the value at.
-       * @param value The suspects to set.
-       * @return This builder for chaining.
-       */
-      public Builder setSuspects(
-          int index, long value) {
-
-        ensureSuspectsIsMutable();
-        suspects_.setLong(index, value);
-        bitField0_ |= 0x00002000;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>repeated fixed64 suspects = 14;</code>
-       * @param value The suspects to add.
-       * @return This builder for chaining.
-       */
-      public Builder addSuspects(long value) {
-
-        ensureSuspectsIsMutable();
-        suspects_.addLong(value);
-        bitField0_ |= 0x00002000;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>repeated fixed64 suspects = 14;</code>
-       * @param values The suspects to add.
-       * @return This builder for chaining.
-       */
-      public Builder addAllSuspects(
-          java.lang.Iterable<? extends java.lang.Long> values) {
-        ensureSuspectsIsMutable();
-        com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, suspects_);
-        bitField0_ |= 0x00002000;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>repeated fixed64 suspects = 14;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearSuspects() {
-        suspects_ = emptyLongList();
-        bitField0_ = (bitField0_ & ~0x00002000);
-        onChanged();
-        return this;
-      }
-
       private long confirmedAgeMs_ ;
       /**
        * <pre>
        * Age of the node's own confirmation that its configuration is the latest; absent without one.
        * </pre>
        *
-       * <code>optional uint64 confirmed_age_ms = 15;</code>
+       * <code>optional uint64 confirmed_age_ms = 13;</code>
        * @return Whether the confirmedAgeMs field is set.
        */
       @java.lang.Override
       public boolean hasConfirmedAgeMs() {
-        return ((bitField0_ & 0x00004000) != 0);
+        return ((bitField0_ & 0x00001000) != 0);
       }
       /**
        * <pre>
        * Age of the node's own confirmation that its configuration is the latest; absent without one.
        * </pre>
        *
-       * <code>optional uint64 confirmed_age_ms = 15;</code>
+       * <code>optional uint64 confirmed_age_ms = 13;</code>
        * @return The confirmedAgeMs.
        */
       @java.lang.Override
@@ -9314,14 +8923,14 @@
        * Age of the node's own confirmation that its configuration is the latest; absent without one.
        * </pre>
        *
-       * <code>optional uint64 confirmed_age_ms = 15;</code>
+       * <code>optional uint64 confirmed_age_ms = 13;</code>
        * @param value The confirmedAgeMs to set.
        * @return This builder for chaining.
        */
       public Builder setConfirmedAgeMs(long value) {
 
         confirmedAgeMs_ = value;
-        bitField0_ |= 0x00004000;
+        bitField0_ |= 0x00001000;
         onChanged();
         return this;
       }
@@ -9330,11 +8939,11 @@
        * Age of the node's own confirmation that its configuration is the latest; absent without one.
        * </pre>
        *
-       * <code>optional uint64 confirmed_age_ms = 15;</code>
+       * <code>optional uint64 confirmed_age_ms = 13;</code>
        * @return This builder for chaining.
        */
       public Builder clearConfirmedAgeMs() {
-        bitField0_ = (bitField0_ & ~0x00004000);
+        bitField0_ = (bitField0_ & ~0x00001000);
         confirmedAgeMs_ = 0L;
         onChanged();
         return this;
@@ -10649,7 +10258,7 @@
       "n\030\002 \001(\t\022\r\n\005state\030\003 \001(\r\022\026\n\016share_permille" +
       "\030\004 \001(\r\022\r\n\005order\030\005 \001(\003\"J\n\tKnownNode\022\014\n\004no" +
       "de\030\001 \001(\t\022/\n\007address\030\002 \001(\0132\036.sequoiashunt" +
-      ".link.NodeAddress\"\345\003\n\nNodeReport\022\014\n\004node" +
+      ".link.NodeAddress\"\276\003\n\nNodeReport\022\014\n\004node" +
       "\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\020\n\010sequence\030" +
       "\003 \001(\004\022/\n\007address\030\004 \001(\0132\036.sequoiashunt.li" +
       "nk.NodeAddress\022\026\n\016failure_domain\030\005 \001(\t\022\016" +
@@ -10659,14 +10268,13 @@
       "ies\030\n \003(\0132\037.sequoiashunt.link.VersionTal" +
       "ly\022-\n\005moves\030\013 \003(\0132\036.sequoiashunt.link.Ve" +
       "rsionMove\022+\n\005known\030\014 \003(\0132\034.sequoiashunt." +
-      "link.KnownNode\022\023\n\013quarantined\030\r \003(\006\022\020\n\010s" +
-      "uspects\030\016 \003(\006\022\035\n\020confirmed_age_ms\030\017 \001(\004H" +
-      "\000\210\001\001B\023\n\021_confirmed_age_ms\"_\n\024Configurati" +
-      "onRequest\0220\n\010reply_to\030\001 \001(\0132\036.sequoiashu" +
-      "nt.link.NodeAddress\022\025\n\rknown_version\030\002 \001" +
-      "(\004\"6\n\021ConfigurationCopy\022\017\n\007version\030\001 \001(\004" +
-      "\022\020\n\010document\030\002 \001(\014B(\n\032org.sequoiashunt.l" +
-      "ink.wireB\nFleetProtob\006proto3"
+      "link.KnownNode\022\035\n\020confirmed_age_ms\030\r \001(\004" +
+      "H\000\210\001\001B\023\n\021_confirmed_age_ms\"_\n\024Configurat" +
+      "ionRequest\0220\n\010reply_to\030\001 \001(\0132\036.sequoiash" +
+      "unt.link.NodeAddress\022\025\n\rknown_version\030\002 " +
+      "\001(\004\"6\n\021ConfigurationCopy\022\017\n\007version\030\001 \001(" +
+      "\004\022\020\n\010document\030\002 \001(\014B(\n\032org.sequoiashunt." +
+      "link.wireB\nFleetProtob\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -10714,7 +10322,7 @@
     internal_static_sequoiashunt_link_NodeReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_sequoiashunt_link_NodeReport_descriptor,
-        new java.lang.String[] { "Node", "Incarnation", "Sequence", "Address", "FailureDomain", "Region", "Leaving", "ConfigurationVersion", "Targets", "Tallies", "Moves", "Known", "Quarantined", "Suspects", "ConfirmedAgeMs", });
+        new java.lang.String[] { "Node", "Incarnation", "Sequence", "Address", "FailureDomain", "Region", "Leaving", "ConfigurationVersion", "Targets", "Tallies", "Moves", "Known", "ConfirmedAgeMs", });
     internal_static_sequoiashunt_link_ConfigurationRequest_descriptor =
       getDescriptor().getMessageType(7);
     internal_static_sequoiashunt_link_ConfigurationRequest_fieldAccessorTable = new
--- /dev/null
+++ b/sequoiashunt-link/src/test/java/org/sequoiashunt/link/FleetCodecTest.java
@@ -0,0 +1,101 @@
+package org.sequoiashunt.link;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.sequoiashunt.call.Body;
+import org.sequoiashunt.fleet.ConfigurationCopy;
+import org.sequoiashunt.fleet.ConfigurationRequest;
+import org.sequoiashunt.fleet.KnownNode;
+import org.sequoiashunt.fleet.MoveState;
+import org.sequoiashunt.fleet.NodeReport;
+import org.sequoiashunt.fleet.RouteTime;
+import org.sequoiashunt.fleet.TargetReport;
+import org.sequoiashunt.fleet.VersionMove;
+import org.sequoiashunt.fleet.VersionTally;
+import org.sequoiashunt.peer.ControlMessage;
+import org.sequoiashunt.peer.NodeAddress;
+
+class FleetCodecTest {
+
+    /** At two reports a second to nine peers this is 5.4 kB/s a node. */
+    private static final int MOST_REPORT_BYTES = 300;
+
+    private final FleetCodec codec = new FleetCodec();
+
+    private static NodeReport report() {
+        TargetReport target = new TargetReport(
+                "i-7f3a91c2",
+                "desk",
+                "v1",
+                18,
+                true,
+                12,
+                3,
+                97,
+                14,
+                2_500,
+                List.of(new RouteTime("look", 90), new RouteTime("take", 120)));
+        return new NodeReport(
+                "sidecar-ha-noi-a-1",
+                2_442_266_426_549_510_700L,
+                41,
+                new NodeAddress("10.1.0.11", 7_560),
+                "ha-noi-a",
+                "bac-bo",
+                true,
+                12,
+                OptionalLong.of(310),
+                List.of(target),
+                List.of(new VersionTally("desk", "v2", "look", 40, 2, 3_900)),
+                List.of(new VersionMove("desk", "v2", 77, MoveState.RUNNING, 150)),
+                List.of(new KnownNode("sidecar-can-tho-b-1", new NodeAddress("10.4.0.26", 7_560))));
+    }
+
+    @Test
+    void messagesComeBackAsTheyWere() throws InvalidProtocolBufferException {
+        byte[] document = "{\"Version\":7}".repeat(1_000).getBytes(StandardCharsets.UTF_8);
+        for (ControlMessage message : List.of(
+                report(),
+                new ConfigurationRequest(new NodeAddress("10.1.0.11", 7_560), 3),
+                new ConfigurationCopy(4, Body.of(document)))) {
+            assertTrue(codec.handles(message));
+            assertEquals(message, codec.decode(codec.encode(message)));
+        }
+    }
+
+    @Test
+    void aReportIsSmallAndADocumentCompressed() {
+        int bytes = codec.encode(report()).size();
+        assertTrue(bytes <= MOST_REPORT_BYTES, bytes + " bytes");
+        byte[] document = "{\"Version\":7}".repeat(1_000).getBytes(StandardCharsets.UTF_8);
+        assertTrue(codec.encode(new ConfigurationCopy(4, Body.of(document))).size() < document.length / 10);
+    }
+
+    @Test
+    void damagedBytesAreRefusedInBounds() {
+        Random random = new Random(9);
+        byte[] whole = codec.encode(report()).toByteArray();
+        for (int round = 0; round < 3_000; round++) {
+            byte[] damaged = whole.clone();
+            damaged[random.nextInt(damaged.length)] = (byte) random.nextInt(256);
+            try {
+                codec.decode(ByteString.copyFrom(damaged));
+            } catch (InvalidProtocolBufferException | RuntimeException expected) {
+                assertTrue(!(expected instanceof NullPointerException), "a missing field is refused by its record");
+            }
+        }
+        assertThrows(
+                IllegalArgumentException.class,
+                () -> Deflated.inflate(Deflated.of(Body.of(new byte[3 << 20]))),
+                "a document beyond the bound");
+    }
+}
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/FleetController.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/FleetController.java
@@ -99,9 +99,7 @@
                 parts.gates().reports(),
                 parts.tallies().tallies(this::isMoving),
                 List.copyOf(parts.board().all()),
-                named,
-                List.of(),
-                List.of());
+                named);
     }
 
     private boolean isMoving(final String service) {
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
@@ -62,7 +62,7 @@
     /** Quiet time after which a link is replaced: two probes. */
     private static final long SILENCE_LIMIT_MS = 1_000;
 
-    /** Time after the signal to end in which new requests are served: callers notice within two questions, one a second. */
+    /** Time after the signal to end in which new requests are served: callers notice after two questions. */
     private static final long LINGER_MS = 2_400;
 
     /** Time before the forced end at which the node ends by itself. */
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MoveController.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MoveController.java
@@ -22,8 +22,8 @@
 /**
  * Runs the moves of traffic that the operator has ordered.
  *
- * <p>Every node gathers the evidence; the live node with the first name decides, so that the next one goes on as soon as
- * that one is gone. Two nodes that both think they are first do no harm: standings only supersede each other in one
+ * <p>Every node gathers the evidence; the live node with the first name decides, so that the next one goes on as soon
+ * as that one is gone. Two nodes that both think they are first do no harm: standings only supersede each other in one
  * direction, and outcomes are recorded by compare-and-swap.
  *
  * <p>Ticked by one thread; orders may come from any.
--- /dev/null
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/FakePlatform.java
@@ -0,0 +1,128 @@
+package org.sequoiashunt.node.mesh;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.sequoiashunt.call.Body;
+import org.sequoiashunt.fleet.KnownNode;
+import org.sequoiashunt.fleet.VersionMove;
+import org.sequoiashunt.mesh.CallerLimits;
+import org.sequoiashunt.mesh.MeshConfiguration;
+import org.sequoiashunt.mesh.MeshPlatform;
+import org.sequoiashunt.mesh.MeshRoute;
+import org.sequoiashunt.mesh.OperatorState;
+import org.sequoiashunt.mesh.WeightedService;
+import org.sequoiashunt.store.StoreException;
+
+/**
+ * One node's access to a platform in memory that all nodes of a test share. The document of a configuration is its
+ * version, one byte.
+ */
+final class FakePlatform implements MeshPlatform {
+
+    private final Map<String, KnownNode> nodes;
+    private final AtomicInteger version;
+    private volatile boolean down;
+
+    FakePlatform() {
+        this(new ConcurrentHashMap<>(), new AtomicInteger(1));
+    }
+
+    private FakePlatform(final Map<String, KnownNode> nodes, final AtomicInteger version) {
+        this.nodes = nodes;
+        this.version = version;
+    }
+
+    FakePlatform anotherAccess() {
+        return new FakePlatform(nodes, version);
+    }
+
+    void commit(final int next) {
+        version.set(next);
+    }
+
+    void fail(final boolean failing) {
+        down = failing;
+    }
+
+    private void requireUp() throws StoreException {
+        if (down) {
+            throw new StoreException("down", false);
+        }
+    }
+
+    @Override
+    public OperatorState read() throws StoreException {
+        requireUp();
+        int current = version.get();
+        return new OperatorState(documentOf(current), List.of(), List.of(), current);
+    }
+
+    @Override
+    public Optional<OperatorState> watch(final long revision, final long waitMs) throws StoreException {
+        requireUp();
+        try {
+            Thread.sleep(50);
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        }
+        requireUp();
+        int current = version.get();
+        Optional<Body> document = current > revision ? documentOf(current) : Optional.empty();
+        return Optional.of(new OperatorState(document, List.of(), List.of(), current));
+    }
+
+    private static Optional<Body> documentOf(final int current) {
+        return Optional.of(Body.of(new byte[] {(byte) current}));
+    }
+
+    @Override
+    public MeshConfiguration decode(final Body document) {
+        int decoded = document.bytes()[0];
+        MeshRoute look = new MeshRoute(
+                "look", "desk", "/look/", List.of(new WeightedService("desk", 1)), true, 1_500, 500, 1, 2);
+        MeshRoute added = new MeshRoute(
+                "v" + decoded,
+                "desk",
+                "/v" + decoded + "/",
+                List.of(new WeightedService("desk", 1)),
+                false,
+                1_500,
+                500,
+                1,
+                2);
+        return MeshConfiguration.of(decoded, List.of(look, added), Set.of("desk"), CallerLimits.standard());
+    }
+
+    @Override
+    public List<KnownNode> nodes() throws StoreException {
+        requireUp();
+        return List.copyOf(nodes.values());
+    }
+
+    @Override
+    public long enter(final KnownNode node, final long durationMs) throws StoreException {
+        requireUp();
+        nodes.put(node.node(), node);
+        return 1;
+    }
+
+    @Override
+    public boolean renew(final long lease) throws StoreException {
+        requireUp();
+        return true;
+    }
+
+    @Override
+    public void leave(final long lease) {
+        nodes.clear();
+    }
+
+    @Override
+    public VersionMove record(final VersionMove move) {
+        return move;
+    }
+}
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/NettyTargetCallerTest.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/NettyTargetCallerTest.java
@@ -113,7 +113,8 @@
     void anAnswerCutShortIsNone() throws Exception {
         target = new ScriptedTarget(
                 "HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\nSignature: s\r\nContent-Length: 50\r\n\r\nhelFIN",
-                "HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhelloFIN");
+                "HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        + "5\r\nhelloFIN");
         assertEquals(Outcome.UNKNOWN, call("a", "GET", "").outcome());
         assertEquals(Outcome.UNKNOWN, call("b", "GET", "").outcome());
     }
