--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/limit/RetryAdvice.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/limit/RetryAdvice.java
@@ -14,8 +14,14 @@
  */
 public final class RetryAdvice {
 
-    /** Shortest advice: a node that comes back sooner finds the same queue. */
-    private static final long MINIMUM_MS = 40;
+    /** Shortest advice: a caller that comes back sooner finds the same queue. */
+    private static final long MINIMUM_MS = 120;
+
+    /** Advice while no target is known: about the time for one to announce itself or be found again. */
+    private static final long UNKNOWN_WAIT_MS = 450;
+
+    /** Others come back too: room for a caller is expected after the wait of the queue several times over. */
+    private static final double QUEUE_TURNS = 3;
 
     /** Callers heed advice of up to this part of their time left, as the users state. */
     private static final double HEEDED_PART = 0.3;
@@ -43,8 +49,8 @@
      */
     public long delayMs(final long waitMs, final long remainingMs) {
         double spread = 1 + SPREAD * (2 * random.nextDouble() - 1);
-        double wantedMs = Math.max(MINIMUM_MS, waitMs) * spread;
-        double heededMs = Math.max(MINIMUM_MS, remainingMs * HEEDED_PART);
-        return Math.max(1, Math.round(Math.min(wantedMs, heededMs)));
+        double roomMs = waitMs == 0 ? UNKNOWN_WAIT_MS : Math.max(MINIMUM_MS, waitMs * QUEUE_TURNS);
+        double heededMs = Math.max(0, remainingMs) * HEEDED_PART;
+        return Math.max(1, Math.round(Math.min(roomMs * spread, heededMs)));
     }
 }
