--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/DecisionLog.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/DecisionLog.java
@@ -6,7 +6,9 @@
 import java.io.PrintStream;
 import java.io.StringWriter;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.EnumMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.ArrayBlockingQueue;
@@ -26,6 +28,10 @@
 
     private static final int BUFFERED_LINES = 2_048;
     private static final long END_MS = 300;
+
+    /** Lines that a killed process may lose. */
+    private static final long GATHER_MS = 40;
+
     private static final long SECOND_MS = 1_000;
 
     private final JsonFactory json = new JsonFactory();
@@ -110,22 +116,36 @@
         }
     }
 
+    /** Lines are gathered for a moment, so that many of them cost one write. */
     private void write() {
         try {
             while (true) {
-                output.println(lines.take());
-                long missing = dropped.getAndSet(0);
-                if (missing > 0) {
-                    output.println(line(LogKind.LOG_DROPPED, 0, "lines", missing));
-                }
+                String first = lines.take();
+                Thread.sleep(GATHER_MS);
+                writeAll(first);
             }
         } catch (InterruptedException exception) {
-            String rest = lines.poll();
-            while (rest != null) {
-                output.println(rest);
-                rest = lines.poll();
-            }
-            output.flush();
+            writeAll("");
+        }
+    }
+
+    private void writeAll(final String first) {
+        StringBuilder text = new StringBuilder();
+        append(text, first);
+        List<String> rest = new ArrayList<>();
+        lines.drainTo(rest);
+        rest.forEach(line -> append(text, line));
+        long missing = dropped.getAndSet(0);
+        if (missing > 0) {
+            append(text, line(LogKind.LOG_DROPPED, 0, "lines", missing));
+        }
+        output.print(text);
+        output.flush();
+    }
+
+    private static void append(final StringBuilder text, final String line) {
+        if (!line.isEmpty()) {
+            text.append(line).append('\n');
         }
     }
 
