--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/DecisionLog.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/DecisionLog.java
@@ -118,14 +118,16 @@
 
     /** Lines are gathered for a moment, so that many of them cost one write. */
     private void write() {
+        String first = "";
         try {
             while (true) {
-                String first = lines.take();
+                first = lines.take();
                 Thread.sleep(GATHER_MS);
                 writeAll(first);
+                first = "";
             }
         } catch (InterruptedException exception) {
-            writeAll("");
+            writeAll(first);
         }
     }
 
