--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/fleet/FleetView.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/fleet/FleetView.java
@@ -24,7 +24,7 @@
 public final class FleetView {
 
     /** A node silent for this long gets no work: three reports missed, and the time to replace a link. */
-    public static final long LIVENESS_MS = 2_000;
+    public static final long LIVENESS_MS = 2_300;
 
     /** A node that has not reported for this long is no longer told of, nor reported to. */
     static final long MEMORY_MS = 20_000;
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/placement/Distance.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/placement/Distance.java
@@ -13,7 +13,7 @@
     /** Same region. */
     REGION(4, 40),
     /** Another region. */
-    REMOTE(63, 140);
+    REMOTE(63, 200);
 
     private final int roundTripMs;
     private final int trafficMs;
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
@@ -56,11 +56,11 @@
     /** Longest body on a link. */
     private static final int MAXIMUM_LINK_BODY_BYTES = 4 << 20;
 
-    /** Quiet time after which a link is probed: reports come about as often. */
-    private static final long PING_INTERVAL_MS = 450;
+    /** Quiet time after which a link is probed. A probe wakes both nodes. */
+    private static final long PING_INTERVAL_MS = 700;
 
     /** Quiet time after which a link is replaced: two probes. */
-    private static final long SILENCE_LIMIT_MS = 1_000;
+    private static final long SILENCE_LIMIT_MS = 1_500;
 
     /** Time after the signal to end in which new requests are served: callers notice after two questions. */
     private static final long LINGER_MS = 2_400;
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MoveRecorder.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MoveRecorder.java
@@ -18,6 +18,10 @@
 final class MoveRecorder implements BlockingTask {
 
     private static final long PERIOD_MS = 150;
+
+    /** Time between two looks while there is nothing to record. */
+    private static final long IDLE_PERIOD_MS = 400;
+
     private static final long RETRY_MS = 400;
 
     private final MeshPlatform platform;
@@ -39,8 +43,8 @@
 
     @Override
     public long step() {
-        if (!controller.inControl()) {
-            return PERIOD_MS;
+        if (board.all().isEmpty() || !controller.inControl()) {
+            return IDLE_PERIOD_MS;
         }
         try {
             for (VersionMove move : board.all()) {
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/OperatorWatch.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/OperatorWatch.java
@@ -25,7 +25,7 @@
     private static final long WAIT_MS = 800;
 
     /** Pause of a node that need not watch: it looks at the confirmations of others this often. */
-    private static final long OFF_DUTY_MS = 100;
+    private static final long OFF_DUTY_MS = 200;
 
     /** Changes closer to each other than this are joined. */
     private static final long SUCCESSION_MS = 900;
