--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/EntryHandler.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/EntryHandler.java
@@ -75,7 +75,7 @@
             return;
         }
         MeshDispatcher.Match match =
-                parts.dispatcher().match(exchange.getRequestHeaders().getFirst(Headers.HOST), pathOf(exchange));
+                parts.dispatcher().match(exchange.getRequestHeaders().getFirst(Headers.HOST), exchange.getRequestURI());
         if (match.route().isEmpty()) {
             refuseUnmatched(exchange, ids.getFirst(), match.refusal());
             return;
@@ -105,10 +105,6 @@
         receive(exchange, match.route().get(), arrivedMs);
     }
 
-    private static String pathOf(final HttpServerExchange exchange) {
-        return exchange.getRequestURI();
-    }
-
     private static long mostBodyBytes(final HttpServerExchange exchange) {
         return exchange.isRequestComplete() ? 0 : Math.max(0, exchange.getRequestContentLength());
     }
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/OperatorWatch.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/OperatorWatch.java
@@ -97,12 +97,9 @@
         }
         OperatorState state = changed.get();
         revision = Math.max(revision, state.revision());
-        if (!state.configuration().isEmpty() || !state.orders().isEmpty()) {
-            changes.accept(state);
-            duty.confirmed();
-        } else {
-            duty.confirmed();
-            changes.accept(state);
+        changes.accept(state);
+        duty.confirmed();
+        if (state.configuration().isEmpty() && state.orders().isEmpty()) {
             return 0;
         }
         long nowMs = clock.nowMs();
