--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshAttempts.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshAttempts.java
@@ -67,13 +67,13 @@
         if (result.isDone()) {
             return;
         }
-        if (parts.clock().nowMs() >= deadlineMs) {
+        if (!isBeforeDeadline()) {
             finish(Reason.DEADLINE);
             return;
         }
         Optional<Candidate> choice = choose();
         if (choice.isEmpty()) {
-            finish(refusals > 0 ? Reason.QUEUE_FULL : Reason.NO_TARGET);
+            finish(wasRefused() ? Reason.QUEUE_FULL : Reason.NO_TARGET);
             return;
         }
         if (isHopeless(choice.get()) || !maySendAgain()) {
@@ -83,6 +83,10 @@
         send(choice.get());
     }
 
+    private synchronized boolean wasRefused() {
+        return refusals > 0;
+    }
+
     private synchronized Optional<Candidate> choose() {
         if (refusals >= MAXIMUM_REFUSALS) {
             return Optional.empty();
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshCall.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshCall.java
@@ -12,8 +12,6 @@
  *
  * @param requestId the caller's identity of the request.
  * @param method the HTTP method.
- * @param host the host that it names.
- * @param path the path without a query.
  * @param uri path and query as the caller sent them.
  * @param headers the headers for the target, without hop-by-hop ones.
  * @param body the whole body.
@@ -23,8 +21,6 @@
 public record MeshCall(
         String requestId,
         String method,
-        String host,
-        String path,
         String uri,
         List<HeaderField> headers,
         Body body,
@@ -39,8 +35,6 @@
     public MeshCall {
         Objects.requireNonNull(requestId, "requestId");
         Objects.requireNonNull(method, "method");
-        Objects.requireNonNull(host, "host");
-        Objects.requireNonNull(path, "path");
         Objects.requireNonNull(uri, "uri");
         headers = List.copyOf(headers);
         Objects.requireNonNull(body, "body");
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshConfiguration.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshConfiguration.java
@@ -103,16 +103,6 @@
         return version;
     }
 
-    /**
-     * Tells whether a service exists.
-     *
-     * @param service the name, not null.
-     * @return true if the configuration has it.
-     */
-    public boolean hasService(final String service) {
-        return services.contains(service);
-    }
-
     /**
      * Returns the bounds for callers.
      *
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshPlatform.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshPlatform.java
@@ -71,14 +71,6 @@
      */
     boolean renew(long lease) throws StoreException;
 
-    /**
-     * Ends the lease of an entry.
-     *
-     * @param lease the number of the lease.
-     * @throws StoreException if the store did not answer.
-     */
-    void leave(long lease) throws StoreException;
-
     /**
      * Records where a move stands, for the operator and for nodes to come. An outcome is never overwritten.
      *
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/placement/Placement.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/placement/Placement.java
@@ -46,17 +46,21 @@
      */
     public Optional<Candidate> choose(
             final List<Candidate> candidates, final String route, final Collection<String> excluded) {
-        List<Candidate> possible = new ArrayList<>(candidates.size());
+        double[] costs = new double[candidates.size()];
         double leastMs = Double.MAX_VALUE;
-        for (Candidate candidate : candidates) {
-            if (!excluded.contains(candidate.report().target())) {
-                possible.add(candidate);
-                leastMs = Math.min(leastMs, costMs(candidate, route));
+        for (int index = 0; index < costs.length; index++) {
+            Candidate candidate = candidates.get(index);
+            boolean isExcluded = excluded.contains(candidate.report().target());
+            costs[index] = isExcluded ? Double.MAX_VALUE : costMs(candidate, route);
+            leastMs = Math.min(leastMs, costs[index]);
+        }
+        List<Candidate> equal = new ArrayList<>();
+        for (int index = 0; index < costs.length; index++) {
+            if (costs[index] < Double.MAX_VALUE && costs[index] <= leastMs + EQUAL_MS) {
+                equal.add(candidates.get(index));
             }
         }
-        double limitMs = leastMs + EQUAL_MS;
-        possible.removeIf(candidate -> costMs(candidate, route) > limitMs);
-        return pickByFreeSlots(possible);
+        return pickByFreeSlots(equal);
     }
 
     /**
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/SlotGate.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/SlotGate.java
@@ -81,7 +81,7 @@
         if (request.deadlineMs() <= nowMs) {
             return refuse(request, CallResult.notRun(Reason.DEADLINE));
         }
-        Waiting waiting = new Waiting(request, latestStartMs(request, nowMs), nowMs, result);
+        Waiting waiting = new Waiting(request, latestStartMs(request, nowMs), result);
         Optional<CallResult> refusal = enqueue(waiting, nowMs);
         if (refusal.isPresent()) {
             return refuse(request, refusal.get());
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/SlotQueue.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/SlotQueue.java
@@ -187,13 +187,4 @@
     public long meanMs() {
         return Math.round(meanMs);
     }
-
-    /**
-     * Returns the slots.
-     *
-     * @return the number, positive.
-     */
-    public int slots() {
-        return slots;
-    }
 }
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/Waiting.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/Waiting.java
@@ -10,10 +10,9 @@
  *
  * @param request the call.
  * @param latestStartMs the latest useful start while others wait too, in milliseconds of the local clock.
- * @param arrivedMs when the call arrived.
  * @param result how the call ends.
  */
-public record Waiting(CallRequest request, long latestStartMs, long arrivedMs, CompletableFuture<CallResult> result) {
+public record Waiting(CallRequest request, long latestStartMs, CompletableFuture<CallResult> result) {
 
     /**
      * Checks the components.
--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/mesh/MeshDispatcherTest.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/mesh/MeshDispatcherTest.java
@@ -104,16 +104,7 @@
         MeshRoute route = dispatcher().match("h", path).route().orElseThrow();
         return dispatcher()
                 .dispatch(
-                        new MeshCall(
-                                "id",
-                                "GET",
-                                "h",
-                                path,
-                                path,
-                                List.of(),
-                                Body.EMPTY,
-                                clock.nowMs(),
-                                clock.nowMs() + 5_000),
+                        new MeshCall("id", "GET", path, List.of(), Body.EMPTY, clock.nowMs(), clock.nowMs() + 5_000),
                         route);
     }
 
--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/slot/SlotQueueTest.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/slot/SlotQueueTest.java
@@ -20,7 +20,6 @@
         return new Waiting(
                 Calls.of("call-" + number, new CallUrgency(rank, latestStartMs), 10_000),
                 latestStartMs,
-                0,
                 new CompletableFuture<>());
     }
 
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/EntryHandler.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/EntryHandler.java
@@ -172,8 +172,6 @@
         return new MeshCall(
                 headers.getFirst(parts.names().requestId()),
                 exchange.getRequestMethod().toString(),
-                headers.getFirst(Headers.HOST),
-                path,
                 query.isEmpty() ? path : path + "?" + query,
                 headersOf(exchange),
                 Body.of(bytes),
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/FakePlatform.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/FakePlatform.java
@@ -116,11 +116,6 @@
         return true;
     }
 
-    @Override
-    public void leave(final long lease) {
-        nodes.clear();
-    }
-
     @Override
     public VersionMove record(final VersionMove move) {
         return move;
