--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/call/CallRequest.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/call/CallRequest.java
@@ -22,6 +22,8 @@
  * @param idempotencyKey the caller's idempotency key, if any.
  * @param deadlineMs when the call must have ended, in milliseconds of the local clock.
  * @param urgency the priority of the call among the calls that wait for the same target.
+ * @param repeated whether an earlier attempt of the same request has reached a target; the calls that this run makes in
+ *     turn then count as repeated too.
  */
 public record CallRequest(
         String callId,
@@ -36,7 +38,8 @@
         boolean idempotent,
         Optional<String> idempotencyKey,
         long deadlineMs,
-        CallUrgency urgency) {
+        CallUrgency urgency,
+        boolean repeated) {
 
     /**
      * Checks the components and copies the list.
@@ -58,7 +61,7 @@
     }
 
     /**
-     * Creates a call with the default rank, whose response keeps its full value until the deadline.
+     * Creates a first attempt with the default rank, whose response keeps its full value until the deadline.
      *
      * @param callId identity of this attempt.
      * @param service the name of the called service.
@@ -99,6 +102,7 @@
                 idempotent,
                 idempotencyKey,
                 deadlineMs,
-                CallUrgency.withDefaultRank(deadlineMs));
+                CallUrgency.withDefaultRank(deadlineMs),
+                false);
     }
 }
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/fleet/FleetView.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/fleet/FleetView.java
@@ -9,14 +9,14 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
-import org.sequoiashunt.peer.NodeAddress;
 import org.sequoiashunt.time.Clock;
 
 /**
  * Holds the latest reports of the other nodes, and the addresses of nodes that others have reported.
  *
- * <p>Each node reports to every other node, so that a node that cannot reach some of them, or the platform, still has
- * the reports of the nodes that it can reach. A node without a recent report gets no requests.
+ * <p>The nodes of a failure domain report to each other directly; the reports of other domains arrive through relays,
+ * with a delay. A node that cannot reach some nodes, or the platform, still has the reports of the nodes that it can
+ * reach. A node without a recent report gets no requests.
  *
  * <p>Thread-safe: guarded by its own monitor. Invariants: a report never replaces a newer one of the same node; the
  * number of nodes is bounded.
@@ -26,6 +26,12 @@
     /** Silence after which a node gets no requests: three missed reports, and the time to replace a link. */
     public static final long LIVENESS_TIMEOUT_MS = 2_300;
 
+    /**
+     * Age above which a relayed report counts as silence of its node: the node's report period, the periods of two
+     * relays, and one lost batch.
+     */
+    public static final long RELAYED_LIVENESS_TIMEOUT_MS = 5_000;
+
     /** Time without a report after which a node is neither reported to other nodes nor receives reports. */
     static final long RETENTION_MS = 20_000;
 
@@ -50,12 +56,26 @@
     }
 
     /**
-     * Stores a report unless it is outdated, and adds the nodes that it names.
+     * Stores a report that its node has sent, unless it is outdated, and adds the nodes that it names.
      *
      * @param report the report, not null.
      * @return how the view changed, never null.
      */
-    public synchronized Change accept(final NodeReport report) {
+    public Change accept(final NodeReport report) {
+        return accept(report, 0, false);
+    }
+
+    /**
+     * Stores a report that a relay has passed on, unless it is outdated.
+     *
+     * @param relayed the report and its age, not null.
+     * @return how the view changed, never null.
+     */
+    public Change acceptRelayed(final ReportBatch.RelayedReport relayed) {
+        return accept(relayed.report(), relayed.ageMs(), true);
+    }
+
+    private synchronized Change accept(final NodeReport report, final long ageMs, final boolean relayed) {
         ReceivedReport previous = reportsByNode.get(report.node());
         if (previous != null && isOutdated(report, previous.report())) {
             return Change.OUTDATED;
@@ -66,8 +86,8 @@
         long nowMs = clock.nowMs();
         boolean regained = previous == null
                 || previous.report().incarnation() != report.incarnation()
-                || nowMs - previous.receivedAtMs() > LIVENESS_TIMEOUT_MS;
-        reportsByNode.put(report.node(), new ReceivedReport(report, nowMs));
+                || nowMs - previous.receivedAtMs() > previous.livenessTimeoutMs();
+        reportsByNode.put(report.node(), new ReceivedReport(report, nowMs - ageMs, relayed));
         report.knownNodes().forEach(this::addKnownNode);
         return regained ? Change.REGAINED : Change.REFRESHED;
     }
@@ -99,26 +119,36 @@
      */
     public synchronized void addKnownNode(final KnownNode node) {
         Contact contact = contactsByNode.get(node.node());
-        boolean addressChanged = contact != null && !contact.address().equals(node.address());
+        boolean addressChanged = contact != null && !contact.node().address().equals(node.address());
         if ((contact == null || addressChanged) && contactsByNode.size() < MAXIMUM_NODES) {
-            contactsByNode.put(node.node(), new Contact(node.address(), clock.nowMs()));
+            contactsByNode.put(node.node(), new Contact(node, clock.nowMs()));
         }
     }
 
     /**
-     * Lists the reports that were received within {@link #LIVENESS_TIMEOUT_MS}.
+     * Lists the reports of live nodes: those received directly within {@link #LIVENESS_TIMEOUT_MS}, and the relayed
+     * ones that are younger than {@link #RELAYED_LIVENESS_TIMEOUT_MS} and not older by {@link #LIVENESS_TIMEOUT_MS}
+     * than the latest one of their failure domain. The latter shows that the domain's relays have heard from other
+     * nodes, but no longer from this one.
      *
      * @return the latest report of each live node with its time of receipt, never null.
      */
     public synchronized List<ReceivedReport> liveReports() {
-        long oldestMs = clock.nowMs() - LIVENESS_TIMEOUT_MS;
-        List<ReceivedReport> live = new ArrayList<>(reportsByNode.size());
+        long nowMs = clock.nowMs();
+        Map<String, Long> latestRelayedMs = new HashMap<>();
+        List<ReceivedReport> candidates = new ArrayList<>(reportsByNode.size());
         for (ReceivedReport received : reportsByNode.values()) {
-            if (received.receivedAtMs() >= oldestMs) {
-                live.add(received);
+            if (nowMs - received.receivedAtMs() <= received.livenessTimeoutMs()) {
+                candidates.add(received);
+                if (received.relayed()) {
+                    latestRelayedMs.merge(received.report().failureDomain(), received.receivedAtMs(), Math::max);
+                }
             }
         }
-        return live;
+        candidates.removeIf(received -> received.relayed()
+                && latestRelayedMs.get(received.report().failureDomain()) - received.receivedAtMs()
+                        > LIVENESS_TIMEOUT_MS);
+        return candidates;
     }
 
     /**
@@ -132,23 +162,22 @@
     }
 
     /**
-     * Removes expired nodes and lists the nodes to report to: those that have reported, and those of which only the
-     * address is known.
+     * Removes expired nodes and lists the others: those that have reported, and those of which only the address is
+     * known.
      *
      * @return the nodes, never null.
      */
-    public synchronized Collection<KnownNode> reportRecipients() {
+    public synchronized Collection<KnownNode> knownNodes() {
         long oldestMs = clock.nowMs() - RETENTION_MS;
         reportsByNode.values().removeIf(received -> received.receivedAtMs() < oldestMs);
         replacedIncarnations.keySet().retainAll(reportsByNode.keySet());
         contactsByNode.values().removeIf(contact -> contact.learnedAtMs() < oldestMs);
-        Map<String, KnownNode> recipients = new HashMap<>();
-        contactsByNode.forEach((node, contact) -> recipients.put(node, new KnownNode(node, contact.address())));
+        Map<String, KnownNode> nodes = new HashMap<>();
+        contactsByNode.forEach((name, contact) -> nodes.put(name, contact.node()));
         for (ReceivedReport received : reportsByNode.values()) {
-            NodeReport report = received.report();
-            recipients.put(report.node(), new KnownNode(report.node(), report.address()));
+            nodes.put(received.report().node(), received.report().asKnownNode());
         }
-        return recipients.values();
+        return nodes.values();
     }
 
     /** How a report changed the view. Immutable and thread-safe. */
@@ -165,10 +194,16 @@
      * A node's latest report and when it was received. Immutable and thread-safe.
      *
      * @param report the report.
-     * @param receivedAtMs the time of receipt, in milliseconds of the local clock.
+     * @param receivedAtMs the time at which the first node received the report, in milliseconds of the local clock.
+     * @param relayed whether the report was passed on by a relay.
      */
-    public record ReceivedReport(NodeReport report, long receivedAtMs) {}
+    public record ReceivedReport(NodeReport report, long receivedAtMs, boolean relayed) {
+
+        private long livenessTimeoutMs() {
+            return relayed ? RELAYED_LIVENESS_TIMEOUT_MS : LIVENESS_TIMEOUT_MS;
+        }
+    }
 
-    /** The reported address of a node and when it was stored. Immutable and thread-safe. */
-    private record Contact(NodeAddress address, long learnedAtMs) {}
+    /** A node that others have named and when it was stored. Immutable and thread-safe. */
+    private record Contact(KnownNode node, long learnedAtMs) {}
 }
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/fleet/KnownNode.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/fleet/KnownNode.java
@@ -4,12 +4,13 @@
 import org.sequoiashunt.peer.NodeAddress;
 
 /**
- * Name and address of a node, passed on to other nodes in reports. Immutable and thread-safe.
+ * Name, address and failure domain of a node, passed on to other nodes in reports. Immutable and thread-safe.
  *
  * @param node the name of the node.
  * @param address the link address of the node.
+ * @param failureDomain the failure domain of the node, an empty text if it is not known.
  */
-public record KnownNode(String node, NodeAddress address) {
+public record KnownNode(String node, NodeAddress address, String failureDomain) {
 
     /**
      * Checks the components.
@@ -19,5 +20,6 @@
     public KnownNode {
         Objects.requireNonNull(node, "node");
         Objects.requireNonNull(address, "address");
+        Objects.requireNonNull(failureDomain, "failureDomain");
     }
 }
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/fleet/NodeReport.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/fleet/NodeReport.java
@@ -17,6 +17,7 @@
  * @param address the link address of the node.
  * @param failureDomain the failure domain of the node.
  * @param region the region of the node.
+ * @param capacity the processor capacity of the node's VM, in thousandths of a core.
  * @param leaving whether the node is shutting down.
  * @param configurationVersion the configuration version in force, zero for none.
  * @param confirmedAgeMs the time since the platform's store last confirmed directly to the node that this version is
@@ -33,6 +34,7 @@
         NodeAddress address,
         String failureDomain,
         String region,
+        int capacity,
         boolean leaving,
         long configurationVersion,
         OptionalLong confirmedAgeMs,
@@ -58,4 +60,36 @@
         moves = List.copyOf(moves);
         knownNodes = List.copyOf(knownNodes);
     }
+
+    /**
+     * Returns a copy without the known nodes, which a relay does not pass on: the relayed reports name their nodes.
+     *
+     * @return the copy, never null.
+     */
+    public NodeReport withoutKnownNodes() {
+        return new NodeReport(
+                node,
+                incarnation,
+                sequence,
+                address,
+                failureDomain,
+                region,
+                capacity,
+                leaving,
+                configurationVersion,
+                confirmedAgeMs,
+                targets,
+                tallies,
+                moves,
+                List.of());
+    }
+
+    /**
+     * Returns the node's name, address and failure domain.
+     *
+     * @return the node, never null.
+     */
+    public KnownNode asKnownNode() {
+        return new KnownNode(node, address, failureDomain);
+    }
 }
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/limit/SlidingWindowRetryBudget.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/limit/SlidingWindowRetryBudget.java
@@ -9,7 +9,9 @@
 /**
  * Limits this node's retries for each service in a sliding window, as its part of a budget that all nodes share.
  *
- * <p>The budget prevents retry storms. A node has no counts of the other nodes, so each node allows retries in
+ * <p>The budget prevents retry storms. The calls that a repeated run makes to another service are retries there too,
+ * which nobody can refuse without failing the run; they are charged, so that fewer other retries are allowed. A node
+ * has no counts of the other nodes, so each node allows retries in
  * proportion to the requests that it has counted itself, plus an equal part of an allowance that does not depend on
  * load.
  *
@@ -69,6 +71,18 @@
         return true;
     }
 
+    /**
+     * Charges a request that a repeated run may have made.
+     *
+     * @param service the service that the request is for, not null.
+     * @param probability the probability that a repeated run has made it, from 0 to 1.
+     */
+    public synchronized void recordRepeatedCall(final String service, final double probability) {
+        if (probability > 0) {
+            counts(service).retriesByBucket[currentBucketIndex()] += probability;
+        }
+    }
+
     private ServiceCounts counts(final String service) {
         ServiceCounts counts = countsByService.computeIfAbsent(service, unused -> new ServiceCounts());
         counts.advanceTo(clock.nowMs() * BUCKET_COUNT / bounds.windowMs());
@@ -79,9 +93,9 @@
         return (int) (clock.nowMs() * BUCKET_COUNT / bounds.windowMs() % (BUCKET_COUNT + 1));
     }
 
-    private static long sum(final long[] buckets) {
-        long sum = 0;
-        for (long bucket : buckets) {
+    private static double sum(final double[] buckets) {
+        double sum = 0;
+        for (double bucket : buckets) {
             sum += bucket;
         }
         return sum;
@@ -112,8 +126,8 @@
     /** Counts of one service in a ring of one bucket more than the window has. Guarded by the budget's monitor. */
     private static final class ServiceCounts {
 
-        private final long[] requestsByBucket = new long[BUCKET_COUNT + 1];
-        private final long[] retriesByBucket = new long[BUCKET_COUNT + 1];
+        private final double[] requestsByBucket = new double[BUCKET_COUNT + 1];
+        private final double[] retriesByBucket = new double[BUCKET_COUNT + 1];
         private long latestBucket = -1;
 
         private void advanceTo(final long bucket) {
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshAttempts.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshAttempts.java
@@ -12,6 +12,7 @@
 import org.sequoiashunt.call.Outcome;
 import org.sequoiashunt.call.Reason;
 import org.sequoiashunt.placement.PlacementCandidate;
+import org.sequoiashunt.placement.PlacementNeed;
 import org.sequoiashunt.placement.RouteSizes;
 import org.sequoiashunt.slot.SlotGate;
 
@@ -103,14 +104,17 @@
         if (gateRefusals >= MAXIMUM_GATE_REFUSALS) {
             return Optional.empty();
         }
-        double trafficFactor = routeSizes.trafficFactor(route.name());
+        PlacementNeed need = new PlacementNeed(
+                route.name(),
+                routeSizes.trafficFactor(route.name()),
+                route.objectiveMs(),
+                objectiveMs - dependencies.clock().nowMs());
         List<PlacementCandidate> all = dependencies.candidateSource().candidates(service);
         List<PlacementCandidate> eligible = dependencies.versionSelector().filter(service, all, useNewVersion);
-        Optional<PlacementCandidate> choice =
-                dependencies.placement().choose(eligible, route.name(), trafficFactor, triedTargets);
+        Optional<PlacementCandidate> choice = dependencies.placement().choose(eligible, need, triedTargets);
         if (choice.isEmpty() && useNewVersion) {
             eligible = dependencies.versionSelector().filter(service, all, false);
-            choice = dependencies.placement().choose(eligible, route.name(), trafficFactor, triedTargets);
+            choice = dependencies.placement().choose(eligible, need, triedTargets);
         }
         return choice;
     }
@@ -182,7 +186,12 @@
                 route.idempotent(),
                 Optional.empty(),
                 deadlineMs,
-                new CallUrgency(route.rank(), objectiveMs));
+                new CallUrgency(route.rank(), objectiveMs),
+                isRepeated());
+    }
+
+    private synchronized boolean isRepeated() {
+        return targetArrivals > 0;
     }
 
     private void attemptEnded(final PlacementCandidate candidate, final CallResult attemptResult) {
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshDispatcher.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshDispatcher.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
+import java.util.function.ToDoubleFunction;
 import org.sequoiashunt.call.CallResult;
 import org.sequoiashunt.call.GateCaller;
 import org.sequoiashunt.call.Reason;
@@ -67,6 +68,9 @@
     public CompletableFuture<CallResult> dispatch(final MeshCall call, final MeshRoute route) {
         String service = dependencies.serviceSelector().choose(route);
         dependencies.retryBudget().recordRequest(service);
+        dependencies
+                .retryBudget()
+                .recordRepeatedCall(service, dependencies.repeatedRunShare().applyAsDouble(service));
         long earlierWaitMs =
                 firstAttemptEstimator.recordAndEstimateElapsedMs(route.name(), call.deadlineMs() - call.arrivedMs());
         MeshAttempts attempts = new MeshAttempts(dependencies, call, route, service, earlierWaitMs, routeSizes);
@@ -99,6 +103,7 @@
      * @param retries limits the retries of a service.
      * @param gates sends calls to the gates of targets.
      * @param callIds generates the identities of attempts.
+     * @param repeatedRunShare returns the probability that a request for a service is made by a repeated run.
      * @param observer receives each decision.
      */
     public record Dependencies(
@@ -112,5 +117,6 @@
             SlidingWindowRetryBudget retryBudget,
             GateCaller gateCaller,
             CallIdGenerator callIdGenerator,
+            ToDoubleFunction<String> repeatedRunShare,
             DispatchObserver observer) {}
 }
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/placement/Distance.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/placement/Distance.java
@@ -1,7 +1,7 @@
 package org.sequoiashunt.placement;
 
 /**
- * Network distance from this node to a target's node, with the round trip and the cost of paid traffic, both as time.
+ * Network distance from this node to a target's node, with the round trip and the cost of paid traffic as time.
  *
  * <p>Immutable and thread-safe.
  */
@@ -11,16 +11,16 @@
     /** Same failure domain, another node. */
     DOMAIN(1, 0),
     /** Same region, another failure domain. */
-    REGION(4, 40),
+    REGION(4, 0.09),
     /** Another region. */
-    REMOTE(63, 200);
+    REMOTE(63, 0.45);
 
     private final int roundTripMs;
-    private final int trafficCostMs;
+    private final double trafficCostShare;
 
-    Distance(final int roundTripMs, final int trafficMs) {
+    Distance(final int roundTripMs, final double trafficCostShare) {
         this.roundTripMs = roundTripMs;
-        this.trafficCostMs = trafficMs;
+        this.trafficCostShare = trafficCostShare;
     }
 
     /**
@@ -33,13 +33,14 @@
     }
 
     /**
-     * Returns the cost of paid traffic as time: a target at this distance must be expected to answer an ordinary call
-     * this much earlier than a nearer one to be chosen.
+     * Returns the cost of paid traffic as a share of a route's latency objective: a target at this distance must be
+     * expected to answer an ordinary call earlier by this share to be chosen over a nearer one. Time that is short
+     * compared with the objective is worth little to callers, so the cost is in proportion to it.
      *
-     * @return the time in milliseconds, zero or more.
+     * @return the share, zero or more.
      */
-    public int trafficCostMs() {
-        return trafficCostMs;
+    public double trafficCostShare() {
+        return trafficCostShare;
     }
 
     /**
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/placement/NodeLocation.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/placement/NodeLocation.java
@@ -1,6 +1,7 @@
 package org.sequoiashunt.placement;
 
 import java.util.Objects;
+import org.sequoiashunt.fleet.KnownNode;
 import org.sequoiashunt.peer.NodeAddress;
 
 /**
@@ -24,4 +25,13 @@
         Objects.requireNonNull(failureDomain, "failureDomain");
         Objects.requireNonNull(region, "region");
     }
+
+    /**
+     * Returns the node's name, address and failure domain.
+     *
+     * @return the node, never null.
+     */
+    public KnownNode asKnownNode() {
+        return new KnownNode(node, address, failureDomain);
+    }
 }
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/placement/Placement.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/placement/Placement.java
@@ -12,9 +12,10 @@
  *
  * <p>The cost includes the calls in progress, the target's mean time for the route, its warm-up, its failures, the
  * distance and the paid traffic. It handles targets of unequal speed, targets that become slow or fail some of their
- * calls, and services whose load is uneven over failure domains: a far target is chosen when the wait that it saves
- * outweighs its traffic. Among targets of about equal cost the choice is random, weighted by free slots, so that many
- * nodes with the same reports do not choose the same target.
+ * calls, and services whose load is uneven over failure domains: a far target is chosen when the time that it saves
+ * outweighs its traffic, or when it is expected to meet the objective and no nearer one is. Among targets of about
+ * equal cost the choice is random, weighted by free slots, so that many nodes with the same reports do not choose the
+ * same target.
  *
  * <p>Thread-safe if the random generator is. Invariant: an excluded target is never chosen.
  */
@@ -26,6 +27,9 @@
     /** Time that a failed attempt adds, because the call needs a second attempt. */
     private static final double FAILED_ATTEMPT_COST_MS = 400;
 
+    /** Cost of a missed objective, as a multiple of it: more than any traffic, so that a far target is tried first. */
+    private static final double MISSED_OBJECTIVE_COST = 2;
+
     private final RandomGenerator random;
 
     /**
@@ -41,22 +45,20 @@
      * Chooses a target.
      *
      * @param candidates the targets that run the requested version of the service, not null.
-     * @param route the name of the route, not null.
-     * @param trafficFactor the expected traffic of the call as a multiple of an ordinary call's.
+     * @param need what the call needs, not null.
      * @param excludedTargets the identities of the targets that were already tried for this request, not null.
      * @return the chosen target, or empty if every candidate is excluded or there is none.
      */
     public Optional<PlacementCandidate> choose(
             final List<PlacementCandidate> candidates,
-            final String route,
-            final double trafficFactor,
+            final PlacementNeed need,
             final Collection<String> excludedTargets) {
         double[] costsMs = new double[candidates.size()];
         double lowestCostMs = Double.MAX_VALUE;
         for (int index = 0; index < costsMs.length; index++) {
             PlacementCandidate candidate = candidates.get(index);
             boolean isExcluded = excludedTargets.contains(candidate.report().target());
-            costsMs[index] = isExcluded ? Double.MAX_VALUE : costMs(candidate, route, trafficFactor);
+            costsMs[index] = isExcluded ? Double.MAX_VALUE : costMs(candidate, need);
             lowestCostMs = Math.min(lowestCostMs, costsMs[index]);
         }
         List<PlacementCandidate> equivalent = new ArrayList<>();
@@ -69,18 +71,21 @@
     }
 
     /**
-     * Estimates the cost of a call to a target: expected time to the answer, plus failures and paid traffic as time.
+     * Estimates the cost of a call to a target: expected time to the answer, plus failures, paid traffic and a missed
+     * objective as time.
      *
      * @param candidate the target, not null.
-     * @param route the name of the route, not null.
-     * @param trafficFactor the expected traffic of the call as a multiple of an ordinary call's.
+     * @param need what the call needs, not null.
      * @return the cost in milliseconds.
      */
-    public static double costMs(final PlacementCandidate candidate, final String route, final double trafficFactor) {
+    public static double costMs(final PlacementCandidate candidate, final PlacementNeed need) {
         double failureShare = candidate.failureShare();
-        return candidate.expectedResponseMs(route)
-                + candidate.distance().trafficCostMs() * trafficFactor
-                + FAILED_ATTEMPT_COST_MS * failureShare / (1 - failureShare);
+        double responseMs = candidate.expectedResponseMs(need.route());
+        double missedObjectiveMs = responseMs > need.remainingMs() ? MISSED_OBJECTIVE_COST * need.objectiveMs() : 0;
+        return responseMs
+                + candidate.distance().trafficCostShare() * need.objectiveMs() * need.trafficFactor()
+                + FAILED_ATTEMPT_COST_MS * failureShare / (1 - failureShare)
+                + missedObjectiveMs;
     }
 
     private Optional<PlacementCandidate> chooseWeightedByFreeSlots(final List<PlacementCandidate> equivalent) {
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/SlotGate.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/SlotGate.java
@@ -36,6 +36,7 @@
     private long latestAnnouncementMs;
     private TargetAnnouncement target;
     private Reason closeReason;
+    private int runningRepeats;
 
     /**
      * Creates a gate.
@@ -146,6 +147,7 @@
             }
             return;
         }
+        countRepeat(request, 1);
         CompletableFuture<CallResult> run = dependencies.targetCaller().call(target().address(), request);
         waiting.result().whenComplete((result, failure) -> {
             if (waiting.result().isCancelled() && request.idempotent()) {
@@ -170,9 +172,14 @@
         if (!cancelled) {
             movingAverages.recordCall(request.route(), durationMs, failed);
         }
+        countRepeat(request, -1);
         releaseSlot(cancelled || failed ? -1 : durationMs);
     }
 
+    private synchronized void countRepeat(final CallRequest request, final int change) {
+        runningRepeats += request.repeated() ? change : 0;
+    }
+
     /**
      * Returns whether a result counts as a failure of the target.
      *
@@ -240,6 +247,15 @@
         return queue.running();
     }
 
+    /**
+     * Counts the calls that run and are repeated attempts of their requests.
+     *
+     * @return the number of calls, zero or more.
+     */
+    public synchronized int runningRepeats() {
+        return runningRepeats;
+    }
+
     /**
      * Reports the state of the target and its queue, for placement by this node and others.
      *
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/SlotGates.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/SlotGates.java
@@ -112,6 +112,21 @@
                 .toList();
     }
 
+    /**
+     * Returns the share of repeated attempts among the calls that run at the open gates.
+     *
+     * @return the share from 0 to 1, zero if no call runs.
+     */
+    public double repeatedShare() {
+        int running = 0;
+        int repeats = 0;
+        for (SlotGate gate : openGates.values()) {
+            running += gate.running();
+            repeats += gate.runningRepeats();
+        }
+        return running == 0 ? 0 : Math.min(1, repeats / (double) running);
+    }
+
     /**
      * Counts the calls that run at all targets, with those of closed gates.
      *
--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/fleet/FleetViewTest.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/fleet/FleetViewTest.java
@@ -37,14 +37,14 @@
         view.accept(report("a", 1, 1));
         clock.advance(FleetView.LIVENESS_TIMEOUT_MS + 1);
         assertEquals(List.of(), view.liveReports());
-        assertEquals(1, view.reportRecipients().size(), "reports are still sent to a silent node");
+        assertEquals(1, view.knownNodes().size(), "reports are still sent to a silent node");
         clock.advance(FleetView.RETENTION_MS);
-        assertTrue(view.reportRecipients().isEmpty());
+        assertTrue(view.knownNodes().isEmpty());
     }
 
     @Test
     void nodesKnownToReportingNodeReceiveReports() {
-        KnownNode other = new KnownNode("b", new NodeAddress("10.0.0.2", 7));
+        KnownNode other = new KnownNode("b", new NodeAddress("10.0.0.2", 7), "d");
         NodeReport report = new NodeReport(
                 "a",
                 1,
@@ -52,6 +52,7 @@
                 new NodeAddress("10.0.0.1", 7),
                 "d",
                 "north",
+                600,
                 false,
                 0,
                 OptionalLong.empty(),
@@ -60,6 +61,6 @@
                 List.of(),
                 List.of(other));
         view.accept(report);
-        assertTrue(view.reportRecipients().contains(other));
+        assertTrue(view.knownNodes().contains(other));
     }
 }
--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/fleet/NodeReports.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/fleet/NodeReports.java
@@ -7,6 +7,8 @@
 /** Creates node reports without targets, tallies, moves or known nodes. */
 public final class NodeReports {
 
+    private static final int CAPACITY = 600;
+
     private NodeReports() {}
 
     public static NodeReport of(
@@ -16,13 +18,26 @@
             final long sequence,
             final long version,
             final OptionalLong confirmedAgeMs) {
+        return of(node, "domain-" + region, region, CAPACITY, incarnation, sequence, version, confirmedAgeMs);
+    }
+
+    public static NodeReport of(
+            final String node,
+            final String failureDomain,
+            final String region,
+            final int capacity,
+            final long incarnation,
+            final long sequence,
+            final long version,
+            final OptionalLong confirmedAgeMs) {
         return new NodeReport(
                 node,
                 incarnation,
                 sequence,
                 new NodeAddress("10.0.0.1", 7),
-                "domain-" + region,
+                failureDomain,
                 region,
+                capacity,
                 false,
                 version,
                 confirmedAgeMs,
--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/mesh/MeshDispatcherTest.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/mesh/MeshDispatcherTest.java
@@ -44,6 +44,7 @@
     private long sequence = 1;
     private int load;
     private int failurePermille;
+    private double repeatedRunShare;
     private MeshDispatcher dispatcher;
     private Optional<MeshConfiguration> configuration = Optional.of(configuration());
 
@@ -73,6 +74,7 @@
                     new NodeAddress("10.0.0." + node, 7),
                     "d",
                     "r",
+                    600,
                     false,
                     3,
                     OptionalLong.empty(),
@@ -101,6 +103,7 @@
                     return call;
                 },
                 new CallIdGenerator("self", 1),
+                service -> repeatedRunShare,
                 new NoOpObserver()));
     }
 
@@ -170,6 +173,44 @@
         assertEquals(2, sentRequests.size());
     }
 
+    /**
+     * A whole service sheds half of its requests: the runs that call it fail and are repeated, and each repeated run
+     * calls it again. Those calls arrive beyond the first of each request as well, whatever their node decides.
+     */
+    @Test
+    void callsOfRepeatedRunsSpendTheBudgetOfTheServiceTheyCall() {
+        assertEquals(48, countRetriesOfShedRequests(), 2, "the usual budget");
+        clock.advance(20_000);
+        sequence++;
+        dispatcher = null;
+        repeatedRunShare = 0.5;
+        assertTrue(countRetriesOfShedRequests() <= 15, "none once the calls of repeated runs have spent the budget");
+    }
+
+    private int countRetriesOfShedRequests() {
+        int retried = 0;
+        for (int request = 0; request < 200; request++) {
+            int sentBefore = sentRequests.size();
+            dispatch("/l/" + request);
+            endAttempt(sentBefore, CallResult.notRun(Reason.SHED));
+            if (sentRequests.size() > sentBefore + 1) {
+                retried++;
+                endAttempt(sentBefore + 1, answerWithStatus(200));
+            }
+        }
+        return retried;
+    }
+
+    @Test
+    void secondAttemptIsMarkedAsRepeatedOnceTheFirstHasReachedATarget() {
+        dispatch("/l/1");
+        endAttempt(0, CallResult.notRun(Reason.QUEUE_FULL));
+        endAttempt(1, answerWithStatus(500));
+        assertEquals(
+                List.of(false, false, true),
+                sentRequests.stream().map(CallRequest::repeated).toList());
+    }
+
     @Test
     void gateRefusalIsRetriedWithoutSpendingTheBudget() {
         CompletableFuture<CallResult> result = dispatch("/r/1");
--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/placement/PlacementTest.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/placement/PlacementTest.java
@@ -13,6 +13,9 @@
 
 class PlacementTest {
 
+    private static final long OBJECTIVE_MS = 445;
+    private static final PlacementNeed NEED = new PlacementNeed("r", 1, OBJECTIVE_MS, OBJECTIVE_MS);
+
     private final Placement placement = new Placement(new Random(5));
 
     private static PlacementCandidate candidate(
@@ -49,13 +52,34 @@
     }
 
     private String choose(final List<PlacementCandidate> candidates, final double trafficFactor) {
+        return choose(candidates, new PlacementNeed("r", trafficFactor, OBJECTIVE_MS, OBJECTIVE_MS));
+    }
+
+    private String choose(final List<PlacementCandidate> candidates, final PlacementNeed need) {
         return placement
-                .choose(candidates, "r", trafficFactor, Set.of())
+                .choose(candidates, need, Set.of())
                 .orElseThrow()
                 .report()
                 .target();
     }
 
+    /** Targets of one service differ in speed by a factor of two; answers that cross regions are paid for. */
+    @Test
+    void slowNearTargetIsChosenWhileItMeetsTheObjective() {
+        List<PlacementCandidate> candidates =
+                List.of(candidate("slow", Distance.DOMAIN, 2, 925, 0), candidate("fast", Distance.REMOTE, 2, 400, 0));
+        assertEquals("slow", choose(candidates, new PlacementNeed("r", 1, 1_500, 1_500)));
+        assertEquals("fast", choose(candidates, new PlacementNeed("r", 1, 1_500, 900)), "the near one is too late");
+        assertEquals("fast", choose(candidates, new PlacementNeed("r", 1, 445, 445)), "a route with little time");
+    }
+
+    @Test
+    void callThatMissesItsObjectiveEverywhereChoosesTheNearTarget() {
+        List<PlacementCandidate> candidates =
+                List.of(candidate("near", Distance.DOMAIN, 2, 500, 0), candidate("far", Distance.REMOTE, 2, 450, 0));
+        assertEquals("near", choose(candidates, new PlacementNeed("r", 1, 600, -100)));
+    }
+
     @Test
     void choosesFasterTargetDespiteHigherLoad() {
         assertEquals(
@@ -73,7 +97,7 @@
     @Test
     void choosesFailingTargetWhenThereIsNoOther() {
         assertTrue(placement
-                .choose(List.of(candidate("grey", Distance.DOMAIN, 0, 60, 1_000)), "r", 1, Set.of())
+                .choose(List.of(candidate("grey", Distance.DOMAIN, 0, 60, 1_000)), NEED, Set.of())
                 .isPresent());
     }
 
@@ -93,7 +117,7 @@
     @Test
     void neverChoosesAnExcludedTarget() {
         assertTrue(placement
-                .choose(List.of(candidate("a", Distance.NODE, 0, 1, 0)), "r", 1, Set.of("a"))
+                .choose(List.of(candidate("a", Distance.NODE, 0, 1, 0)), NEED, Set.of("a"))
                 .isEmpty());
     }
 }
--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/slot/CallRequests.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/slot/CallRequests.java
@@ -34,6 +34,7 @@
                 idempotent,
                 Optional.empty(),
                 deadlineMs,
-                urgency);
+                urgency,
+                false);
     }
 }
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/CallCodec.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/CallCodec.java
@@ -40,7 +40,8 @@
                 .setBody(bytes(request.body()))
                 .setRank(request.urgency().rank())
                 .setObjectiveRemainingMs(
-                        freshness.getRemainingMs() + request.urgency().objectiveMs() - request.deadlineMs());
+                        freshness.getRemainingMs() + request.urgency().objectiveMs() - request.deadlineMs())
+                .setRepeated(request.repeated());
         request.headers().forEach(header -> builder.addHeaders(encode(header)));
         request.idempotencyKey().ifPresent(builder::setKey);
         return builder.build();
@@ -61,7 +62,8 @@
                 start.getIdempotent(),
                 start.hasKey() ? Optional.of(start.getKey()) : Optional.empty(),
                 deadlineMs,
-                urgency(start, deadlineMs));
+                urgency(start, deadlineMs),
+                start.getRepeated());
     }
 
     static FrameProto.CallEnd encode(final long number, final String callId, final CallResult result) {
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/FleetCodec.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/FleetCodec.java
@@ -3,11 +3,14 @@
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.OptionalLong;
+import org.sequoiashunt.call.Body;
 import org.sequoiashunt.fleet.ConfigurationCopy;
 import org.sequoiashunt.fleet.ConfigurationRequest;
 import org.sequoiashunt.fleet.KnownNode;
 import org.sequoiashunt.fleet.MoveState;
 import org.sequoiashunt.fleet.NodeReport;
+import org.sequoiashunt.fleet.ReportBatch;
+import org.sequoiashunt.fleet.ReportRequest;
 import org.sequoiashunt.fleet.RouteTime;
 import org.sequoiashunt.fleet.TargetReport;
 import org.sequoiashunt.fleet.VersionMove;
@@ -15,7 +18,10 @@
 import org.sequoiashunt.link.wire.FleetProto;
 import org.sequoiashunt.peer.ControlMessage;
 
-/** Codec of node reports, and of requests for and copies of configuration documents. Stateless and thread-safe. */
+/**
+ * Codec of node reports, batches of them, and requests for and copies of configuration documents. Stateless and
+ * thread-safe.
+ */
 public final class FleetCodec implements ControlCodec {
 
     private static final int SUBJECT = 4;
@@ -29,7 +35,9 @@
     public boolean handles(final ControlMessage message) {
         return message instanceof NodeReport
                 || message instanceof ConfigurationRequest
-                || message instanceof ConfigurationCopy;
+                || message instanceof ConfigurationCopy
+                || message instanceof ReportBatch
+                || message instanceof ReportRequest;
     }
 
     @Override
@@ -41,6 +49,11 @@
             builder.setConfigurationRequest(FleetProto.ConfigurationRequest.newBuilder()
                     .setReplyTo(MemberCodec.encode(request.replyTo()))
                     .setKnownVersion(request.knownVersion()));
+        } else if (message instanceof ReportBatch batch) {
+            builder.setReportBatch(FleetProto.ReportBatch.newBuilder().setReports(encode(batch)));
+        } else if (message instanceof ReportRequest request) {
+            builder.setReportRequest(
+                    FleetProto.ReportRequest.newBuilder().setReplyTo(MemberCodec.encode(request.replyTo())));
         } else {
             ConfigurationCopy copy = (ConfigurationCopy) message;
             builder.setConfigurationCopy(FleetProto.ConfigurationCopy.newBuilder()
@@ -64,10 +77,29 @@
                         message.getConfigurationCopy().getVersion(),
                         DocumentCompression.decompress(
                                 message.getConfigurationCopy().getDocument()));
+            case REPORT_BATCH -> decode(message.getReportBatch());
+            case REPORT_REQUEST ->
+                new ReportRequest(MemberCodec.decode(message.getReportRequest().getReplyTo()));
             default -> throw new IllegalArgumentException("fleet payload has no message or one of an unknown type");
         };
     }
 
+    private static ByteString encode(final ReportBatch batch) {
+        FleetProto.RelayedReports.Builder builder = FleetProto.RelayedReports.newBuilder();
+        batch.reports()
+                .forEach(relayed -> builder.addReports(FleetProto.RelayedReport.newBuilder()
+                        .setReport(encode(relayed.report()))
+                        .setAgeMs(relayed.ageMs())));
+        return DocumentCompression.compress(Body.of(builder.build().toByteArray()));
+    }
+
+    private static ReportBatch decode(final FleetProto.ReportBatch batch) throws InvalidProtocolBufferException {
+        Body reports = DocumentCompression.decompress(batch.getReports());
+        return new ReportBatch(FleetProto.RelayedReports.parseFrom(reports.bytes()).getReportsList().stream()
+                .map(relayed -> new ReportBatch.RelayedReport(decode(relayed.getReport()), relayed.getAgeMs()))
+                .toList());
+    }
+
     private static FleetProto.NodeReport encode(final NodeReport report) {
         FleetProto.NodeReport.Builder builder = FleetProto.NodeReport.newBuilder()
                 .setNode(report.node())
@@ -76,6 +108,7 @@
                 .setAddress(MemberCodec.encode(report.address()))
                 .setFailureDomain(report.failureDomain())
                 .setRegion(report.region())
+                .setCapacity(report.capacity())
                 .setLeaving(report.leaving())
                 .setConfigurationVersion(report.configurationVersion());
         report.confirmedAgeMs().ifPresent(builder::setConfirmedAgeMs);
@@ -85,7 +118,8 @@
         report.knownNodes()
                 .forEach(node -> builder.addKnown(FleetProto.KnownNode.newBuilder()
                         .setNode(node.node())
-                        .setAddress(MemberCodec.encode(node.address()))));
+                        .setAddress(MemberCodec.encode(node.address()))
+                        .setFailureDomain(node.failureDomain())));
         return builder.build();
     }
 
@@ -97,6 +131,7 @@
                 MemberCodec.decode(report.getAddress()),
                 report.getFailureDomain(),
                 report.getRegion(),
+                report.getCapacity(),
                 report.getLeaving(),
                 report.getConfigurationVersion(),
                 report.hasConfirmedAgeMs() ? OptionalLong.of(report.getConfirmedAgeMs()) : OptionalLong.empty(),
@@ -104,7 +139,8 @@
                 report.getTalliesList().stream().map(FleetCodec::decode).toList(),
                 report.getMovesList().stream().map(FleetCodec::decode).toList(),
                 report.getKnownList().stream()
-                        .map(node -> new KnownNode(node.getNode(), MemberCodec.decode(node.getAddress())))
+                        .map(node -> new KnownNode(
+                                node.getNode(), MemberCodec.decode(node.getAddress()), node.getFailureDomain()))
                         .toList());
     }
 
--- a/sequoiashunt-link/src/test/java/org/sequoiashunt/link/FleetCodecTest.java
+++ b/sequoiashunt-link/src/test/java/org/sequoiashunt/link/FleetCodecTest.java
@@ -17,6 +17,8 @@
 import org.sequoiashunt.fleet.KnownNode;
 import org.sequoiashunt.fleet.MoveState;
 import org.sequoiashunt.fleet.NodeReport;
+import org.sequoiashunt.fleet.ReportBatch;
+import org.sequoiashunt.fleet.ReportRequest;
 import org.sequoiashunt.fleet.RouteTime;
 import org.sequoiashunt.fleet.TargetReport;
 import org.sequoiashunt.fleet.VersionMove;
@@ -52,13 +54,14 @@
                 new NodeAddress("10.1.0.11", 7_560),
                 "ha-noi-a",
                 "bac-bo",
+                600,
                 true,
                 12,
                 OptionalLong.of(310),
                 List.of(target),
                 List.of(new VersionTally("desk", "v2", "look", 40, 2, 3_900)),
                 List.of(new VersionMove("desk", "v2", 77, MoveState.RUNNING, 150)),
-                List.of(new KnownNode("sidecar-can-tho-b-1", new NodeAddress("10.4.0.26", 7_560))));
+                List.of(new KnownNode("sidecar-can-tho-b-1", new NodeAddress("10.4.0.26", 7_560), "can-tho-b")));
     }
 
     @Test
@@ -66,6 +69,9 @@
         byte[] document = "{\"Version\":7}".repeat(1_000).getBytes(StandardCharsets.UTF_8);
         for (ControlMessage message : List.of(
                 report(),
+                new ReportBatch(List.of(new ReportBatch.RelayedReport(report(), 740))),
+                new ReportBatch(List.of()),
+                new ReportRequest(new NodeAddress("10.1.0.11", 7_560)),
                 new ConfigurationRequest(new NodeAddress("10.1.0.11", 7_560), 3),
                 new ConfigurationCopy(4, Body.of(document)))) {
             assertTrue(codec.handles(message));
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/FleetController.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/FleetController.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 import org.sequoiashunt.blackboard.Controller;
@@ -15,6 +14,9 @@
 import org.sequoiashunt.fleet.KnownNode;
 import org.sequoiashunt.fleet.MoveState;
 import org.sequoiashunt.fleet.NodeReport;
+import org.sequoiashunt.fleet.RelaySelection;
+import org.sequoiashunt.fleet.ReportExchange;
+import org.sequoiashunt.fleet.VersionMove;
 import org.sequoiashunt.mesh.MoveTable;
 import org.sequoiashunt.mesh.WatcherSelection;
 import org.sequoiashunt.move.AnswerCounters;
@@ -26,93 +28,58 @@
 import org.sequoiashunt.time.Clock;
 
 /**
- * Exchanges state reports with the other nodes and passes configurations on to nodes that have an older one.
+ * Creates the reports of this node, handles those of other nodes, and passes configurations on to nodes that have an
+ * older one.
  *
- * <p>Not thread-safe: one thread calls {@link #tick} and {@link #receive}. Only {@link #requestReport} may be called
- * from any thread.
+ * <p>A configuration crosses each link once: a node that has read it from the store sends it to the nodes of its
+ * failure domain and to one relay of each other domain of its region, and that relay sends it on within its own. A node
+ * that still lags asks a node of its domain for it.
+ *
+ * <p>Not thread-safe: one thread calls {@link #tick} and {@link #receive}. Only {@link #requestReport} and
+ * {@link #shareConfiguration} may be called from any thread.
  */
 final class FleetController implements Controller {
 
-    /** Time between reports: older load figures lead to wrong placements. */
-    static final long REPORT_PERIOD_MS = 500;
-
-    /**
-     * Number of reports sent to this region only between two reports to all regions. Traffic between regions is charged
-     * for, few calls go there, and the answers to these calls carry the load as well.
-     */
-    static final int SAME_REGION_REPORTS_PER_FULL_REPORT = 1;
-
-    /** Most nodes listed in a report: all nodes learn of all others within a few reports. */
-    private static final int MAXIMUM_KNOWN_NODES_PER_REPORT = 3;
-
-    /** Every report whose sequence number is a multiple of this lists known nodes; the others list none. */
-    private static final int REPORTS_PER_KNOWN_NODES = 4;
-
     /** Time for which a node waits for its store watch before it requests a newer configuration from a peer. */
     private static final long CONFIGURATION_LAG_MS = 250;
 
     private final NodeLocation location;
+    private final int capacity;
     private final long incarnation;
     private final Dependencies dependencies;
-    private final AtomicBoolean reportRequested = new AtomicBoolean(true);
-    private long sequence;
-    private long lastReportMs;
-    private int sameRegionReports;
+    private final ReportExchange exchange;
     private long laggingSinceMs = -1;
 
-    FleetController(final NodeLocation location, final long incarnation, final Dependencies dependencies) {
+    FleetController(
+            final NodeLocation location, final int capacity, final long incarnation, final Dependencies dependencies) {
         this.location = Objects.requireNonNull(location, "location");
+        this.capacity = capacity;
         this.incarnation = incarnation;
         this.dependencies = Objects.requireNonNull(dependencies, "dependencies");
+        this.exchange = new ReportExchange(
+                location,
+                dependencies.clock(),
+                dependencies.random(),
+                dependencies.fleet(),
+                dependencies.sender(),
+                this::createReport,
+                this::handleReport);
     }
 
-    /** Makes the next tick send a report to all regions. Thread-safe. */
+    /** Makes the next tick send a report. Thread-safe. */
     void requestReport() {
-        reportRequested.set(true);
+        exchange.requestReport();
     }
 
     @Override
     public void tick() {
         dependencies.gates().update();
         dependencies.gates().tick();
-        long nowMs = dependencies.clock().nowMs();
-        boolean requested = reportRequested.getAndSet(false);
-        if (requested || nowMs - lastReportMs >= REPORT_PERIOD_MS) {
-            lastReportMs = nowMs;
-            boolean toAllRegions = requested || sameRegionReports >= SAME_REGION_REPORTS_PER_FULL_REPORT;
-            sameRegionReports = toAllRegions ? 0 : sameRegionReports + 1;
-            sendReport(toAllRegions);
-        }
-        requestConfigurationIfLagging(nowMs);
-    }
-
-    private void sendReport(final boolean toAllRegions) {
-        List<KnownNode> receivers = new ArrayList<>(dependencies.fleet().reportRecipients());
-        receivers.removeIf(node -> node.node().equals(location.node()));
-        NodeReport report = createReport(receivers);
-        if (!toAllRegions) {
-            receivers.removeIf(node -> isRemote(node.node()));
-        }
-        dependencies.sender().send(receivers.stream().map(KnownNode::address).toList(), report);
-    }
-
-    private boolean isRemote(final String node) {
-        return dependencies
-                .fleet()
-                .findReport(node)
-                .filter(received -> !received.report().region().equals(location.region()))
-                .isPresent();
+        exchange.tick();
+        requestConfigurationIfLagging(dependencies.clock().nowMs());
     }
 
-    private NodeReport createReport(final List<KnownNode> receivers) {
-        sequence++;
-        List<KnownNode> knownNodes = new ArrayList<>();
-        int knownNodeCount = sequence % REPORTS_PER_KNOWN_NODES == 0
-                ? Math.min(MAXIMUM_KNOWN_NODES_PER_REPORT, receivers.size())
-                : 0;
-        for (int index = 0; index < knownNodeCount; index++) {
-            knownNodes.add(receivers.get(dependencies.random().nextInt(receivers.size())));
-        }
+    private NodeReport createReport(final long sequence, final List<KnownNode> knownNodes) {
         return new NodeReport(
                 location.node(),
                 incarnation,
@@ -120,6 +87,7 @@
                 location.address(),
                 location.failureDomain(),
                 location.region(),
+                capacity,
                 dependencies.draining().getAsBoolean(),
                 dependencies.configuration().version(),
                 dependencies.watcherSelection().confirmationAgeMs(),
@@ -138,12 +106,12 @@
     }
 
     private void requestConfigurationIfLagging(final long nowMs) {
-        Optional<NodeReport> newerReport = dependencies.fleet().liveReports().stream()
+        long version = dependencies.configuration().version();
+        List<NodeReport> newerReports = dependencies.fleet().liveReports().stream()
                 .map(FleetView.ReceivedReport::report)
-                .filter(report -> report.configurationVersion()
-                        > dependencies.configuration().version())
-                .findAny();
-        if (newerReport.isEmpty()) {
+                .filter(report -> report.configurationVersion() > version)
+                .toList();
+        if (newerReports.isEmpty()) {
             laggingSinceMs = -1;
         } else if (laggingSinceMs < 0) {
             laggingSinceMs = nowMs;
@@ -151,62 +119,112 @@
             laggingSinceMs = nowMs;
             dependencies
                     .sender()
-                    .send(
-                            newerReport.get().address(),
-                            new ConfigurationRequest(
-                                    location.address(),
-                                    dependencies.configuration().version()));
+                    .send(chooseNearest(newerReports).address(), new ConfigurationRequest(location.address(), version));
         }
     }
 
-    /** Sends the active configuration to the nodes of this region that report an older version. */
+    /** Chooses at random among the nearest nodes, so that the nodes that lag do not all ask the same one. */
+    private NodeReport chooseNearest(final List<NodeReport> reports) {
+        List<NodeReport> nearest = reports.stream()
+                .filter(report -> report.failureDomain().equals(location.failureDomain()))
+                .toList();
+        if (nearest.isEmpty()) {
+            nearest = reports.stream()
+                    .filter(report -> report.region().equals(location.region()))
+                    .toList();
+        }
+        List<NodeReport> choice = nearest.isEmpty() ? reports : nearest;
+        return choice.get(dependencies.random().nextInt(choice.size()));
+    }
+
+    /**
+     * Sends the active configuration to the nodes of this failure domain, and to one relay of each other domain of this
+     * region, that report an older version. Thread-safe.
+     */
     void shareConfiguration() {
+        List<NodeReport> reports = liveReports();
+        List<NodeReport> receivers = new ArrayList<>(ownDomain(reports));
+        reports.stream()
+                .filter(report -> report.region().equals(location.region())
+                        && !report.failureDomain().equals(location.failureDomain()))
+                .map(NodeReport::failureDomain)
+                .distinct()
+                .forEach(domain -> RelaySelection.relays(reports, domain).stream()
+                        .findFirst()
+                        .ifPresent(receivers::add));
+        sendConfiguration(receivers);
+    }
+
+    private List<NodeReport> liveReports() {
+        return dependencies.fleet().liveReports().stream()
+                .map(FleetView.ReceivedReport::report)
+                .toList();
+    }
+
+    private List<NodeReport> ownDomain(final List<NodeReport> reports) {
+        return reports.stream()
+                .filter(report -> report.failureDomain().equals(location.failureDomain()))
+                .toList();
+    }
+
+    private void sendConfiguration(final List<NodeReport> receivers) {
         Optional<Body> document = dependencies.configuration().document();
         if (document.isEmpty()) {
             return;
         }
         long version = dependencies.configuration().version();
-        List<NodeAddress> receivers = dependencies.fleet().liveReports().stream()
-                .map(FleetView.ReceivedReport::report)
-                .filter(report -> report.region().equals(location.region()) && report.configurationVersion() < version)
+        List<NodeAddress> outdated = receivers.stream()
+                .filter(report -> report.configurationVersion() < version)
                 .map(NodeReport::address)
                 .toList();
-        dependencies.sender().send(receivers, new ConfigurationCopy(version, document.get()));
+        if (!outdated.isEmpty()) {
+            dependencies.sender().send(outdated, new ConfigurationCopy(version, document.get()));
+        }
     }
 
     @Override
     public boolean receive(final String sender, final ControlMessage message) {
-        if (message instanceof NodeReport report) {
-            acceptReport(report);
-        } else if (message instanceof ConfigurationRequest request) {
-            Optional<Body> document = dependencies.configuration().document();
-            if (document.isPresent() && dependencies.configuration().version() > request.knownVersion()) {
-                dependencies
-                        .sender()
-                        .send(
-                                request.replyTo(),
-                                new ConfigurationCopy(
-                                        dependencies.configuration().version(), document.get()));
-            }
+        if (message instanceof ConfigurationRequest request) {
+            answer(request);
         } else if (message instanceof ConfigurationCopy copy) {
             if (dependencies.configuration().activateIfNewer(copy.document(), sender)) {
                 requestReport();
+                passOn(sender);
             }
         } else {
-            return false;
+            return exchange.receive(sender, message);
         }
         return true;
     }
 
-    private void acceptReport(final NodeReport report) {
-        if (report.node().equals(location.node())) {
-            return;
+    private void answer(final ConfigurationRequest request) {
+        long version = dependencies.configuration().version();
+        Optional<Body> document = dependencies.configuration().document();
+        if (document.isPresent() && version > request.knownVersion()) {
+            dependencies.sender().send(request.replyTo(), new ConfigurationCopy(version, document.get()));
         }
-        FleetView.Change change = dependencies.fleet().accept(report);
-        if (change == FleetView.Change.OUTDATED) {
-            return;
+    }
+
+    /** Passes a configuration from another failure domain on to this one; within a domain, its first receiver does. */
+    private void passOn(final String sender) {
+        boolean fromOtherDomain = dependencies
+                .fleet()
+                .findReport(sender)
+                .filter(received -> !received.report().failureDomain().equals(location.failureDomain()))
+                .isPresent();
+        if (fromOtherDomain) {
+            sendConfiguration(ownDomain(liveReports()));
+        }
+    }
+
+    private void handleReport(final NodeReport report, final FleetView.Change change) {
+        boolean moveChanged = false;
+        for (VersionMove move : report.moves()) {
+            moveChanged |= dependencies.moveTable().merge(move);
+        }
+        if (moveChanged && exchange.isRelaying()) {
+            requestReport();
         }
-        report.moves().forEach(dependencies.moveTable()::merge);
         if (change == FleetView.Change.REGAINED) {
             dependencies.log().log(
                     LogKind.PEER,
@@ -218,7 +236,6 @@
                     report.incarnation(),
                     "targets",
                     report.targets().size());
-            requestReport();
         }
     }
 
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
@@ -101,7 +101,8 @@
         this.metrics = platformComponents.metrics();
         this.log = closer.register(DecisionLog.start(settings.location().node(), clock, System.out));
         this.configuration = new ActiveConfiguration(platformComponents.platform(), log);
-        this.watcherSelection = new WatcherSelection(settings.location(), fleet, configuration::version, clock);
+        this.watcherSelection =
+                new WatcherSelection(settings.location(), settings.capacity(), fleet, configuration::version, clock);
     }
 
     /**
@@ -137,7 +138,8 @@
         GateReporter reporter =
                 new GateReporter(platformComponents.headerNames().requestId(), answerCounters, log, metrics);
         gates = new SlotGates(registry, new SlotGate.Dependencies(clock, targets, reporter));
-        fleetController = new FleetController(settings.location(), incarnation, fleetDependencies());
+        fleetController =
+                new FleetController(settings.location(), settings.capacity(), incarnation, fleetDependencies());
         moveController = new MoveController(
                 settings.location().node(),
                 fleet,
@@ -218,6 +220,8 @@
                 retries,
                 new LocalFirstGateCaller(settings.location().address(), gates, linkClient),
                 new CallIdGenerator(settings.location().node(), incarnation),
+                // The targets of this VM call other services; requests for their own come from this VM's callers.
+                called -> called.equals(service) ? 0 : gates.repeatedShare(),
                 new PlacementReporter(log)));
         return new MeshCallerHandler.Dependencies(
                 clock,
@@ -255,8 +259,7 @@
 
     private void startStoreTasks() {
         StoreHealth health = new StoreHealth(clock, log);
-        KnownNode self =
-                new KnownNode(settings.location().node(), settings.location().address());
+        KnownNode self = settings.location().asKnownNode();
         startTask(
                 "operator",
                 new OperatorWatch(
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshSettings.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshSettings.java
@@ -10,6 +10,8 @@
  * Settings of a node of a mesh. Immutable and thread-safe.
  *
  * @param location the node's name, failure domain, region and the address on which it accepts links.
+ * @param capacity the processor capacity of the VM, in thousandths of a core, at least 1; nodes with more relay for
+ *     others.
  * @param service the name of the VM's service.
  * @param callerAddress the address on which callers' requests arrive.
  * @param announcementAddress the address on which the VM's targets announce themselves.
@@ -21,6 +23,7 @@
  */
 public record MeshSettings(
         NodeLocation location,
+        int capacity,
         String service,
         InetSocketAddress callerAddress,
         InetSocketAddress announcementAddress,
@@ -34,7 +37,7 @@
      * Checks the components.
      *
      * @throws NullPointerException if a component is null.
-     * @throws IllegalArgumentException if a time is not positive.
+     * @throws IllegalArgumentException if a time or the capacity is not positive.
      */
     public MeshSettings {
         Objects.requireNonNull(location, "location");
@@ -47,5 +50,8 @@
         if (announcementPeriodMs < 1 || shutdownMs < 1) {
             throw new IllegalArgumentException("announcementPeriodMs and shutdownMs must be positive");
         }
+        if (capacity < 1) {
+            throw new IllegalArgumentException("capacity must be positive: " + capacity);
+        }
     }
 }
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/OperatorWatch.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/OperatorWatch.java
@@ -87,7 +87,8 @@
         onChange.accept(state);
         revision = state.revision();
         watcherSelection.recordConfirmation();
-        return 0;
+        // Nodes that start before the first configuration learn of each other meanwhile, so that few of them watch.
+        return state.configuration().isPresent() ? 0 : NOT_WATCHING_PAUSE_MS;
     }
 
     private long watch() throws StoreException {
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/FleetControllerTest.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/FleetControllerTest.java
@@ -6,21 +6,26 @@
 import java.io.OutputStream;
 import java.io.PrintStream;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
+import java.util.TreeMap;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.sequoiashunt.call.Body;
+import org.sequoiashunt.fleet.ConfigurationCopy;
+import org.sequoiashunt.fleet.ConfigurationRequest;
 import org.sequoiashunt.fleet.FleetView;
-import org.sequoiashunt.fleet.KnownNode;
 import org.sequoiashunt.fleet.NodeReport;
+import org.sequoiashunt.fleet.ReportBatch;
+import org.sequoiashunt.fleet.ReportExchange;
 import org.sequoiashunt.mesh.MoveTable;
 import org.sequoiashunt.mesh.WatcherSelection;
 import org.sequoiashunt.move.AnswerCounters;
+import org.sequoiashunt.peer.ControlMessage;
 import org.sequoiashunt.peer.NodeAddress;
 import org.sequoiashunt.placement.NodeLocation;
 import org.sequoiashunt.slot.SlotGate;
@@ -31,21 +36,27 @@
 class FleetControllerTest {
 
     private static final long SIMULATED_SECONDS = 20;
+    private static final int CAPACITY = 600;
     private static final NodeLocation LOCATION =
             new NodeLocation("self", new NodeAddress("10.0.0.1", 1), "north-1", "north");
-    private static final KnownNode NEAR = new KnownNode("near", new NodeAddress("10.0.0.2", 1));
-    private static final KnownNode FAR = new KnownNode("far", new NodeAddress("10.0.0.3", 1));
+    private static final NodeLocation NEAR =
+            new NodeLocation("near", new NodeAddress("10.0.0.2", 1), "north-1", "north");
+    private static final NodeLocation WEAK =
+            new NodeLocation("a-weak", new NodeAddress("10.0.0.4", 1), "north-2", "north");
+    private static final NodeLocation STRONG =
+            new NodeLocation("strong", new NodeAddress("10.0.0.5", 1), "north-2", "north");
+    private static final NodeLocation FAR = new NodeLocation("far", new NodeAddress("10.0.0.3", 1), "south-1", "south");
 
     private final SteppedClock clock = SteppedClock.of(10_000);
     private final FleetView fleet = new FleetView(clock);
-    private final Map<NodeAddress, List<NodeReport>> sent = new HashMap<>();
+    private final Map<NodeAddress, List<ControlMessage>> sent = new TreeMap<>();
     private final DecisionLog log =
             DecisionLog.start("self", clock, new PrintStream(OutputStream.nullOutputStream(), true));
+    private final ActiveConfiguration configuration = new ActiveConfiguration(new FakePlatform(), log);
     private final FleetController controller = controller();
     private long sequence;
 
     private FleetController controller() {
-        ActiveConfiguration configuration = new ActiveConfiguration(new FakePlatform(), log);
         SlotGates gates = new SlotGates(
                 new TargetRegistry(clock, 1_500),
                 new SlotGate.Dependencies(
@@ -56,6 +67,7 @@
                         new GateReporter("Request-Id", new AnswerCounters(), log, new MeshMetrics())));
         return new FleetController(
                 LOCATION,
+                CAPACITY,
                 1,
                 new FleetController.Dependencies(
                         clock,
@@ -63,11 +75,11 @@
                         fleet,
                         gates,
                         configuration,
-                        new WatcherSelection(LOCATION, fleet, configuration::version, clock),
+                        new WatcherSelection(LOCATION, CAPACITY, fleet, configuration::version, clock),
                         new MoveTable(),
                         new AnswerCounters(),
                         (receiver, message) -> sent.computeIfAbsent(receiver, unused -> new ArrayList<>())
-                                .add((NodeReport) message),
+                                .add(message),
                         () -> false,
                         log));
     }
@@ -77,78 +89,146 @@
         log.close();
     }
 
-    private void receiveReport(final KnownNode node, final String region) {
+    private NodeReport report(final NodeLocation node, final int capacity, final long version) {
         sequence++;
-        controller.receive(
+        return new NodeReport(
                 node.node(),
-                new NodeReport(
-                        node.node(),
-                        5,
-                        sequence,
-                        node.address(),
-                        region + "-1",
-                        region,
-                        false,
-                        0,
-                        OptionalLong.empty(),
-                        List.of(),
-                        List.of(),
-                        List.of(),
-                        List.of(NEAR, FAR)));
-    }
-
-    private void simulate() {
-        for (int step = 0; step < SIMULATED_SECONDS * 10; step++) {
-            receiveReport(NEAR, "north");
-            receiveReport(FAR, "south");
+                5,
+                sequence,
+                node.address(),
+                node.failureDomain(),
+                node.region(),
+                capacity,
+                false,
+                version,
+                OptionalLong.empty(),
+                List.of(),
+                List.of(),
+                List.of(),
+                List.of());
+    }
+
+    private void receiveReport(final NodeLocation node, final int capacity, final long version) {
+        NodeReport report = report(node, capacity, version);
+        boolean relayed = !node.failureDomain().equals(LOCATION.failureDomain());
+        controller.receive(
+                node.node(), relayed ? new ReportBatch(List.of(new ReportBatch.RelayedReport(report, 0))) : report);
+    }
+
+    private void receiveReports(final long version) {
+        receiveReport(NEAR, CAPACITY, version);
+        receiveReport(WEAK, CAPACITY / 2, version);
+        receiveReport(STRONG, CAPACITY, version);
+        receiveReport(FAR, CAPACITY, version);
+    }
+
+    private void simulate(final long seconds) {
+        for (int step = 0; step < seconds * 10; step++) {
+            receiveReports(0);
             controller.tick();
             clock.advance(100);
         }
     }
 
-    /** Bytes between regions cost the users almost four times as much as bytes within a region. */
-    @Test
-    void otherRegionsReceiveHalfAsManyReports() {
-        simulate();
-        int near = sent.get(NEAR.address()).size();
-        int far = sent.get(FAR.address()).size();
-        assertEquals(SIMULATED_SECONDS * 1_000 / FleetController.REPORT_PERIOD_MS, near, 3);
-        assertEquals(near / 2.0, far, 3);
+    private <T extends ControlMessage> List<T> sentTo(final NodeLocation node, final Class<T> type) {
+        return sent.getOrDefault(node.address(), List.of()).stream()
+                .filter(type::isInstance)
+                .map(type::cast)
+                .toList();
+    }
+
+    private static Body document(final int version) {
+        return Body.of(new byte[] {(byte) version});
     }
 
     @Test
-    void otherRegionsReceiveReportsWithinLivenessTimeoutDespiteOneLoss() {
-        simulate();
-        long reports = 1 + FleetController.SAME_REGION_REPORTS_PER_FULL_REPORT;
-        assertTrue(
-                2 * reports * FleetController.REPORT_PERIOD_MS < FleetView.LIVENESS_TIMEOUT_MS,
-                "a node stays live although one report is lost");
+    void reportsGoToOwnDomainOnly() {
+        simulate(SIMULATED_SECONDS);
+        assertEquals(
+                SIMULATED_SECONDS * 1_000 / ReportExchange.REPORT_PERIOD_MS,
+                sentTo(NEAR, NodeReport.class).size(),
+                3);
+        assertEquals(List.of(), sentTo(FAR, NodeReport.class));
+        assertTrue(sentTo(FAR, ReportBatch.class).size() > SIMULATED_SECONDS / 2);
     }
 
     @Test
-    void requestedReportIsSentToAllRegionsAtNextTick() {
-        simulate();
-        int before = sent.get(FAR.address()).size();
+    void requestedReportIsSentAtNextTick() {
+        simulate(SIMULATED_SECONDS);
+        int before = sentTo(NEAR, NodeReport.class).size();
         for (int change = 0; change < 4; change++) {
             controller.requestReport();
             controller.tick();
         }
-        assertEquals(before + 4, sent.get(FAR.address()).size());
+        assertEquals(before + 4, sentTo(NEAR, NodeReport.class).size());
     }
 
     @Test
     void reportsEventuallyListAllKnownNodes() {
-        simulate();
+        simulate(SIMULATED_SECONDS);
         Set<String> named = new HashSet<>();
-        sent.get(NEAR.address()).forEach(report -> report.knownNodes().forEach(node -> named.add(node.node())));
-        assertEquals(Set.of("near", "far"), named);
+        sentTo(NEAR, NodeReport.class).forEach(report -> report.knownNodes().forEach(node -> named.add(node.node())));
+        assertEquals(Set.of("near", "far", "a-weak", "strong"), named);
     }
 
     @Test
     void nodeWithoutReceivedReportGetsEveryReport() {
-        KnownNode unseen = new KnownNode("unseen", new NodeAddress("10.0.0.4", 1));
-        fleet.addKnownNode(unseen);
-        simulate();
-        assertEquals(sent.get(NEAR.address()).size(), sent.get(unseen.address()).size(), 3);
+        NodeLocation unseen = new NodeLocation("unseen", new NodeAddress("10.0.0.6", 1), "north-1", "north");
+        NodeLocation unknown = new NodeLocation("unknown", new NodeAddress("10.0.0.7", 1), "", "north");
+        fleet.addKnownNode(unseen.asKnownNode());
+        fleet.addKnownNode(unknown.asKnownNode());
+        simulate(10);
+        assertEquals(
+                sentTo(NEAR, NodeReport.class).size(),
+                sentTo(unseen, NodeReport.class).size(),
+                3);
+        assertEquals(
+                sentTo(NEAR, NodeReport.class).size(),
+                sentTo(unknown, NodeReport.class).size(),
+                3,
+                "an entry without a failure domain");
+    }
+
+    /** A version of 2,000 routes takes seconds over the link of one node if that node sends it to every other one. */
+    @Test
+    void configurationIsSentOnceToEachOtherDomainOfTheRegion() {
+        receiveReports(0);
+        configuration.activateIfNewer(document(3), "store");
+        controller.shareConfiguration();
+        assertEquals(1, sentTo(NEAR, ConfigurationCopy.class).size());
+        assertEquals(1, sentTo(STRONG, ConfigurationCopy.class).size());
+        assertEquals(0, sentTo(WEAK, ConfigurationCopy.class).size());
+        assertEquals(0, sentTo(FAR, ConfigurationCopy.class).size(), "another region reads the store itself");
+    }
+
+    @Test
+    void configurationFromOtherDomainIsPassedOnWithinThisOne() {
+        receiveReports(0);
+        controller.receive(STRONG.node(), new ConfigurationCopy(3, document(3)));
+        assertEquals(3, configuration.version());
+        assertEquals(1, sentTo(NEAR, ConfigurationCopy.class).size());
+        assertEquals(0, sentTo(WEAK, ConfigurationCopy.class).size());
+        controller.receive(STRONG.node(), new ConfigurationCopy(3, document(3)));
+        assertEquals(1, sentTo(NEAR, ConfigurationCopy.class).size(), "a repeated copy is not passed on");
+    }
+
+    @Test
+    void configurationFromOwnDomainIsNotPassedOn() {
+        receiveReports(0);
+        controller.receive(NEAR.node(), new ConfigurationCopy(3, document(3)));
+        assertEquals(0, sentTo(STRONG, ConfigurationCopy.class).size());
+    }
+
+    @Test
+    void laggingNodeAsksItsOwnDomain() {
+        simulate(1);
+        for (int step = 0; step < 5; step++) {
+            receiveReports(4);
+            controller.tick();
+            clock.advance(100);
+        }
+        assertTrue(sentTo(NEAR, ConfigurationRequest.class).size() >= 1);
+        assertEquals(0, sentTo(FAR, ConfigurationRequest.class).size());
+        assertEquals(0, sentTo(STRONG, ConfigurationRequest.class).size());
     }
 }
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/MeshNodeTest.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/MeshNodeTest.java
@@ -104,6 +104,7 @@
     private static MeshSettings settings(final String region) throws IOException {
         return new MeshSettings(
                 new NodeLocation("n-" + region, new NodeAddress("127.0.0.1", freePort()), "d-" + region, region),
+                600,
                 "kiosk",
                 new InetSocketAddress("127.0.0.1", freePort()),
                 new InetSocketAddress("127.0.0.1", freePort()),
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/StoreHealthTest.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/StoreHealthTest.java
@@ -47,7 +47,7 @@
     @Test
     void entryRenewalAfterOutageLogsRecovery() throws Exception {
         FakePlatform platform = new FakePlatform();
-        KnownNode self = new KnownNode("n", new NodeAddress("127.0.0.1", 1));
+        KnownNode self = new KnownNode("n", new NodeAddress("127.0.0.1", 1), "d");
         NodeEntryTask task = new NodeEntryTask(platform, self, new FleetView(clock), new Random(1), health);
         platform.setDown(true);
         task.step();
--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/overload/SimulatedNode.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/overload/SimulatedNode.java
@@ -40,6 +40,7 @@
     /** Header with the identity of a request. */
     static final String ID = "Request-Id";
 
+    private static final int CAPACITY = 600;
     private static final long ANNOUNCEMENT_MS = 3_600_000;
 
     private final EventQueue events;
@@ -81,6 +82,7 @@
                         events.clock(), RETRIES, () -> fleet.liveReports().size() + 1),
                 (gate, request) -> links.call(place, gate, request),
                 new CallIdGenerator(place.node(), 1),
+                called -> called.equals(target.service()) ? 0 : gates.repeatedShare(),
                 new CountingPlacements(tally, scenario)));
     }
 
@@ -113,6 +115,7 @@
                 place.address(),
                 place.failureDomain(),
                 place.region(),
+                CAPACITY,
                 false,
                 1,
                 OptionalLong.of(0),
