Bound the memory of all answers that are being received; loopback addresses that nobody else takes

Answers without end on all connections of a target could hold 16 MB each. Tests that found a free port, closed it and bound it later failed once with 'address already in use'.

--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/NettyTargetCaller.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/NettyTargetCaller.java
@@ -44,7 +44,14 @@
     /** Time after the deadline during which an answer that the target sent at its deadline may still arrive. */
     private static final long DEADLINE_GRACE_MS = 40;
 
+    /**
+     * Most bytes of the bodies of all answers that are being received: a small part of a node's memory. Targets in
+     * trouble may send answers without end on all of their connections at the same time.
+     */
+    static final long MAXIMUM_ANSWER_MEMORY_BYTES = 24 << 20;
+
     private final EventLoop loop;
+    private final ByteBudget answerMemory = new ByteBudget(MAXIMUM_ANSWER_MEMORY_BYTES);
     private final MeshHeaders headerNames;
     private final Clock clock;
     private final Map<NodeAddress, Deque<TargetConnection>> idleConnections = new HashMap<>();
@@ -96,6 +103,11 @@
         }
     }
 
+    /** Returns the number of bytes of the answers that are being received. */
+    long answerMemoryBytes() {
+        return answerMemory.reservedBytes();
+    }
+
     private TargetConnection takeIdle(final NodeAddress target, final long nowMs) {
         Deque<TargetConnection> connections = idleConnections.get(target);
         while (connections != null && !connections.isEmpty()) {
@@ -146,13 +158,14 @@
             result.complete(CallResult.notRun(Reason.DEADLINE));
             return;
         }
-        TargetExchange exchange = new TargetExchange(headerNames, request, result);
+        TargetExchange exchange = new TargetExchange(headerNames, request, result, answerMemory);
         ScheduledFuture<?> timeout = loop.schedule(
                 () -> handleTimeout(target, connection, exchange),
                 remainingMs + DEADLINE_GRACE_MS,
                 TimeUnit.MILLISECONDS);
         result.whenComplete((ended, failure) -> loop.execute(() -> {
             timeout.cancel(false);
+            exchange.releaseMemory();
             if (result.isCancelled()) {
                 exchange.fail(Reason.CANCELLED);
             } else {
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/TargetExchange.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/TargetExchange.java
@@ -57,13 +57,19 @@
     private final CallRequest request;
     private final String requestId;
     private final CompletableFuture<CallResult> result;
+    private final ByteBudget answerMemory;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private TargetConnection connection;
     private ChannelFuture writeFuture;
     private HttpResponse response;
+    private long reservedBytes;
 
     TargetExchange(
-            final MeshHeaders headerNames, final CallRequest request, final CompletableFuture<CallResult> result) {
+            final MeshHeaders headerNames,
+            final CallRequest request,
+            final CompletableFuture<CallResult> result,
+            final ByteBudget answerMemory) {
+        this.answerMemory = answerMemory;
         this.headerNames = headerNames;
         this.request = request;
         this.requestId = header(request, headerNames.requestId());
@@ -79,6 +85,12 @@
         return "";
     }
 
+    /** Returns the memory of the answer's body to the budget; called once, when the exchange has ended. */
+    void releaseMemory() {
+        answerMemory.release(reservedBytes);
+        reservedBytes = 0;
+    }
+
     void start(final TargetConnection chosen, final long remainingMs) {
         connection = chosen;
         chosen.attach(this);
@@ -141,10 +153,13 @@
             return;
         }
         int length = content.content().readableBytes();
-        if (content.decoderResult().isFailure() || body.size() + length > MAXIMUM_ANSWER_BYTES) {
+        if (content.decoderResult().isFailure()
+                || body.size() + length > MAXIMUM_ANSWER_BYTES
+                || !answerMemory.tryReserve(length)) {
             fail(Reason.BAD_ANSWER);
             return;
         }
+        reservedBytes += length;
         try {
             content.content().getBytes(content.content().readerIndex(), body, length);
         } catch (IOException exception) {
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/CallerHandlerTest.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/CallerHandlerTest.java
@@ -5,8 +5,6 @@
 
 import com.codahale.metrics.MetricRegistry;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -28,6 +26,7 @@
 import org.sequoiashunt.dispatch.CallIdGenerator;
 import org.sequoiashunt.execution.ClaimService;
 import org.sequoiashunt.http.Timers;
+import org.sequoiashunt.memory.LoopbackAddresses;
 import org.sequoiashunt.peer.NodeAddress;
 import org.sequoiashunt.routing.Candidate;
 import org.sequoiashunt.routing.RoutingTable;
@@ -46,9 +45,7 @@
 
     @BeforeEach
     void open() throws IOException {
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            address = new NodeAddress("127.0.0.1", free.getLocalPort());
-        }
+        address = LoopbackAddresses.next();
         CallerHandler handler = new CallerHandler(
                 dispatcher(),
                 CallerAdmission.withDefaultLimits(),
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/NodeMainTest.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/NodeMainTest.java
@@ -5,14 +5,13 @@
 
 import java.io.BufferedReader;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.sequoiashunt.memory.LoopbackAddresses;
 
 final class NodeMainTest {
 
@@ -36,16 +35,19 @@
     }
 
     private Process startNode() throws IOException {
-        Path settings = Files.writeString(
-                directory.resolve("node.yaml"), """
+        Path settings = Files.writeString(directory.resolve("node.yaml"), """
                 node: registry-desk-1
                 failureDomain: ha-noi-a
                 region: bac-bo
-                callers: 127.0.0.1:%d
-                link: 127.0.0.1:%d
-                admin: 127.0.0.1:%d
-                store: 127.0.0.1:%d
-                """.formatted(freePort(), freePort(), freePort(), freePort()));
+                callers: %s
+                link: %s
+                admin: %s
+                store: %s
+                """.formatted(
+                        LoopbackAddresses.next(),
+                        LoopbackAddresses.next(),
+                        LoopbackAddresses.next(),
+                        LoopbackAddresses.next()));
         Path java = Path.of(System.getProperty("java.home"), "bin", "java");
         return new ProcessBuilder(
                         java.toString(),
@@ -59,12 +61,6 @@
                 .start();
     }
 
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
-        }
-    }
-
     private static boolean awaitLine(final BufferedReader output, final String text) throws IOException {
         String line = output.readLine();
         while (line != null && !line.contains(text)) {
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/MeshNodeTest.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/MeshNodeTest.java
@@ -4,9 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -25,6 +23,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.sequoiashunt.limit.SlidingWindowRetryBudget;
+import org.sequoiashunt.memory.LoopbackAddresses;
 import org.sequoiashunt.peer.NodeAddress;
 import org.sequoiashunt.placement.NodeLocation;
 import org.sequoiashunt.target.TargetAnnouncement;
@@ -101,24 +100,23 @@
         }
     }
 
-    private static MeshSettings settings(final String region) throws IOException {
+    private static MeshSettings settings(final String region) {
         return new MeshSettings(
-                new NodeLocation("n-" + region, new NodeAddress("127.0.0.1", freePort()), "d-" + region, region),
+                new NodeLocation("n-" + region, LoopbackAddresses.next(), "d-" + region, region),
                 600,
                 "kiosk",
-                new InetSocketAddress("127.0.0.1", freePort()),
-                new InetSocketAddress("127.0.0.1", freePort()),
-                new InetSocketAddress("127.0.0.1", freePort()),
-                Optional.of(new InetSocketAddress("127.0.0.1", freePort())),
+                nextSocketAddress(),
+                nextSocketAddress(),
+                nextSocketAddress(),
+                Optional.of(nextSocketAddress()),
                 1_500,
                 6_000,
                 new SlidingWindowRetryBudget.Bounds(0.2, 50, 10_000));
     }
 
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return socket.getLocalPort();
-        }
+    private static InetSocketAddress nextSocketAddress() {
+        NodeAddress address = LoopbackAddresses.next();
+        return new InetSocketAddress(address.host(), address.port());
     }
 
     private HttpResponse<String> send(final InetSocketAddress address, final HttpRequest.Builder request)
@@ -127,13 +125,13 @@
     }
 
     private static HttpRequest.Builder request(final InetSocketAddress address, final String path) {
-        return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + address.getPort() + path))
+        return HttpRequest.newBuilder(URI.create("http://" + address.getHostString() + ":" + address.getPort() + path))
                 .timeout(Duration.ofSeconds(10));
     }
 
     private HttpResponse<String> call(final int node, final String path, final String id) throws Exception {
         InetSocketAddress callers = settings.get(node).callerAddress();
-        try (Socket socket = new Socket("127.0.0.1", callers.getPort())) {
+        try (Socket socket = new Socket(LoopbackAddresses.host(), callers.getPort())) {
             return exchange(socket, path, id);
         }
     }
@@ -204,8 +202,8 @@
         awaitTargetReachable();
         int before = target.requests().size();
         for (int request = 0; request < sent; request++) {
-            try (Socket socket =
-                    new Socket("127.0.0.1", settings.get(0).callerAddress().getPort())) {
+            try (Socket socket = new Socket(
+                    LoopbackAddresses.host(), settings.get(0).callerAddress().getPort())) {
                 write(socket, "/look/" + request, "gone-" + request);
             }
         }
@@ -218,13 +216,13 @@
     void disconnectedCallersDoNotDelayDrain() throws Exception {
         startTarget("SILENT", "SILENT", "SILENT", "SILENT");
         await(() -> call(0, "/look/1", "probe").statusCode() != 503);
-        try (Socket late =
-                new Socket("127.0.0.1", settings.get(0).callerAddress().getPort())) {
+        try (Socket late = new Socket(
+                LoopbackAddresses.host(), settings.get(0).callerAddress().getPort())) {
             write(late, "/look/2", "leaves-later");
             await(() -> target.requests().size() >= 2);
         }
-        try (Socket early =
-                new Socket("127.0.0.1", settings.get(0).callerAddress().getPort())) {
+        try (Socket early = new Socket(
+                LoopbackAddresses.host(), settings.get(0).callerAddress().getPort())) {
             write(early, "/look/3", "leaves-at-once");
         }
         long startNanos = System.nanoTime();
@@ -250,8 +248,8 @@
         startTarget(COMPLETE_RESPONSE, "SILENT", COMPLETE_RESPONSE);
         awaitTargetReachable();
         int connections = target.connectionCount();
-        try (Socket socket =
-                new Socket("127.0.0.1", settings.get(0).callerAddress().getPort())) {
+        try (Socket socket = new Socket(
+                LoopbackAddresses.host(), settings.get(0).callerAddress().getPort())) {
             write(socket, "/look/2", "id-2");
             await(() -> target.requests().size() >= 2);
         }
@@ -263,8 +261,8 @@
     void requestSentWhileRequestWithBodyIsServedIsAnswered() throws Exception {
         startTarget(COMPLETE_RESPONSE, COMPLETE_RESPONSE, COMPLETE_RESPONSE);
         awaitTargetReachable();
-        try (Socket socket =
-                new Socket("127.0.0.1", settings.get(0).callerAddress().getPort())) {
+        try (Socket socket = new Socket(
+                LoopbackAddresses.host(), settings.get(0).callerAddress().getPort())) {
             socket.setSoTimeout(5_000);
             String text = "POST /look/1 HTTP/1.1\r\nHost: desk\r\nRequest-Id: body\r\nLeft-Ms: 1000\r\n"
                     + "Content-Length: 4\r\n\r\nabcd";
@@ -280,8 +278,8 @@
     void pipelinedRequestsAreAnsweredInOrder() throws Exception {
         startTarget(COMPLETE_RESPONSE, COMPLETE_RESPONSE, COMPLETE_RESPONSE);
         awaitTargetReachable();
-        try (Socket socket =
-                new Socket("127.0.0.1", settings.get(0).callerAddress().getPort())) {
+        try (Socket socket = new Socket(
+                LoopbackAddresses.host(), settings.get(0).callerAddress().getPort())) {
             write(socket, "/look/2", "id-2");
             write(socket, "/look/3", "id-3");
             assertEquals(200, RawResponse.read(socket.getInputStream()).statusCode());
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/NettyTargetCallerTest.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/NettyTargetCallerTest.java
@@ -4,6 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -11,6 +13,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.sequoiashunt.call.Body;
 import org.sequoiashunt.call.CallRequest;
 import org.sequoiashunt.call.CallResponse;
@@ -164,6 +168,64 @@
         assertEquals(Reason.DEADLINE, result.reason());
     }
 
+    /** A target in trouble may send bytes until its caller closes the connection, in a head or in a body. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK\r\nENDLESSX-Filler: abcdefghijklmnopqrstuvwxyz\r\n",
+                "HTTP/1.1 200 OK\r\nX-Filler: ENDLESSabcdefghijklmnopqrstuvwxyz",
+                "ENDLESSabcdefghijklmnopqrstuvwxyz",
+                "ENDLESS\r\n",
+                "ENDLESSHTTP/1.1 100 Continue\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\nSignature: s\r\n\r\nENDLESSabcdefghijklmnopqrstuvwxyz",
+                "HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        + "ENDLESS5\r\nhello\r\n",
+                "HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        + "0\r\nENDLESSX-Trailer: abcdefghijklmnopqrstuvwxyz\r\n",
+                "ENDLESSHTTP/1.1 200 OK\r\nRequest-Id: other\r\nSignature: s\r\nContent-Length: 3\r\n\r\nold",
+                "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nSignature: s\r\n\r\nENDLESSabcdefghijklmnopqrstuvwxyz",
+                COMPLETE_RESPONSE + "ENDLESSabcdefghijklmnopqrstuvwxyz"
+            })
+    void endlessAnswerEndsWithItsConnectionAndDoesNoHarmToOthers(final String step) throws Exception {
+        target = new ScriptedTarget(step, COMPLETE_RESPONSE);
+        CallResult endless = start("a", "GET", "", 900).get(3, TimeUnit.SECONDS);
+        boolean complete = step.startsWith(COMPLETE_RESPONSE);
+        assertEquals(complete ? Outcome.COMPLETE : Outcome.UNKNOWN, endless.outcome());
+        assertEquals("hello", bodyOf(call("b", "GET", "")));
+        long deadlineMs = clock.nowMs() + 3_000;
+        while (target.endlessStreams() > 0 && clock.nowMs() < deadlineMs) {
+            Thread.sleep(5);
+        }
+        assertEquals(0, target.endlessStreams(), "the connection is closed");
+        assertEquals(2, target.connectionCount());
+    }
+
+    /** Six answers of the largest allowed size would fill more than half of a node's heap. */
+    @Test
+    void endlessAnswersTogetherUseBoundedMemory() throws Exception {
+        int count = 6;
+        String step = "HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\nSignature: s\r\n\r\nENDLESS" + "x".repeat(1_000);
+        target = new ScriptedTarget(Collections.nCopies(count, step).toArray(String[]::new));
+        List<CompletableFuture<CallResult>> calls = new ArrayList<>();
+        for (int call = 0; call < count; call++) {
+            calls.add(start("c" + call, "GET", "", 20_000));
+        }
+        long peakBytes = 0;
+        while (!calls.stream().allMatch(CompletableFuture::isDone)) {
+            peakBytes = Math.max(peakBytes, caller.answerMemoryBytes());
+            Thread.sleep(1);
+        }
+        for (CompletableFuture<CallResult> call : calls) {
+            assertEquals(Reason.BAD_ANSWER, call.get().reason());
+        }
+        assertTrue(peakBytes <= 24 << 20, "bytes of answers held at a time: " + peakBytes);
+        long deadlineMs = clock.nowMs() + 3_000;
+        while (caller.answerMemoryBytes() > 0 && clock.nowMs() < deadlineMs) {
+            Thread.sleep(5);
+        }
+        assertEquals(0, caller.answerMemoryBytes(), "all memory is released");
+    }
+
     @Test
     void callToStoppedTargetHasOutcomeNotRun() throws Exception {
         target = new ScriptedTarget();
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/ScriptedTarget.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/ScriptedTarget.java
@@ -13,20 +13,27 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import org.sequoiashunt.peer.NodeAddress;
 
 /**
  * Fake target that answers each request with the bytes of the next step of a script.
  *
  * <p>In a step, {@code $ID} is replaced by the identity of the request. A final word RESET, FIN or SILENT is not sent;
- * after the other bytes, it resets the connection, closes it, or stops answering on it.
+ * after the other bytes, it resets the connection, closes it, or stops answering on it. The bytes after the word
+ * ENDLESS are sent again and again until the peer closes the connection.
  */
 final class ScriptedTarget implements Closeable {
 
+    private static final int REPETITIONS_PER_WRITE = 50;
+
     private final ServerSocket listener;
     private final BlockingQueue<String> script = new LinkedBlockingQueue<>();
     private final List<String> requests = new CopyOnWriteArrayList<>();
     private final List<Socket> connections = new CopyOnWriteArrayList<>();
+    private final AtomicLong endlessBytes = new AtomicLong();
+    private final AtomicInteger endlessStreams = new AtomicInteger();
 
     ScriptedTarget(final String... steps) throws IOException {
         listener = new ServerSocket(0, 20, InetAddress.getByName("127.0.0.1"));
@@ -44,6 +51,16 @@
         return requests;
     }
 
+    /** Returns the number of bytes that were sent in endless answers. */
+    long endlessBytes() {
+        return endlessBytes.get();
+    }
+
+    /** Returns the number of endless answers that the peer has not stopped yet. */
+    int endlessStreams() {
+        return endlessStreams.get();
+    }
+
     int connectionCount() {
         return connections.size();
     }
@@ -85,6 +102,12 @@
     private boolean runStep(final String request, final Socket socket, final OutputStream output)
             throws IOException, InterruptedException {
         String step = script.take().replace("$ID", idOf(request));
+        int endless = step.indexOf("ENDLESS");
+        if (endless >= 0) {
+            output.write(step.substring(0, endless).getBytes(StandardCharsets.ISO_8859_1));
+            sendUntilClosed(step.substring(endless + "ENDLESS".length()).repeat(REPETITIONS_PER_WRITE), output);
+            return false;
+        }
         boolean reset = step.endsWith("RESET");
         boolean closeAfterStep = step.endsWith("FIN");
         boolean silent = step.endsWith("SILENT");
@@ -101,6 +124,19 @@
         return !reset && !closeAfterStep && !silent;
     }
 
+    private void sendUntilClosed(final String text, final OutputStream output) throws IOException {
+        byte[] bytes = text.getBytes(StandardCharsets.ISO_8859_1);
+        endlessStreams.incrementAndGet();
+        try {
+            while (true) {
+                output.write(bytes);
+                endlessBytes.addAndGet(bytes.length);
+            }
+        } finally {
+            endlessStreams.decrementAndGet();
+        }
+    }
+
     private static String idOf(final String request) {
         for (String line : request.split("\n")) {
             if (line.startsWith("Request-Id: ")) {
--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/process/NodePlan.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/process/NodePlan.java
@@ -1,10 +1,9 @@
 package org.sequoiashunt.trial.process;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import org.sequoiashunt.memory.LoopbackAddresses;
 import org.sequoiashunt.peer.NodeAddress;
 
 /**
@@ -28,17 +27,15 @@
      * @param region its region, not null.
      * @param host the loopback address, not null.
      * @return the plan, never null.
-     * @throws IOException if no port is free.
      */
-    public static NodePlan of(final String name, final String failureDomain, final String region, final String host)
-            throws IOException {
-        return new NodePlan(name, failureDomain, region, freeAddress(host), freeAddress(host), freeAddress(host));
-    }
-
-    private static NodeAddress freeAddress(final String host) throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(host))) {
-            return new NodeAddress(host, socket.getLocalPort());
-        }
+    public static NodePlan of(final String name, final String failureDomain, final String region, final String host) {
+        return new NodePlan(
+                name,
+                failureDomain,
+                region,
+                LoopbackAddresses.next(host),
+                LoopbackAddresses.next(host),
+                LoopbackAddresses.next(host));
     }
 
     /**
