An unexpected error no longer ends the loops of a node

Cause: both loops caught exceptions only; an overflow of the stack, which a deeply nested document causes in a recursive reader, ended the thread without a line, and the node stopped following the store or its peers.

--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/BlockingLoop.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/BlockingLoop.java
@@ -47,9 +47,9 @@
             try {
                 pauseMs = task.step();
                 previousStepFailed = false;
-            } catch (RuntimeException exception) {
+            } catch (RuntimeException | Error failure) { // An overflow of the stack is an error, not an exception.
                 if (!previousStepFailed) {
-                    LOGGER.errorf(exception, "task %s failed", thread.getName());
+                    LOGGER.errorf(failure, "task %s failed", thread.getName());
                 }
                 previousStepFailed = true;
             }
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/ControlLoop.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/ControlLoop.java
@@ -103,9 +103,9 @@
     private void runAndCatch(final Runnable action) {
         try {
             action.run();
-        } catch (RuntimeException exception) {
+        } catch (RuntimeException | Error failure) { // An overflow of the stack is an error, not an exception.
             if (failures.getAndIncrement() == 0) {
-                LOGGER.error("controller failed", exception);
+                LOGGER.error("controller failed", failure);
             }
         }
     }
