A target that has just joined is compared by the times of the others

Ruled out: discovery (all nodes of its domain had found its node after 0.25 s). PlacementTest fails before.

--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/fleet/TargetReport.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/fleet/TargetReport.java
@@ -1,5 +1,6 @@
 package org.sequoiashunt.fleet;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
 
@@ -67,6 +68,44 @@
                 routeTimes);
     }
 
+    /**
+     * Returns whether the report has a mean duration for a route.
+     *
+     * @param route the name of the route, not null.
+     * @return false if the target has not answered requests on the route since it joined.
+     */
+    public boolean hasRouteTime(final String route) {
+        for (RouteTime routeTime : routeTimes) {
+            if (routeTime.route().equals(route)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /**
+     * Returns a copy of this report with a mean duration for one more route.
+     *
+     * @param routeTime the route and its mean duration, not null.
+     * @return the copy, never null.
+     */
+    public TargetReport withRouteTime(final RouteTime routeTime) {
+        List<RouteTime> times = new ArrayList<>(routeTimes);
+        times.add(routeTime);
+        return new TargetReport(
+                target,
+                service,
+                version,
+                slots,
+                accepting,
+                running,
+                waiting,
+                meanMs,
+                failurePermille,
+                warmupLeftMs,
+                times);
+    }
+
     /**
      * Returns the mean duration of the target's requests on a route.
      *
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/placement/Placement.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/placement/Placement.java
@@ -5,7 +5,9 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.random.RandomGenerator;
+import org.sequoiashunt.fleet.RouteTime;
 
 /**
  * Chooses the target of a call by the lowest expected cost, expressed as the time until the answer.
@@ -53,10 +55,11 @@
             final List<PlacementCandidate> candidates,
             final PlacementNeed need,
             final Collection<String> excludedTargets) {
-        double[] costsMs = new double[candidates.size()];
+        List<PlacementCandidate> comparable = withRouteTimes(candidates, need.route());
+        double[] costsMs = new double[comparable.size()];
         double lowestCostMs = Double.MAX_VALUE;
         for (int index = 0; index < costsMs.length; index++) {
-            PlacementCandidate candidate = candidates.get(index);
+            PlacementCandidate candidate = comparable.get(index);
             boolean isExcluded = excludedTargets.contains(candidate.report().target());
             costsMs[index] = isExcluded ? Double.MAX_VALUE : costMs(candidate, need);
             lowestCostMs = Math.min(lowestCostMs, costsMs[index]);
@@ -64,12 +67,33 @@
         List<PlacementCandidate> equivalent = new ArrayList<>();
         for (int index = 0; index < costsMs.length; index++) {
             if (costsMs[index] < Double.MAX_VALUE && costsMs[index] <= lowestCostMs + EQUIVALENT_COST_MARGIN_MS) {
-                equivalent.add(candidates.get(index));
+                equivalent.add(comparable.get(index));
             }
         }
         return chooseWeightedByFreeSlots(equivalent);
     }
 
+    /**
+     * Gives the targets that have not answered calls of the route the mean duration of the fastest one that has, so
+     * that a target that has just joined gets calls and is measured. Its mean over other routes says little about this
+     * one.
+     */
+    private static List<PlacementCandidate> withRouteTimes(
+            final List<PlacementCandidate> candidates, final String route) {
+        OptionalInt fastestMs = candidates.stream()
+                .filter(candidate -> candidate.report().hasRouteTime(route))
+                .mapToInt(candidate -> candidate.report().meanRouteMs(route))
+                .min();
+        if (fastestMs.isEmpty()) {
+            return candidates;
+        }
+        RouteTime expected = new RouteTime(route, fastestMs.getAsInt());
+        return candidates.stream()
+                .map(candidate ->
+                        candidate.report().hasRouteTime(route) ? candidate : candidate.withRouteTime(expected))
+                .toList();
+    }
+
     /**
      * Estimates the cost of a call to a target: expected time to the answer, plus failures, paid traffic and a missed
      * objective as time.
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/placement/PlacementCandidate.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/placement/PlacementCandidate.java
@@ -1,6 +1,7 @@
 package org.sequoiashunt.placement;
 
 import java.util.Objects;
+import org.sequoiashunt.fleet.RouteTime;
 import org.sequoiashunt.fleet.TargetReport;
 import org.sequoiashunt.peer.NodeAddress;
 
@@ -50,6 +51,17 @@
         Objects.requireNonNull(report, "report");
     }
 
+    /**
+     * Returns a copy with a mean duration for one more route.
+     *
+     * @param routeTime the route and its mean duration, not null.
+     * @return the copy, never null.
+     */
+    public PlacementCandidate withRouteTime(final RouteTime routeTime) {
+        return new PlacementCandidate(
+                node, address, distance, report.withRouteTime(routeTime), reportAgeMs, callsSentSinceReport);
+    }
+
     /**
      * Estimates how many calls run or wait at the target.
      *
--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/placement/PlacementTest.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/placement/PlacementTest.java
@@ -114,6 +114,37 @@
         assertEquals(667, idleChoices, 60);
     }
 
+    /**
+     * A target joins a service whose calls take less than the mean duration that is assumed for it: it was never
+     * chosen, so it was never measured.
+     */
+    @Test
+    void targetThatHasJoinedSharesTheCalls() {
+        PlacementCandidate joined = candidateWithoutMeasuredCalls("joined", 100, 0);
+        PlacementCandidate fast = candidate("fast", Distance.DOMAIN, 0, 45, 0);
+        PlacementCandidate slow = candidate("slow", Distance.DOMAIN, 0, 90, 0);
+        int joinedChoices = 0;
+        for (int call = 0; call < 1_000; call++) {
+            joinedChoices += choose(joined, fast, slow).equals("joined") ? 1 : 0;
+        }
+        assertEquals(500, joinedChoices, 60);
+    }
+
+    @Test
+    void targetThatWarmsUpGetsNoCallsWhileAnotherIsFree() {
+        PlacementCandidate joined = candidateWithoutMeasuredCalls("joined", 100, 3_000);
+        for (int call = 0; call < 100; call++) {
+            assertEquals("fast", choose(joined, candidate("fast", Distance.DOMAIN, 0, 45, 0)));
+        }
+    }
+
+    private static PlacementCandidate candidateWithoutMeasuredCalls(
+            final String target, final int assumedMeanMs, final long warmupLeftMs) {
+        TargetReport report =
+                new TargetReport(target, "desk", "v1", 10, true, 0, 0, assumedMeanMs, 0, warmupLeftMs, List.of());
+        return new PlacementCandidate("n-" + target, new NodeAddress("127.0.0.1", 4), Distance.DOMAIN, report, 0, 0);
+    }
+
     @Test
     void neverChoosesAnExcludedTarget() {
         assertTrue(placement
