Parts of the retry allowance stay within it while nodes restart or are cut off

Cause: a node divided the fixed allowance by the nodes that it saw, so halves that were cut off from each other took twice their parts, and at a return of all nodes each took all of it. Both tests fail before.

--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/limit/SlidingWindowRetryBudget.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/limit/SlidingWindowRetryBudget.java
@@ -13,7 +13,8 @@
  * which nobody can refuse without failing the run; they are charged, so that fewer other retries are allowed. A node
  * has no counts of the other nodes, so each node allows retries in
  * proportion to the requests that it has counted itself, plus an equal part of an allowance that does not depend on
- * load.
+ * load. The part is that of the greatest number of nodes in the window: nodes that
+ * are cut off from each other, or that have restarted and know few others yet, must not each take a greater part.
  *
  * <p>Thread-safe: guarded by its own monitor. Invariant: if every node stays within its part, all nodes together stay
  * within the shared budget in every time span of the window's length.
@@ -23,13 +24,19 @@
     /** Fraction of the shared budget that is used: the rest covers changes of the node count and windows that lag. */
     private static final double USABLE_FRACTION = 0.7;
 
+    /** Part of the window after the start in which a node may not know the others yet and takes no fixed part. */
+    private static final int DISCOVERY_PART_OF_WINDOW = 5;
+
     /** Number of buckets that a window is divided into. */
     private static final int BUCKET_COUNT = 20;
 
     private final Clock clock;
     private final Bounds bounds;
     private final IntSupplier nodeCount;
+    private final long startMs;
+    private final int[] nodesByBucket = new int[BUCKET_COUNT + 1];
     private final Map<String, ServiceCounts> countsByService = new HashMap<>();
+    private long latestNodesBucket = -1;
 
     /**
      * Creates a budget.
@@ -42,6 +49,7 @@
         this.clock = Objects.requireNonNull(clock, "clock");
         this.bounds = Objects.requireNonNull(bounds, "bounds");
         this.nodeCount = Objects.requireNonNull(nodeCount, "nodeCount");
+        this.startMs = clock.nowMs();
     }
 
     /**
@@ -61,9 +69,7 @@
      */
     public synchronized boolean tryRetry(final String service) {
         ServiceCounts counts = counts(service);
-        double allowedRetries = USABLE_FRACTION
-                * (bounds.ratio() * sum(counts.requestsByBucket)
-                        + bounds.allowance() / Math.max(1, nodeCount.getAsInt()));
+        double allowedRetries = USABLE_FRACTION * (bounds.ratio() * sum(counts.requestsByBucket) + allowancePart());
         if (sum(counts.retriesByBucket) + 1 > allowedRetries) {
             return false;
         }
@@ -83,7 +89,27 @@
         }
     }
 
+    private double allowancePart() {
+        boolean knowsFewNodes = clock.nowMs() - startMs < bounds.windowMs() / DISCOVERY_PART_OF_WINDOW;
+        if (knowsFewNodes) {
+            return 0;
+        }
+        int greatestCount = 1;
+        for (int nodes : nodesByBucket) {
+            greatestCount = Math.max(greatestCount, nodes);
+        }
+        return bounds.allowance() / greatestCount;
+    }
+
+    private void recordNodeCount(final long bucket) {
+        for (long cleared = Math.max(latestNodesBucket + 1, bucket - BUCKET_COUNT); cleared <= bucket; cleared++) {
+            nodesByBucket[(int) (cleared % (BUCKET_COUNT + 1))] = nodeCount.getAsInt();
+        }
+        latestNodesBucket = Math.max(latestNodesBucket, bucket);
+    }
+
     private ServiceCounts counts(final String service) {
+        recordNodeCount(clock.nowMs() * BUCKET_COUNT / bounds.windowMs());
         ServiceCounts counts = countsByService.computeIfAbsent(service, unused -> new ServiceCounts());
         counts.advanceTo(clock.nowMs() * BUCKET_COUNT / bounds.windowMs());
         return counts;
--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/limit/SlidingWindowRetryBudgetTest.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/limit/SlidingWindowRetryBudgetTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.Random;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.sequoiashunt.time.SteppedClock;
 
@@ -12,9 +13,17 @@
 
     private static final long WINDOW_MS = 10_000;
 
+    private static final long DISCOVERY_MS = 2_000;
+
     private final SteppedClock clock = SteppedClock.of(0);
+    private int nodes = 10;
     private final SlidingWindowRetryBudget budget =
-            new SlidingWindowRetryBudget(clock, new SlidingWindowRetryBudget.Bounds(0.2, 50, WINDOW_MS), () -> 10);
+            new SlidingWindowRetryBudget(clock, new SlidingWindowRetryBudget.Bounds(0.2, 50, WINDOW_MS), () -> nodes);
+
+    @BeforeEach
+    void knowOtherNodes() {
+        clock.advance(DISCOVERY_MS);
+    }
 
     private int spendRemainingRetries() {
         int spent = 0;
@@ -31,6 +40,32 @@
         assertTrue(budget.tryRetry("floor"), "services have separate budgets");
     }
 
+    /** All nodes restart and know no others yet: each of them would take the whole allowance. */
+    @Test
+    void nodeThatHasJustStartedTakesNoPartOfTheAllowance() {
+        nodes = 1;
+        SlidingWindowRetryBudget restarted = new SlidingWindowRetryBudget(
+                clock, new SlidingWindowRetryBudget.Bounds(0.2, 50, WINDOW_MS), () -> nodes);
+        assertFalse(restarted.tryRetry("desk"));
+        for (int request = 0; request < 100; request++) {
+            restarted.recordRequest("desk");
+        }
+        assertTrue(restarted.tryRetry("desk"), "its own requests allow retries");
+    }
+
+    /** Half of the nodes are cut off from the others: both halves together must stay within the allowance. */
+    @Test
+    void nodesThatAreCutOffFromEachOtherTakeNoGreaterParts() {
+        budget.recordRequest("floor");
+        nodes = 5;
+        clock.advance(WINDOW_MS / 2);
+        assertEquals(3, spendRemainingRetries());
+        clock.advance(2 * WINDOW_MS);
+        budget.recordRequest("floor");
+        clock.advance(WINDOW_MS);
+        assertEquals(7, spendRemainingRetries(), "after a window the others are taken for gone");
+    }
+
     @Test
     void budgetGrowsWithRequests() {
         for (int request = 0; request < 100; request++) {
--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/mesh/MeshDispatcherTest.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/mesh/MeshDispatcherTest.java
@@ -11,6 +11,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.sequoiashunt.call.Body;
@@ -48,6 +49,12 @@
     private MeshDispatcher dispatcher;
     private Optional<MeshConfiguration> configuration = Optional.of(configuration());
 
+    /** The retry budget takes its part of the allowance only after the time in which nodes find each other. */
+    @BeforeEach
+    void knowOtherNodes() {
+        clock.advance(2_000);
+    }
+
     private static MeshConfiguration configuration() {
         MeshRoute lookup =
                 new MeshRoute("lookup", "h", "/l/", List.of(new WeightedService("desk", 1)), true, 1_000, 400, 2, 2);
@@ -126,7 +133,7 @@
     @Test
     void passesOnTheEarlierDeadline() {
         dispatch("/l/1");
-        assertEquals(2_000, sentRequests.get(0).deadlineMs(), "the route's timeout");
+        assertEquals(clock.nowMs() + 1_000, sentRequests.get(0).deadlineMs(), "the route's timeout");
         assertEquals(2, sentRequests.get(0).urgency().rank());
     }
 
