--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/fleet/ReportExchange.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/fleet/ReportExchange.java
@@ -2,16 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
-import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.random.RandomGenerator;
-import java.util.stream.Collectors;
 import org.sequoiashunt.peer.ControlMessage;
 import org.sequoiashunt.peer.NodeAddress;
 import org.sequoiashunt.peer.PeerSender;
@@ -42,9 +38,6 @@
     /** Time between two batches that a relay sends in each direction. */
     public static final long RELAY_PERIOD_MS = 1_000;
 
-    /** Shortest time between two batches in one direction: changes in quick succession are sent together. */
-    static final long URGENT_SPACING_MS = 200;
-
     /** Shortest time from the start to the first batch, in which the nodes of the domain report to each other. */
     private static final long FIRST_RELAY_DELAY_MS = 500;
 
@@ -140,7 +133,7 @@
             lastReportMs = nowMs;
             sendOwnReport();
             if (requested || isRecentlyConfirmed(ownReport)) {
-                outbound.urgentNodes.add(location.node());
+                outbound.markUrgent(location.node());
             }
         }
         List<FleetView.ReceivedReport> live = fleet.liveReports();
@@ -151,8 +144,8 @@
             sendToOwnDomain(live, nowMs);
             sendToNewcomers(live, nowMs);
         } else {
-            outbound.urgentNodes.clear();
-            inbound.urgentNodes.clear();
+            outbound.clearUrgent();
+            inbound.clearUrgent();
         }
         if (stale) {
             requestReports(nowMs);
@@ -234,7 +227,7 @@
             receivers.add(
                     relays.isEmpty()
                             ? contacts.get(random.nextInt(contacts.size()))
-                            : relays.get((int) (outbound.batches % relays.size())));
+                            : relays.get((int) (outbound.batches() % relays.size())));
         });
         return receivers;
     }
@@ -300,8 +293,10 @@
             accept(new ReportBatch.RelayedReport(report, 0), false);
         } else if (message instanceof ReportBatch batch) {
             batch.reports().forEach(relayed -> accept(relayed, true));
-            if (!relaying) {
-                forwardToRelay(senderNode, batch);
+            if (relaying && isOtherRelay(senderNode)) {
+                markRelayed(batch);
+            } else if (!relaying && isFromOtherDomain(senderNode)) {
+                forwardToRelay(batch);
             }
         } else if (message instanceof ReportRequest request) {
             answer(request);
@@ -315,12 +310,9 @@
      * Hands a batch on that came from another domain, whose relays do not know the relays of this one yet or know
      * others.
      */
-    private void forwardToRelay(final String senderNode, final ReportBatch batch) {
-        boolean fromOtherDomain = fleet.findReport(senderNode)
-                .filter(received -> !received.report().failureDomain().equals(location.failureDomain()))
-                .isPresent();
-        if (fromOtherDomain && ownReport != null) {
-            RelaySelection.relays(withOwnReport(fleet.liveReports()), location.failureDomain()).stream()
+    private void forwardToRelay(final ReportBatch batch) {
+        if (ownReport != null) {
+            relays().stream()
                     .map(NodeReport::address)
                     .filter(address -> !address.equals(location.address()))
                     .findFirst()
@@ -328,6 +320,29 @@
         }
     }
 
+    private boolean isFromOtherDomain(final String senderNode) {
+        return fleet.findReport(senderNode)
+                .filter(received -> !received.report().failureDomain().equals(location.failureDomain()))
+                .isPresent();
+    }
+
+    private boolean isOtherRelay(final String senderNode) {
+        return relays().stream().anyMatch(relay -> relay.node().equals(senderNode));
+    }
+
+    /** Lists the relays of this domain. */
+    private List<NodeReport> relays() {
+        return RelaySelection.relays(withOwnReport(fleet.liveReports()), location.failureDomain());
+    }
+
+    /** Records that another relay has passed reports on within this domain, so that this one does not do it again. */
+    private void markRelayed(final ReportBatch batch) {
+        long nowMs = clock.nowMs();
+        for (ReportBatch.RelayedReport relayed : batch.reports()) {
+            inbound.markRelayed(new FleetView.ReceivedReport(relayed.report(), nowMs - relayed.ageMs(), true));
+        }
+    }
+
     private void accept(final ReportBatch.RelayedReport relayed, final boolean fromRelay) {
         NodeReport report = relayed.report();
         if (report.node().equals(location.node())) {
@@ -350,7 +365,7 @@
                 || change == FleetView.Change.REGAINED
                 || isRecentlyConfirmed(report)
                 || hasUrgentChange(previous, report)) {
-            (remote ? inbound : outbound).urgentNodes.add(report.node());
+            (remote ? inbound : outbound).markUrgent(report.node());
         }
         if (change == FleetView.Change.REGAINED && !remote) {
             newcomers.add(report.address());
@@ -365,13 +380,20 @@
     }
 
     private static boolean hasUrgentChange(final NodeReport previous, final NodeReport latest) {
-        return previous.leaving() != latest.leaving() || !targetStates(previous).equals(targetStates(latest));
+        return previous.leaving() != latest.leaving()
+                || previous.targets().size() != latest.targets().size()
+                || latest.targets().stream().anyMatch(target -> !hasTarget(previous, target));
     }
 
-    private static Set<String> targetStates(final NodeReport report) {
-        return report.targets().stream()
-                .map(target -> target.target() + ' ' + target.version() + ' ' + target.accepting())
-                .collect(Collectors.toSet());
+    private static boolean hasTarget(final NodeReport report, final TargetReport target) {
+        for (TargetReport other : report.targets()) {
+            if (other.target().equals(target.target())
+                    && other.version().equals(target.version())
+                    && other.accepting() == target.accepting()) {
+                return true;
+            }
+        }
+        return false;
     }
 
     private void answer(final ReportRequest request) {
@@ -408,50 +430,4 @@
          */
         void accepted(NodeReport report, FleetView.Change change);
     }
-
-    /** Reports that a relay has passed on in one direction. Confined to the thread of the exchange. */
-    private static final class RelayDirection {
-
-        private final Set<String> urgentNodes = new HashSet<>();
-        private final Map<String, ReportStamp> relayedStamps = new HashMap<>();
-        private long nextPeriodicMs;
-        private long lastBatchMs;
-        private long batches;
-
-        private RelayDirection(final long firstBatchMs) {
-            this.nextPeriodicMs = firstBatchMs;
-            this.lastBatchMs = firstBatchMs - URGENT_SPACING_MS;
-        }
-
-        private boolean isDue(final long nowMs) {
-            return nowMs >= nextPeriodicMs || !urgentNodes.isEmpty() && nowMs - lastBatchMs >= URGENT_SPACING_MS;
-        }
-
-        /** Selects the due reports that are not yet relayed: all of them, or between two periods the urgent ones. */
-        private List<FleetView.ReceivedReport> takeDue(final List<FleetView.ReceivedReport> reports, final long nowMs) {
-            boolean periodic = nowMs >= nextPeriodicMs;
-            if (periodic) {
-                nextPeriodicMs = Math.max(nextPeriodicMs + RELAY_PERIOD_MS, nowMs + RELAY_PERIOD_MS / 2);
-                batches++;
-            }
-            lastBatchMs = nowMs;
-            List<FleetView.ReceivedReport> due = new ArrayList<>();
-            Set<String> present = new HashSet<>();
-            for (FleetView.ReceivedReport received : reports) {
-                NodeReport report = received.report();
-                present.add(report.node());
-                ReportStamp stamp = new ReportStamp(report.incarnation(), report.sequence());
-                if ((periodic || urgentNodes.contains(report.node()))
-                        && !stamp.equals(relayedStamps.put(report.node(), stamp))) {
-                    due.add(received);
-                }
-            }
-            relayedStamps.keySet().retainAll(present);
-            urgentNodes.clear();
-            return due;
-        }
-    }
-
-    /** Identifies one report of a node. Immutable and thread-safe. */
-    private record ReportStamp(long incarnation, long sequence) {}
 }
