--- a/sequoiashunt-link/src/test/java/org/sequoiashunt/link/ReportExchangeTest.java
+++ b/sequoiashunt-link/src/test/java/org/sequoiashunt/link/ReportExchangeTest.java
@@ -181,6 +181,17 @@
         assertTrue(remote.knows("n-0090"), "the domain's reports reach the others");
     }
 
+    /** Each report that a node receives costs it processor time, and on a small VM that time is short. */
+    @Test
+    void nodeReceivesTheReportsOfOtherDomainsAboutOnceASecond() {
+        SimulatedFleet fleet = settled(95);
+        SimulatedFleet.Node member = fleet.node("n-0090");
+        long before = member.relayedReports();
+        fleet.run(MEASURED_MS);
+        double perSecond = (member.relayedReports() - before) * 1_000.0 / MEASURED_MS;
+        assertTrue(perSecond <= 1.4 * 83, perSecond + " reports a second of 83 nodes of other domains");
+    }
+
     @Test
     void healthyFleetHasTwoRelaysInEachDomain() {
         SimulatedFleet fleet = settled(95);
--- a/sequoiashunt-link/src/test/java/org/sequoiashunt/link/SimulatedFleet.java
+++ b/sequoiashunt-link/src/test/java/org/sequoiashunt/link/SimulatedFleet.java
@@ -15,6 +15,7 @@
 import org.sequoiashunt.fleet.FleetView;
 import org.sequoiashunt.fleet.KnownNode;
 import org.sequoiashunt.fleet.NodeReport;
+import org.sequoiashunt.fleet.ReportBatch;
 import org.sequoiashunt.fleet.ReportExchange;
 import org.sequoiashunt.fleet.RouteTime;
 import org.sequoiashunt.fleet.TargetReport;
@@ -106,6 +107,9 @@
     private void deliver(final Delivery delivery) {
         Node node = nodesByAddress.get(delivery.receiver());
         if (!killed.contains(node.location.node()) && !cut.test(delivery.sender(), node.location)) {
+            node.relayedReports += delivery.message() instanceof ReportBatch batch
+                    ? batch.reports().size()
+                    : 0;
             node.exchange.receive(delivery.sender().node(), delivery.message());
         }
     }
@@ -193,6 +197,7 @@
         private final ReportExchange exchange;
         private long version = 1;
         private boolean leaving;
+        private long relayedReports;
         private OptionalLong confirmedAgeMs = OptionalLong.empty();
 
         private Node(final NodeLocation location, final int capacity, final long incarnation) {
@@ -243,6 +248,11 @@
                     knownNodes);
         }
 
+        /** Returns the number of reports that the node has received in batches. */
+        long relayedReports() {
+            return relayedReports;
+        }
+
         FleetView view() {
             return view;
         }
