A relay that was suspended cannot bring back an earlier incarnation of a node

Found by reading: a batch of a relay that wakes from a pause states ages that leave out the pause. A node without history would have taken the earlier incarnation in it for a newer one and recorded the present one as replaced, so that its node got no requests for 20 s.

--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/fleet/FleetView.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/fleet/FleetView.java
@@ -76,39 +76,45 @@
     }
 
     private synchronized Change accept(final NodeReport report, final long ageMs, final boolean relayed) {
+        long nowMs = clock.nowMs();
+        ReceivedReport received = new ReceivedReport(report, nowMs - ageMs, relayed);
         ReceivedReport previous = reportsByNode.get(report.node());
-        if (previous != null && isOutdated(report, previous.report())) {
+        if (previous != null && isOutdated(received, previous, nowMs)) {
             return Change.OUTDATED;
         }
         if (previous == null && reportsByNode.size() >= MAXIMUM_NODES) {
             return Change.OUTDATED;
         }
-        long nowMs = clock.nowMs();
         boolean regained = previous == null
                 || previous.report().incarnation() != report.incarnation()
                 || nowMs - previous.receivedAtMs() > previous.livenessTimeoutMs();
-        reportsByNode.put(report.node(), new ReceivedReport(report, nowMs - ageMs, relayed));
+        reportsByNode.put(report.node(), received);
         report.knownNodes().forEach(this::addKnownNode);
         return regained ? Change.REGAINED : Change.REFRESHED;
     }
 
     /**
-     * Returns whether the report is older than the previous one. If the report starts a new incarnation, records the
-     * previous one as replaced. Incarnations have no order, since the time of day may jump, so reports of a replaced
-     * incarnation are always outdated.
+     * Returns whether a report is older than the previous one. Incarnations have no order, since the time of day may
+     * jump. The node itself reports its latest incarnation, so an earlier one is recorded as replaced and always
+     * outdated from then on. A relay may have been suspended with the reports of an earlier incarnation, so a relayed
+     * report changes the incarnation only if the known one has fallen silent, and records nothing.
      */
-    private boolean isOutdated(final NodeReport report, final NodeReport previous) {
-        if (report.incarnation() == previous.incarnation()) {
-            return report.sequence() <= previous.sequence();
+    private boolean isOutdated(final ReceivedReport received, final ReceivedReport previous, final long nowMs) {
+        NodeReport report = received.report();
+        if (report.incarnation() == previous.report().incarnation()) {
+            return report.sequence() <= previous.report().sequence();
         }
         Set<Long> replaced = replacedIncarnations.computeIfAbsent(report.node(), unused -> new LinkedHashSet<>());
         if (replaced.contains(report.incarnation())) {
             return true;
         }
+        if (received.relayed()) {
+            return nowMs - previous.receivedAtMs() <= LIVENESS_TIMEOUT_MS;
+        }
         if (replaced.size() >= MAXIMUM_REPLACED_INCARNATIONS) {
             replaced.remove(replaced.iterator().next());
         }
-        replaced.add(previous.incarnation());
+        replaced.add(previous.report().incarnation());
         return false;
     }
 
