Fewer wake-ups of links: pings of links that carry only reports, ticks while calls run

Each of 11 links a node was pinged every 0.7 s, since a report gets no response, and all links were looked at every 25 ms while any call was in flight. LinkHealthTest.

--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/Link.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/Link.java
@@ -175,12 +175,13 @@
     }
 
     /**
-     * Returns whether calls are in flight or a connection is being opened or awaited.
+     * Returns whether a connection is being opened or awaited. Calls on an open connection need no frequent ticks:
+     * their results and the end of the connection are events of the connection.
      *
      * @return true if {@link #tick()} must be called at short intervals.
      */
     boolean needsFrequentTicks() {
-        return !calls().isEmpty() || !isOpen() && (connection != null || hasWaitingMessages());
+        return !isOpen() && (connection != null || hasWaitingMessages());
     }
 
     private boolean isIdle(final long nowMs) {
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/LinkClient.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/LinkClient.java
@@ -30,7 +30,7 @@
 public final class LinkClient implements PeerSender, GateCaller, AutoCloseable {
 
     private static final long BUSY_TICK_MS = 25;
-    private static final long IDLE_TICK_MS = 100; // A timer with a period of 25 ms used 0.5% of a core.
+    private static final long IDLE_TICK_MS = 100; // A timer with a period of 25 ms used 0.5% of a core at rest.
 
     private final LinkContext context;
     private final RandomGenerator random;
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/LinkHealth.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/LinkHealth.java
@@ -11,10 +11,17 @@
  */
 final class LinkHealth {
 
+    /**
+     * Factor on the ping interval of a connection that carries only control messages, which get no response: the
+     * reports that its peer sends on a connection of its own show as well that it lives.
+     */
+    private static final int CONTROL_INTERVAL_FACTOR = 2;
+
     private final long pingIntervalMs;
     private final long silenceTimeoutMs;
     private boolean sentSinceReceived;
     private boolean watched;
+    private boolean callsWatched;
     private long quietSinceMs;
     private long lastPingMs;
     private long lastDecisionMs;
@@ -40,29 +47,33 @@
      * Decides what to do with the connection.
      *
      * @param nowMs the current time in milliseconds.
-     * @param callsInFlight whether the result of a call is awaited.
+     * @param callsInFlight whether the result of a call is awaited; without one, pings are less frequent and silence is
+     *     noticed one ping interval later.
      * @return the action, never null.
      */
     LinkStatus decide(final long nowMs, final boolean callsInFlight) {
         boolean responseAwaited = callsInFlight || sentSinceReceived;
         boolean processPaused = nowMs - lastDecisionMs >= pingIntervalMs;
-        if (responseAwaited && !watched || processPaused) {
+        boolean firstCall = callsInFlight && !callsWatched;
+        if (responseAwaited && !watched || firstCall || processPaused) {
             quietSinceMs = nowMs;
         }
         watched = responseAwaited;
+        callsWatched = callsInFlight;
         lastDecisionMs = nowMs;
         if (!responseAwaited) {
             return LinkStatus.HEALTHY;
         }
         long quietMs = nowMs - quietSinceMs;
-        if (quietMs >= silenceTimeoutMs) {
+        long intervalMs = callsInFlight ? pingIntervalMs : CONTROL_INTERVAL_FACTOR * pingIntervalMs;
+        if (quietMs >= silenceTimeoutMs + intervalMs - pingIntervalMs) {
             return LinkStatus.SILENT;
         }
-        return isPingDue(nowMs, quietMs) ? LinkStatus.PING : LinkStatus.HEALTHY;
+        return isPingDue(nowMs, quietMs, intervalMs) ? LinkStatus.PING : LinkStatus.HEALTHY;
     }
 
-    private boolean isPingDue(final long nowMs, final long quietMs) {
-        if (quietMs < pingIntervalMs || nowMs - lastPingMs < pingIntervalMs) {
+    private boolean isPingDue(final long nowMs, final long quietMs, final long intervalMs) {
+        if (quietMs < intervalMs || nowMs - lastPingMs < intervalMs) {
             return false;
         }
         lastPingMs = nowMs;
--- a/sequoiashunt-link/src/test/java/org/sequoiashunt/link/LinkHealthTest.java
+++ b/sequoiashunt-link/src/test/java/org/sequoiashunt/link/LinkHealthTest.java
@@ -45,6 +45,39 @@
         assertEquals(LinkStatus.SILENT, run(2_000, true, now -> false));
     }
 
+    /** At 95 nodes, pings of links that carry only reports were more messages than the reports. */
+    @Test
+    void aLinkThatCarriesOnlyReportsIsPingedHalfAsOften() {
+        int reportPings = countPings(true);
+        int callPings = countPings(false);
+        assertTrue(callPings > 150, callPings + " pings of a link with calls");
+        assertEquals(callPings / 2.0, reportPings, 20);
+    }
+
+    /** Counts the pings of a minute in which a message is sent with each tick and the peer answers nothing but pings. */
+    private int countPings(final boolean idle) {
+        int count = 0;
+        boolean pinged = false;
+        for (int tick = 0; tick < 60_000 / TICK_MS; tick++) {
+            long nowMs = clock.advance(TICK_MS);
+            if (pinged) {
+                health.markReceived(nowMs);
+            }
+            health.markSent();
+            pinged = health.decide(nowMs, !idle) == LinkStatus.PING;
+            count += pinged ? 1 : 0;
+        }
+        return count;
+    }
+
+    @Test
+    void aCallAfterQuietReportsGetsTheWholeSilenceTimeout() {
+        health.markSent();
+        assertEquals(LinkStatus.HEALTHY, run(900, true, now -> false));
+        assertEquals(LinkStatus.HEALTHY, run(600, false, now -> false));
+        assertEquals(LinkStatus.SILENT, run(300, false, now -> false));
+    }
+
     @Test
     void aLocalPauseIsNotCountedAsPeerSilence() {
         run(500, false, now -> false);
