--- a/sequoiashunt-link/src/test/java/org/sequoiashunt/link/LinkHealthTest.java
+++ b/sequoiashunt-link/src/test/java/org/sequoiashunt/link/LinkHealthTest.java
@@ -54,7 +54,7 @@
         assertEquals(callPings / 2.0, reportPings, 20);
     }
 
-    /** Counts the pings of a minute in which a message is sent with each tick and the peer answers nothing but pings. */
+    /** Counts the pings of a minute with a message in each tick, of which the peer answers the pings only. */
     private int countPings(final boolean idle) {
         int count = 0;
         boolean pinged = false;
