--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/fleet/ReportExchange.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/fleet/ReportExchange.java
@@ -20,7 +20,7 @@
  * <p>Each node reports to the nodes of its failure domain. The relays of a domain, see {@link RelaySelection}, send the
  * reports of their domain to a relay of each other domain once per {@link #RELAY_PERIOD_MS}, and pass the reports of
  * other domains on to their own. So a node sends and receives messages in proportion to the size of its domain, and the
- * traffic between domains grows with the number of domains, whatever the number of nodes. Changes that matter at once
+ * traffic between domains in proportion to their number and the size of their batches. Changes that matter at once
  * (a node or target appears, leaves or restarts, a newer configuration, a confirmation by the platform's store) are
  * relayed with the next tick.
  *
@@ -28,7 +28,8 @@
  * another domain for them and relays for its own domain itself.
  *
  * <p>Not thread-safe: one thread calls {@link #tick} and {@link #receive}. Only {@link #requestReport} may be called
- * from any thread. Invariant: a report is passed on at most once in each direction by each relay.
+ * from any thread. Invariant: each relay passes a report on at most once in each direction, except to nodes that have
+ * just appeared or ask for it.
  */
 public final class ReportExchange {
 
@@ -262,7 +263,9 @@
         lastRequestMs = nowMs;
         List<KnownNode> remote =
                 fleet.knownNodes().stream().filter(this::isRemote).toList();
-        sender.send(remote.get(random.nextInt(remote.size())).address(), new ReportRequest(location.address()));
+        if (!remote.isEmpty()) {
+            sender.send(remote.get(random.nextInt(remote.size())).address(), new ReportRequest(location.address()));
+        }
     }
 
     private void send(
