--- a/sequoiashunt-link/src/test/java/org/sequoiashunt/link/FleetCodecTest.java
+++ b/sequoiashunt-link/src/test/java/org/sequoiashunt/link/FleetCodecTest.java
@@ -90,7 +90,16 @@
     @Test
     void refusesDamagedBytesAndOversizedDocuments() {
         Random random = new Random(9);
-        byte[] complete = codec.encode(report()).toByteArray();
+        ReportBatch batch = new ReportBatch(List.of(new ReportBatch.RelayedReport(report(), 740)));
+        refuseDamagedBytes(codec.encode(report()).toByteArray(), random);
+        refuseDamagedBytes(codec.encode(batch).toByteArray(), random);
+        assertThrows(
+                IllegalArgumentException.class,
+                () -> DocumentCompression.decompress(DocumentCompression.compress(Body.of(new byte[3 << 20]))),
+                "a document larger than the limit");
+    }
+
+    private void refuseDamagedBytes(final byte[] complete, final Random random) {
         for (int round = 0; round < 3_000; round++) {
             byte[] damaged = complete.clone();
             damaged[random.nextInt(damaged.length)] = (byte) random.nextInt(256);
@@ -102,9 +111,5 @@
                         "a missing field must be refused by its record, not with a NullPointerException");
             }
         }
-        assertThrows(
-                IllegalArgumentException.class,
-                () -> DocumentCompression.decompress(DocumentCompression.compress(Body.of(new byte[3 << 20]))),
-                "a document larger than the limit");
     }
 }
