--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/placement/PlacementTest.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/placement/PlacementTest.java
@@ -13,6 +13,9 @@
 
 class PlacementTest {
 
+    private static final long OBJECTIVE_MS = 445;
+    private static final PlacementNeed NEED = new PlacementNeed("r", 1, OBJECTIVE_MS, OBJECTIVE_MS);
+
     private final Placement placement = new Placement(new Random(5));
 
     private static PlacementCandidate candidate(
@@ -49,13 +52,34 @@
     }
 
     private String choose(final List<PlacementCandidate> candidates, final double trafficFactor) {
+        return choose(candidates, new PlacementNeed("r", trafficFactor, OBJECTIVE_MS, OBJECTIVE_MS));
+    }
+
+    private String choose(final List<PlacementCandidate> candidates, final PlacementNeed need) {
         return placement
-                .choose(candidates, "r", trafficFactor, Set.of())
+                .choose(candidates, need, Set.of())
                 .orElseThrow()
                 .report()
                 .target();
     }
 
+    /** Targets of one service differ in speed by a factor of two; answers that cross regions are paid for. */
+    @Test
+    void slowNearTargetIsChosenWhileItMeetsTheObjective() {
+        List<PlacementCandidate> candidates =
+                List.of(candidate("slow", Distance.DOMAIN, 2, 925, 0), candidate("fast", Distance.REMOTE, 2, 400, 0));
+        assertEquals("slow", choose(candidates, new PlacementNeed("r", 1, 1_500, 1_500)));
+        assertEquals("fast", choose(candidates, new PlacementNeed("r", 1, 1_500, 900)), "the near one is too late");
+        assertEquals("fast", choose(candidates, new PlacementNeed("r", 1, 445, 445)), "a route with little time");
+    }
+
+    @Test
+    void callThatMissesItsObjectiveEverywhereChoosesTheNearTarget() {
+        List<PlacementCandidate> candidates =
+                List.of(candidate("near", Distance.DOMAIN, 2, 500, 0), candidate("far", Distance.REMOTE, 2, 450, 0));
+        assertEquals("near", choose(candidates, new PlacementNeed("r", 1, 600, -100)));
+    }
+
     @Test
     void choosesFasterTargetDespiteHigherLoad() {
         assertEquals(
@@ -73,7 +97,7 @@
     @Test
     void choosesFailingTargetWhenThereIsNoOther() {
         assertTrue(placement
-                .choose(List.of(candidate("grey", Distance.DOMAIN, 0, 60, 1_000)), "r", 1, Set.of())
+                .choose(List.of(candidate("grey", Distance.DOMAIN, 0, 60, 1_000)), NEED, Set.of())
                 .isPresent());
     }
 
@@ -90,10 +114,41 @@
         assertEquals(667, idleChoices, 60);
     }
 
+    /**
+     * A target joins a service whose calls take less than the mean duration that is assumed for it: it was never
+     * chosen, so it was never measured.
+     */
+    @Test
+    void targetThatHasJoinedSharesTheCalls() {
+        PlacementCandidate joined = candidateWithoutMeasuredCalls("joined", 100, 0);
+        PlacementCandidate fast = candidate("fast", Distance.DOMAIN, 0, 45, 0);
+        PlacementCandidate slow = candidate("slow", Distance.DOMAIN, 0, 90, 0);
+        int joinedChoices = 0;
+        for (int call = 0; call < 1_000; call++) {
+            joinedChoices += choose(joined, fast, slow).equals("joined") ? 1 : 0;
+        }
+        assertEquals(500, joinedChoices, 60);
+    }
+
+    @Test
+    void targetThatWarmsUpGetsNoCallsWhileAnotherIsFree() {
+        PlacementCandidate joined = candidateWithoutMeasuredCalls("joined", 100, 3_000);
+        for (int call = 0; call < 100; call++) {
+            assertEquals("fast", choose(joined, candidate("fast", Distance.DOMAIN, 0, 45, 0)));
+        }
+    }
+
+    private static PlacementCandidate candidateWithoutMeasuredCalls(
+            final String target, final int assumedMeanMs, final long warmupLeftMs) {
+        TargetReport report =
+                new TargetReport(target, "desk", "v1", 10, true, 0, 0, assumedMeanMs, 0, warmupLeftMs, List.of());
+        return new PlacementCandidate("n-" + target, new NodeAddress("127.0.0.1", 4), Distance.DOMAIN, report, 0, 0);
+    }
+
     @Test
     void neverChoosesAnExcludedTarget() {
         assertTrue(placement
-                .choose(List.of(candidate("a", Distance.NODE, 0, 1, 0)), "r", 1, Set.of("a"))
+                .choose(List.of(candidate("a", Distance.NODE, 0, 1, 0)), NEED, Set.of("a"))
                 .isEmpty());
     }
 }
