--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MoveRecorder.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MoveRecorder.java
@@ -20,7 +20,7 @@
     private static final long RECORDING_PERIOD_MS = 150;
 
     /** Time between two steps while no moves exist or another node decides about them. */
-    private static final long IDLE_PERIOD_MS = 400;
+    private static final long IDLE_PERIOD_MS = 800;
 
     private static final long RETRY_MS = 400;
 
