--- a/review/standins/Backend.java
+++ b/review/standins/Backend.java
@@ -21,6 +21,11 @@
     /** Decides how long a request works, or that it crashes the backend by a negative number. */
     interface Work {
         int ms(Http request);
+
+        /** Returns whether the run ends with a failure of the backend's own. */
+        default boolean fails(final Http request) {
+            return false;
+        }
     }
 
     final String id;
@@ -205,6 +210,10 @@
                 record.add("cut backend=" + id + " request=" + requestId);
                 return null;
             }
+            if (work.fails(request)) {
+                record.add("error backend=" + id + " request=" + requestId);
+                return message("500 Internal Server Error", requestId, signature(), "error");
+            }
             record.add("ran backend=" + id + " request=" + requestId);
             return message("200 OK", requestId, signature(), "body of " + requestId);
         } finally {
--- a/review/standins/Mesh.java
+++ b/review/standins/Mesh.java
@@ -85,6 +85,18 @@
     /** Adds a VM and writes its settings; {@link #start} starts its node. */
     Node add(final String name, final String ip, final String zone, final String region, final String service)
             throws IOException {
+        return add(name, ip, zone, region, service, "0.6", "1");
+    }
+
+    Node add(
+            final String name,
+            final String ip,
+            final String zone,
+            final String region,
+            final String service,
+            final String cpuShare,
+            final String cpuCores)
+            throws IOException {
         Node node = new Node(name, ip, service, folder);
         Map<String, String> fields = new HashMap<>();
         fields.put("NodeName", name);
@@ -94,8 +106,8 @@
         fields.put("Service", service);
         fields.put("InternalPorts.0", String.valueOf(free(ip).getPort()));
         fields.put("InternalPorts.1", String.valueOf(free(ip).getPort()));
-        fields.put("Limits.CpuShare", "0.6");
-        fields.put("Limits.CpuCores", "1");
+        fields.put("Limits.CpuShare", cpuShare);
+        fields.put("Limits.CpuCores", cpuCores);
         fields.put("BindAddrs.Outbound", text(node.outbound));
         fields.put("BindAddrs.Control", text(node.control));
         fields.put("BindAddrs.Readiness", text(node.readiness));
