--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,4 +3,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
 exec java -Xmx256m -Dreview.root="$root" -Dreview.record="$here/record.txt" -cp "$root/review/build" \
-    review.ForgottenDeparture
+    review.QueuedAtShutdown
--- a/review/standins/OrphanedRollout.java
+++ b/review/standins/OrphanedRollout.java
@@ -26,12 +26,12 @@
 
     @Override
     int run() throws Exception {
-        Mesh.Node a = mesh.add("n-a", "127.0.1.1", "z1", "r1", "front", "0.75", "2");
-        Mesh.Node b = mesh.add("n-b", "127.0.1.2", "z1", "r1", "front", "0.3", "1");
-        Mesh.Node c = mesh.add("n-c", "127.0.1.3", "z1", "r1", "desk", "0.75", "2");
-        Mesh.Node d = mesh.add("n-d", "127.0.1.4", "z1", "r1", "desk", "0.75", "2");
-        Mesh.Node e = mesh.add("n-e", "127.0.1.5", "z1", "r1", "desk", "0.3", "1");
-        Mesh.Node f = mesh.add("n-f", "127.0.1.6", "z1", "r1", "desk", "0.3", "1");
+        Mesh.Node a = mesh.add("sidecar-1", "127.0.1.1", "z1", "r1", "front", "0.75", "2");
+        Mesh.Node b = mesh.add("sidecar-10", "127.0.1.2", "z1", "r1", "front", "0.3", "1");
+        Mesh.Node c = mesh.add("sidecar-2", "127.0.1.3", "z1", "r1", "desk", "0.75", "2");
+        Mesh.Node d = mesh.add("sidecar-3", "127.0.1.4", "z1", "r1", "desk", "0.75", "2");
+        Mesh.Node e = mesh.add("sidecar-11", "127.0.1.5", "z1", "r1", "desk", "0.3", "1");
+        Mesh.Node f = mesh.add("sidecar-12", "127.0.1.6", "z1", "r1", "desk", "0.3", "1");
         List<Mesh.Node> nodes = List.of(a, b, c, d, e, f);
         store.operatorPut(
                 "op/config",
