--- a/review/standins/ForgottenDeparture.java
+++ b/review/standins/ForgottenDeparture.java
@@ -15,10 +15,10 @@
     private static final int CONTACT_MS = 4_000;
 
     /** How late the heartbeat arrives. */
-    private static final int LATE_MS = 3_000;
+    private static final int LATE_MS = 4_500;
 
     /** How long the backend serves after its departure was acknowledged. */
-    private static final int SERVES_ON_MS = 9_000;
+    private static final int SERVES_ON_MS = 10_000;
 
     public static void main(final String[] arguments) {
         main(new ForgottenDeparture());
@@ -102,6 +102,7 @@
         Backend.sleep(1_000);
         load.stop();
         mesh.copyLog("\"event\":\"target\"");
+        mesh.copyLog("\"event\":\"announcement-ignored\"");
         record.say("requests that reached i-b more than " + DRAIN_MS
                 + " ms after its departure was acknowledged, sent by machines in touch: " + late.size());
         return late.isEmpty() ? HELD : BROKEN;
--- a/review/standins/Mesh.java
+++ b/review/standins/Mesh.java
@@ -154,7 +154,7 @@
     void signal(final Node node, final String signal) throws IOException {
         record.add("signal " + signal + " node=" + node.name);
         try {
-            new ProcessBuilder("kill", "-" + signal, String.valueOf(node.process.pid()))
+            new ProcessBuilder("sh", "-c", "kill -" + signal + " " + node.process.pid())
                     .start()
                     .waitFor();
         } catch (InterruptedException exception) {
