--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/call/GateCaller.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/call/GateCaller.java
@@ -20,4 +20,13 @@
      *     latest. Cancelling it cancels the call at the gate.
      */
     CompletableFuture<CallResult> call(NodeAddress gateAddress, CallRequest request);
+
+    /**
+     * Withdraws a call: if the gate has not sent it to its target, it ends as {@link Outcome#NOT_RUN} and is never
+     * sent. Otherwise nothing changes. Does nothing if the call has ended.
+     *
+     * @param gateAddress the link address of the target's node, not null.
+     * @param callId the identity of the call, not null.
+     */
+    default void withdrawCall(final NodeAddress gateAddress, final String callId) {}
 }
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/dispatch/LocalFirstGateCaller.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/dispatch/LocalFirstGateCaller.java
@@ -36,4 +36,13 @@
     public CompletableFuture<CallResult> call(final NodeAddress gate, final CallRequest request) {
         return gate.equals(localAddress) ? localGate.handle(request) : link.call(gate, request);
     }
+
+    @Override
+    public void withdrawCall(final NodeAddress gate, final String callId) {
+        if (gate.equals(localAddress)) {
+            localGate.withdrawCall(callId);
+        } else {
+            link.withdrawCall(gate, callId);
+        }
+    }
 }
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/DispatchObserver.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/DispatchObserver.java
@@ -16,6 +16,15 @@
      */
     void targetChosen(MeshCall call, MeshRoute route, PlacementCandidate candidate, int attempt);
 
+    /**
+     * Called when an attempt is withdrawn from the gate of its target because this node stops.
+     *
+     * @param call the request, not null.
+     * @param route its route, not null.
+     * @param candidate the target, not null.
+     */
+    void attemptWithdrawn(MeshCall call, MeshRoute route, PlacementCandidate candidate);
+
     /**
      * Called when an attempt has ended, unless the request had ended before.
      *
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshAttempts.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshAttempts.java
@@ -34,6 +34,12 @@
     /** Fraction of the objective available here; the rest is for the network between the caller and this node. */
     private static final double OBJECTIVE_FRACTION = 0.95;
 
+    /** Factor on the mean service time that leaves room for slower calls: about four of five calls take less. */
+    private static final double LIKELY_SERVICE_FACTOR = 1.25;
+
+    /** Time before the stop at which attempts are withdrawn at the latest: gates in other regions reply within it. */
+    private static final long MINIMUM_WITHDRAWAL_MS = 300;
+
     private final MeshDispatcher.Dependencies dependencies;
     private final MeshCall call;
     private final MeshRoute route;
@@ -44,6 +50,14 @@
     private final boolean useNewVersion;
     private final CompletableFuture<CallResult> result = new CompletableFuture<>();
     private final Set<String> triedTargets = new HashSet<>();
+    /** Target and identity of the attempt that has not ended, null if there is none. */
+    private PlacementCandidate runningTarget;
+
+    private String runningCallId;
+    private boolean withdrawn;
+    /** When this node stops, in milliseconds of the local clock. */
+    private long stopMs;
+
     private int attemptCount;
     /** Attempts that reached a target, or may have. */
     private int targetArrivals;
@@ -60,9 +74,11 @@
             final MeshRoute route,
             final String service,
             final long earlierWaitMs,
-            final RouteSizes routeSizes) {
+            final RouteSizes routeSizes,
+            final long stopMs) {
         this.dependencies = dependencies;
         this.routeSizes = routeSizes;
+        this.stopMs = stopMs;
         this.call = call;
         this.route = route;
         this.service = service;
@@ -89,6 +105,10 @@
             endWithoutNewAttempt(hasGateRefusal() ? Reason.QUEUE_FULL : Reason.NO_TARGET);
             return;
         }
+        if (outlastsStop(choice.get())) {
+            endWithoutNewAttempt(Reason.DRAINING);
+            return;
+        }
         if (exceedsObjective(choice.get()) || !maySend(choice.get())) {
             endWithoutNewAttempt(Reason.QUEUE_FULL);
             return;
@@ -137,6 +157,11 @@
         return isTooLate;
     }
 
+    /** Returns whether an attempt at a target that starts now is expected to end after this node stops. */
+    private synchronized boolean outlastsStop(final PlacementCandidate candidate) {
+        return dependencies.clock().nowMs() + candidate.expectedResponseMs(route.name()) > stopMs;
+    }
+
     /**
      * Returns whether the request may be sent to a target. Until one attempt has reached a target, sending is free;
      * after that, each attempt spends the retry budget that the requests of the service share. A request with a failed
@@ -156,15 +181,19 @@
     }
 
     private void send(final PlacementCandidate candidate) {
+        CallRequest request = request(candidate);
         int attempt;
         synchronized (this) {
             attemptCount++;
             attempt = attemptCount;
             triedTargets.add(candidate.report().target());
+            runningTarget = candidate;
+            runningCallId = request.callId();
+            withdrawn = false;
         }
         dependencies.observer().targetChosen(call, route, candidate, attempt);
         dependencies.candidateSource().recordSent(candidate);
-        CompletableFuture<CallResult> running = dependencies.gateCaller().call(candidate.address(), request(candidate));
+        CompletableFuture<CallResult> running = dependencies.gateCaller().call(candidate.address(), request);
         result.whenComplete((ended, failure) -> running.cancel(true));
         running.whenComplete((ended, failure) -> {
             CallResult attemptResult = failure == null ? ended : CallResult.unknown(Reason.CANCELLED);
@@ -213,6 +242,7 @@
 
     /** Records the result of an attempt and returns whether another attempt may follow. */
     private synchronized boolean recordAttempt(final CallResult attemptResult) {
+        runningTarget = null;
         boolean mayHaveReachedTarget =
                 attemptResult.outcome() != Outcome.NOT_RUN || attemptResult.reason() == Reason.SHED;
         if (mayHaveReachedTarget) {
@@ -247,6 +277,32 @@
         result.complete(end);
     }
 
+    /**
+     * Withdraws the running attempt from its gate if it probably has not started in time to end before this node stops.
+     * Further attempts are made only if they are expected to end before.
+     *
+     * @param newStopMs when this node stops, in milliseconds of the local clock.
+     */
+    void drain(final long newStopMs) {
+        PlacementCandidate target;
+        String callId;
+        synchronized (this) {
+            stopMs = newStopMs;
+            long likelyMs = runningTarget == null
+                    ? 0
+                    : Math.round(LIKELY_SERVICE_FACTOR * runningTarget.report().meanRouteMs(route.name()));
+            long latestStartMs = stopMs - Math.max(MINIMUM_WITHDRAWAL_MS, likelyMs);
+            if (runningTarget == null || withdrawn || dependencies.clock().nowMs() < latestStartMs) {
+                return;
+            }
+            withdrawn = true;
+            target = runningTarget;
+            callId = runningCallId;
+        }
+        dependencies.observer().attemptWithdrawn(call, route, target);
+        dependencies.gateCaller().withdrawCall(target.address(), callId);
+    }
+
     /**
      * Returns the deadline: the earlier one of the caller's deadline and the route's timeout.
      *
@@ -256,16 +312,26 @@
         return deadlineMs;
     }
 
+    /** Ends the request at its deadline, see {@link #endNow}. */
+    void expire() {
+        endNow(Reason.DEADLINE);
+    }
+
+    /** Ends the request because this node stops, see {@link #endNow}. */
+    void stop() {
+        endNow(Reason.DRAINING);
+    }
+
     /**
-     * Ends the request at its deadline: with the latest failed answer if there is one, as unknown if an attempt may
-     * have run, otherwise as not run.
+     * Ends the request: with the latest failed answer if there is one, as unknown if an attempt may have run, otherwise
+     * as not run.
      */
-    void expire() {
+    private void endNow(final Reason reason) {
         CallResult end;
         synchronized (this) {
             Optional<CallResponse> answer = possibleRunResult == null ? Optional.empty() : possibleRunResult.response();
             boolean mayHaveRun = attemptCount > gateRefusals;
-            end = mayHaveRun ? CallResult.unknown(Reason.DEADLINE) : CallResult.notRun(Reason.DEADLINE);
+            end = mayHaveRun ? CallResult.unknown(reason) : CallResult.notRun(reason);
             end = answer.map(CallResult::complete).orElse(end);
         }
         result.complete(end);
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshDispatcher.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshDispatcher.java
@@ -2,7 +2,9 @@
 
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
 import java.util.function.ToDoubleFunction;
 import org.sequoiashunt.call.CallResult;
@@ -31,6 +33,9 @@
     private final Dependencies dependencies;
     private final FirstAttemptEstimator firstAttemptEstimator = new FirstAttemptEstimator();
     private final RouteSizes routeSizes = new RouteSizes();
+    private final Set<MeshAttempts> activeRequests = ConcurrentHashMap.newKeySet();
+    private volatile long stopMs = Long.MAX_VALUE;
+    private volatile boolean stopped;
 
     /**
      * Creates a dispatcher.
@@ -73,15 +78,39 @@
                 .recordRepeatedCall(service, dependencies.repeatedRunShare().applyAsDouble(service));
         long earlierWaitMs =
                 firstAttemptEstimator.recordAndEstimateElapsedMs(route.name(), call.deadlineMs() - call.arrivedMs());
-        MeshAttempts attempts = new MeshAttempts(dependencies, call, route, service, earlierWaitMs, routeSizes);
+        MeshAttempts attempts = new MeshAttempts(dependencies, call, route, service, earlierWaitMs, routeSizes, stopMs);
+        activeRequests.add(attempts);
         long expiryMs =
                 attempts.deadlineMs() + EXPIRY_MARGIN_MS - dependencies.clock().nowMs();
         Runnable cancelExpiry = dependencies.delays().after(expiryMs, attempts::expire);
-        attempts.result().whenComplete((ended, failure) -> cancelExpiry.run());
+        attempts.result().whenComplete((ended, failure) -> {
+            cancelExpiry.run();
+            activeRequests.remove(attempts);
+        });
+        if (stopped) {
+            attempts.stop();
+        }
         attempts.attemptNext();
         return attempts.result();
     }
 
+    /**
+     * Prepares for the stop of this node: withdraws the requests that wait at a gate and cannot end before, and refuses
+     * those that are not expected to. Call it repeatedly until the stop.
+     *
+     * @param newStopMs when this node stops, in milliseconds of the local clock.
+     */
+    public void drain(final long newStopMs) {
+        stopMs = newStopMs;
+        activeRequests.forEach(attempts -> attempts.drain(newStopMs));
+    }
+
+    /** Ends all requests, also later ones: as not run if that is certain, otherwise as unknown. */
+    public void stop() {
+        stopped = true;
+        activeRequests.forEach(MeshAttempts::stop);
+    }
+
     /**
      * Result of matching a request: a route, or the reason for refusing the request. Immutable and thread-safe.
      *
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/SlotGate.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/SlotGate.java
@@ -37,6 +37,7 @@
     private TargetAnnouncement target;
     private Reason closeReason;
     private int runningRepeats;
+    private long stopMs = Long.MAX_VALUE;
 
     /**
      * Creates a gate.
@@ -98,14 +99,28 @@
     }
 
     private synchronized long latestStartMs(final CallRequest request, final long nowMs) {
-        long serviceMs = Math.round(SERVICE_TIME_FACTOR * movingAverages.meanMs(request.route(), queue.meanMs()));
-        return Math.max(nowMs, Math.min(request.urgency().objectiveMs(), request.deadlineMs()) - serviceMs);
+        return Math.max(
+                nowMs, Math.min(request.urgency().objectiveMs(), request.deadlineMs()) - likelyServiceMs(request));
+    }
+
+    private long likelyServiceMs(final CallRequest request) {
+        return Math.round(SERVICE_TIME_FACTOR * movingAverages.meanMs(request.route(), queue.meanMs()));
+    }
+
+    /** Returns whether a call that starts at a given time probably does not end before this node stops. */
+    private boolean outlastsStop(final CallRequest request, final long startMs) {
+        return startMs + likelyServiceMs(request) > stopMs;
     }
 
     private synchronized Optional<CallResult> enqueue(final WaitingCall waiting, final long nowMs) {
         if (closeReason != null) {
             return Optional.of(CallResult.notRun(closeReason));
         }
+        long earliestStartMs =
+                nowMs + queue.expectedWaitMs(waiting.request().urgency().rank());
+        if (outlastsStop(waiting.request(), earliestStartMs)) {
+            return Optional.of(CallResult.notRun(Reason.DRAINING));
+        }
         Optional<Long> waitMs = queue.offer(waiting, nowMs);
         if (waitMs.isEmpty()) {
             dependencies.observer().callAdmitted(target, waiting.request(), queue.running(), queue.waiting());
@@ -203,17 +218,47 @@
         return queue.running() + queue.waiting();
     }
 
-    /** Refuses the calls that have missed their latest useful start; decays the failure share of an idle target. */
+    /**
+     * Prepares for the stop of this node: calls that probably do not end before it are refused while they wait.
+     *
+     * @param newStopMs when running calls are cut off, in milliseconds of the local clock.
+     */
+    public synchronized void drain(final long newStopMs) {
+        stopMs = newStopMs;
+    }
+
+    /**
+     * Refuses a call that has not been sent to the target.
+     *
+     * @param callId the identity of the call, not null.
+     * @return true if the call was waiting and therefore is never sent.
+     */
+    public boolean withdraw(final String callId) {
+        List<WaitingCall> withdrawn;
+        synchronized (this) {
+            withdrawn = queue.removeIf(waiting -> waiting.request().callId().equals(callId));
+        }
+        withdrawn.forEach(waiting -> refuseWaiting(waiting, Reason.DRAINING));
+        return !withdrawn.isEmpty();
+    }
+
+    /**
+     * Refuses the calls that have missed their latest useful start or would be cut off by the stop of this node; decays
+     * the failure share of an idle target.
+     */
     public void tick() {
         List<WaitingCall> lateCalls;
+        List<WaitingCall> outlastingCalls;
         synchronized (this) {
-            lateCalls =
-                    new ArrayList<>(queue.removeLateCalls(dependencies.clock().nowMs()));
+            long nowMs = dependencies.clock().nowMs();
+            lateCalls = new ArrayList<>(queue.removeLateCalls(nowMs));
+            outlastingCalls = queue.removeIf(waiting -> outlastsStop(waiting.request(), nowMs));
             if (queue.running() == 0) {
                 movingAverages.decayFailureShare();
             }
         }
         lateCalls.forEach(waiting -> refuseWaiting(waiting, Reason.QUEUE_FULL));
+        outlastingCalls.forEach(waiting -> refuseWaiting(waiting, Reason.DRAINING));
         startWaitingCalls();
     }
 
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/SlotGates.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/SlotGates.java
@@ -28,6 +28,7 @@
     private final SlotGate.Dependencies dependencies;
     private final Map<String, SlotGate> openGates = new ConcurrentHashMap<>();
     private final List<SlotGate> closingGates = new ArrayList<>();
+    private long stopMs = Long.MAX_VALUE;
 
     /**
      * Creates an object without gates; {@link #update} opens them.
@@ -52,7 +53,9 @@
                 if (gate != null) {
                     close(gate);
                 }
-                openGates.put(announcement.target(), new SlotGate(announcement, dependencies));
+                SlotGate opened = new SlotGate(announcement, dependencies);
+                opened.drain(stopMs);
+                openGates.put(announcement.target(), opened);
             }
         }
         for (Map.Entry<String, SlotGate> entry : openGates.entrySet()) {
@@ -76,6 +79,25 @@
         closingGates.add(gate);
     }
 
+    /**
+     * Calls {@link SlotGate#drain} of each open gate and of those that are opened later.
+     *
+     * @param newStopMs when running calls are cut off, in milliseconds of the local clock.
+     */
+    public synchronized void drain(final long newStopMs) {
+        stopMs = newStopMs;
+        openGates.values().forEach(gate -> gate.drain(newStopMs));
+    }
+
+    @Override
+    public void withdrawCall(final String callId) {
+        for (SlotGate gate : openGates.values()) {
+            if (gate.withdraw(callId)) {
+                return;
+            }
+        }
+    }
+
     /** Calls {@link SlotGate#tick} of each open gate. */
     public void tick() {
         openGates.values().forEach(SlotGate::tick);
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/SlotQueue.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/SlotQueue.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.TreeSet;
+import java.util.function.Predicate;
 
 /**
  * Priority queue of the calls to one target that decides which call starts next, which waits and which is refused.
@@ -139,6 +140,18 @@
         return queue.remove(waiting);
     }
 
+    /**
+     * Removes the waiting calls that match a condition.
+     *
+     * @param condition selects the calls, not null.
+     * @return the removed calls, which the caller of this method must refuse; never null.
+     */
+    public List<WaitingCall> removeIf(final Predicate<WaitingCall> condition) {
+        List<WaitingCall> removed = queue.stream().filter(condition).toList();
+        removed.forEach(queue::remove);
+        return removed;
+    }
+
     /**
      * Removes all waiting calls.
      *
--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/mesh/MeshDispatcherTest.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/mesh/MeshDispatcherTest.java
@@ -18,6 +18,7 @@
 import org.sequoiashunt.call.CallRequest;
 import org.sequoiashunt.call.CallResponse;
 import org.sequoiashunt.call.CallResult;
+import org.sequoiashunt.call.GateCaller;
 import org.sequoiashunt.call.Outcome;
 import org.sequoiashunt.call.Reason;
 import org.sequoiashunt.dispatch.CallIdGenerator;
@@ -39,6 +40,7 @@
     private final FleetView fleet = new FleetView(clock);
     private final List<CallRequest> sentRequests = new ArrayList<>();
     private final List<CompletableFuture<CallResult>> attemptResults = new ArrayList<>();
+    private final List<String> withdrawnCallIds = new ArrayList<>();
     private final List<Runnable> expiryTasks = new ArrayList<>();
     private final SlidingWindowRetryBudget retryBudget =
             new SlidingWindowRetryBudget(clock, new SlidingWindowRetryBudget.Bounds(0.2, 30, 10_000), () -> 1);
@@ -103,12 +105,7 @@
                 new PlacementCandidateSource(location, fleet, service -> List.of(), clock),
                 new Placement(new Random(1)),
                 retryBudget,
-                (gate, request) -> {
-                    sentRequests.add(request);
-                    CompletableFuture<CallResult> call = new CompletableFuture<>();
-                    attemptResults.add(call);
-                    return call;
-                },
+                new RecordingGateCaller(),
                 new CallIdGenerator("self", 1),
                 service -> repeatedRunShare,
                 new NoOpObserver()));
@@ -313,6 +310,40 @@
         assertEquals(1, sentRequests.size());
     }
 
+    /** Guards against requests that are accepted during a planned stop and cut at its end. */
+    @Test
+    void requestThatWouldOutlastTheStopIsRefusedAtOnce() {
+        dispatcher().drain(clock.nowMs() + 60);
+        assertFalse(dispatch("/r/1").isDone());
+        clock.advance(20);
+        CompletableFuture<CallResult> late = dispatch("/r/2");
+        assertEquals(CallResult.notRun(Reason.DRAINING), late.getNow(null));
+        assertEquals(1, sentRequests.size());
+    }
+
+    /** Guards against requests that wait at a gate while their node stops: they must be answered before. */
+    @Test
+    void waitingRequestIsWithdrawnBeforeTheStop() {
+        CompletableFuture<CallResult> waiting = dispatch("/r/1");
+        CompletableFuture<CallResult> running = dispatch("/r/2");
+        long stopMs = clock.nowMs() + 1_000;
+        dispatcher().drain(stopMs);
+        assertEquals(List.of(), withdrawnCallIds);
+        clock.advance(800);
+        dispatcher().drain(stopMs);
+        dispatcher().drain(stopMs);
+        assertEquals(Set.of(sentRequests.get(0).callId(), sentRequests.get(1).callId()), Set.copyOf(withdrawnCallIds));
+        assertEquals(2, withdrawnCallIds.size(), "each attempt is withdrawn once");
+        clock.advance(190);
+        endAttempt(0, CallResult.notRun(Reason.DRAINING));
+        assertEquals(CallResult.notRun(Reason.DRAINING), waiting.getNow(null));
+        assertFalse(running.isDone());
+        dispatcher().stop();
+        assertEquals(CallResult.unknown(Reason.DRAINING), running.getNow(null));
+        assertEquals(CallResult.notRun(Reason.DRAINING), dispatch("/r/3").getNow(null));
+        assertEquals(2, sentRequests.size());
+    }
+
     @Test
     void missingConfigurationIsReportedAsNotReady() {
         configuration = Optional.empty();
@@ -322,9 +353,29 @@
         assertFalse(dispatcher().match("h", "/x/").route().isPresent());
     }
 
+    /** Records the calls and withdrawals; the tests end the calls. */
+    private final class RecordingGateCaller implements GateCaller {
+
+        @Override
+        public CompletableFuture<CallResult> call(final NodeAddress gateAddress, final CallRequest request) {
+            sentRequests.add(request);
+            CompletableFuture<CallResult> call = new CompletableFuture<>();
+            attemptResults.add(call);
+            return call;
+        }
+
+        @Override
+        public void withdrawCall(final NodeAddress gateAddress, final String callId) {
+            withdrawnCallIds.add(callId);
+        }
+    }
+
     /** Observer that does nothing. */
     private static final class NoOpObserver implements DispatchObserver {
 
+        @Override
+        public void attemptWithdrawn(final MeshCall call, final MeshRoute route, final PlacementCandidate candidate) {}
+
         @Override
         public void targetChosen(
                 final MeshCall call, final MeshRoute route, final PlacementCandidate candidate, final int attempt) {}
--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/slot/SlotGateTest.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/slot/SlotGateTest.java
@@ -105,6 +105,40 @@
         assertEquals(130, gate.report().failurePermille());
     }
 
+    /** Guards against calls that run after their node has answered that they did not. */
+    @Test
+    void withdrawnCallIsNeverSentAndARunningCallContinues() {
+        CompletableFuture<CallResult> running = call(false);
+        clock.advance(1);
+        CompletableFuture<CallResult> waiting = call(false);
+        gate.withdraw("call-0-1000");
+        gate.withdraw("call-1-1001");
+        assertEquals(CallResult.notRun(Reason.DRAINING), waiting.join().withLoad(0));
+        assertFalse(running.isDone());
+        targetResults.get(0).complete(answerWithStatus(200));
+        assertEquals(Outcome.COMPLETE, running.join().outcome());
+        assertEquals(1, targetResults.size());
+    }
+
+    /** Guards against calls that begin at a node's target so late that the node's stop cuts them. */
+    @Test
+    void drainingGateRefusesCallsThatWouldOutlastTheStop() {
+        call(true);
+        clock.advance(400);
+        targetResults.get(0).complete(answerWithStatus(200));
+        call(true);
+        clock.advance(1);
+        CompletableFuture<CallResult> waiting = call(true);
+        gate.drain(clock.nowMs() + 1_000);
+        gate.tick();
+        assertFalse(waiting.isDone());
+        clock.advance(600);
+        gate.tick();
+        assertEquals(Reason.DRAINING, waiting.join().reason());
+        assertEquals(Reason.DRAINING, call(true).join().reason());
+        assertEquals(2, targetResults.size());
+    }
+
     @Test
     void refusesLateCallWhileSlotIsTaken() {
         call(true);
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/CallLedger.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/CallLedger.java
@@ -5,6 +5,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -145,6 +146,20 @@
         return Optional.ofNullable(callRecord.cancel());
     }
 
+    /**
+     * Lists the running calls whose results are to be sent to a receiver.
+     *
+     * @param receiver the receiver.
+     * @return the identities of the calls, possibly empty.
+     */
+    synchronized List<String> runningCallsOf(final ResultReceiver receiver) {
+        return records.entrySet().stream()
+                .filter(entry -> entry.getValue().hasPhase(Phase.RUNNING)
+                        && entry.getValue().isAttachedTo(receiver))
+                .map(Map.Entry::getKey)
+                .toList();
+    }
+
     synchronized void acknowledge(final Collection<String> callIds) {
         for (String callId : callIds) {
             CallRecord callRecord = records.get(callId);
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/CallRecord.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/CallRecord.java
@@ -58,6 +58,10 @@
         receiver = newReceiver;
     }
 
+    boolean isAttachedTo(final ResultReceiver other) {
+        return receiver == other;
+    }
+
     void retainUntil(final long timeMs) {
         forgetAfterMs = Math.max(forgetAfterMs, timeMs);
     }
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/FrameFactory.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/FrameFactory.java
@@ -73,12 +73,13 @@
                 .build();
     }
 
-    static Frame query(final long number, final String callId, final long remainingMs) {
+    static Frame query(final long number, final String callId, final long remainingMs, final boolean withdraw) {
         return Frame.newBuilder()
                 .setCallQuery(CallQuery.newBuilder()
                         .setNumber(number)
                         .setCallId(callId)
-                        .setRemainingMs(remainingMs))
+                        .setRemainingMs(remainingMs)
+                        .setWithdraw(withdraw))
                 .build();
     }
 
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/InFlightCall.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/InFlightCall.java
@@ -18,6 +18,7 @@
     private final long addedMs;
     private LinkIdentity sentTo;
     private long lostMs = NOT_LOST;
+    private boolean withdrawn;
 
     InFlightCall(
             final long number,
@@ -68,6 +69,15 @@
         lostMs = NOT_LOST;
     }
 
+    void markWithdrawn() {
+        withdrawn = true;
+    }
+
+    /** Returns whether the caller wants the call to end unless the gate has sent it to its target. */
+    boolean isWithdrawn() {
+        return withdrawn;
+    }
+
     boolean isUnsentFor(final long limitMs, final long nowMs) {
         return !isSent() && nowMs - addedMs >= limitMs;
     }
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/InFlightCalls.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/InFlightCalls.java
@@ -138,15 +138,16 @@
      *
      * @param number the number of the call.
      * @param callId the identity of the call.
-     * @return true if the call is in flight.
+     * @return true if the call is in flight and was lost.
      * @throws LinkProtocolException if the number is that of another call.
      */
     synchronized boolean markResumed(final long number, final String callId) throws LinkProtocolException {
         InFlightCall call = find(number, callId);
-        if (call != null) {
+        boolean wasLost = call != null && call.isLost();
+        if (wasLost) {
             call.markResumed();
         }
-        return call != null;
+        return wasLost;
     }
 
     /**
@@ -188,6 +189,25 @@
         end(call -> call.isSent() ? Optional.empty() : Optional.of(CallResult.notRun(reason)));
     }
 
+    /**
+     * Withdraws a call: ends it as not run if it was not sent.
+     *
+     * @param callId the identity of the call.
+     * @return the call if it was sent, so that the caller must withdraw it at the gate; otherwise empty.
+     */
+    Optional<InFlightCall> withdraw(final String callId) {
+        end(call -> call.request().callId().equals(callId) && !call.isSent()
+                ? Optional.of(CallResult.notRun(Reason.DRAINING))
+                : Optional.empty());
+        synchronized (this) {
+            Optional<InFlightCall> sent = calls.values().stream()
+                    .filter(call -> call.request().callId().equals(callId))
+                    .findFirst();
+            sent.ifPresent(InFlightCall::markWithdrawn);
+            return sent;
+        }
+    }
+
     /** Ends all calls and retires the link. */
     void close() {
         synchronized (this) {
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/Link.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/Link.java
@@ -69,6 +69,10 @@
         calls.cancel(call, connection);
     }
 
+    void withdraw(final String callId) {
+        calls.withdraw(callId, connection);
+    }
+
     /**
      * Ends expired calls, checks the connection, and sends waiting messages.
      *
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/LinkCalls.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/LinkCalls.java
@@ -61,7 +61,20 @@
     void queryLostCalls(final LinkConnection connection) {
         for (InFlightCall call : inFlight.connectionOpened(connection.peer())) {
             counters.increment(Count.CALLS_ASKED);
-            connection.write(FrameFactory.query(call.number(), call.request().callId(), remainingMs(call)));
+            writeQuery(call, connection);
+        }
+    }
+
+    /**
+     * Withdraws a call. If it was sent and the connection is lost, it is withdrawn on the next one.
+     *
+     * @param callId the identity of the call.
+     * @param connection the connection, null if there is none.
+     */
+    void withdraw(final String callId, final LinkConnection connection) {
+        Optional<InFlightCall> sent = inFlight.withdraw(callId);
+        if (sent.isPresent() && connection != null && connection.isOpen()) {
+            writeQuery(sent.get(), connection);
         }
     }
 
@@ -132,6 +145,11 @@
         }
     }
 
+    private void writeQuery(final InFlightCall call, final LinkConnection connection) {
+        connection.write(
+                FrameFactory.query(call.number(), call.request().callId(), remainingMs(call), call.isWithdrawn()));
+    }
+
     private void writeCancel(final InFlightCall call, final LinkConnection connection) {
         if (connection != null && connection.isOpen()) {
             connection.write(FrameFactory.cancel(call.request().callId(), remainingMs(call)));
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/LinkClient.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/LinkClient.java
@@ -99,6 +99,15 @@
         return CompletableFuture.completedFuture(CallResult.notRun(Reason.CONNECTION_FAILED));
     }
 
+    @Override
+    public void withdrawCall(final NodeAddress gate, final String callId) {
+        Objects.requireNonNull(callId, "callId");
+        Link link = links.get(Objects.requireNonNull(gate, "gate"));
+        if (link != null) {
+            context.threads().clientLoop().execute(() -> link.withdraw(callId));
+        }
+    }
+
     /**
      * Counts the calls to other nodes that have not ended.
      *
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/ServedCalls.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/ServedCalls.java
@@ -67,13 +67,17 @@
     }
 
     /**
-     * Answers a query for a call. A call that was not received is revoked.
+     * Answers a query for a call. A call that was not received is revoked; a running call is withdrawn if the query asks
+     * for that.
      *
      * @param query the query.
      * @param receiver receives the result at once if the call has ended, otherwise when it ends.
      * @return the state to report, or empty if the result was sent to the receiver.
      */
     Optional<CallState> query(final CallQuery query, final ResultReceiver receiver) {
+        if (query.getWithdraw()) {
+            handler.withdrawCall(query.getCallId());
+        }
         CallStatus callStatus = ledger.queryOrRevoke(
                 query.getCallId(), query.getNumber(), clock.nowMs() + remainingMs(query.getRemainingMs()), receiver);
         if (callStatus.result().isPresent()) {
@@ -93,6 +97,16 @@
                 .ifPresent(execution -> execution.cancel(true));
     }
 
+    /**
+     * Withdraws the running calls whose results would be sent to a closed connection: their sender has not resumed them
+     * and may have ended.
+     *
+     * @param receiver the receiver of results that was closed.
+     */
+    void withdrawAbandoned(final ResultReceiver receiver) {
+        ledger.runningCallsOf(receiver).forEach(handler::withdrawCall);
+    }
+
     void acknowledge(final CallAcknowledge acknowledge) {
         ledger.acknowledge(acknowledge.getCallIdsList());
     }
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/ServerConnection.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/ServerConnection.java
@@ -25,6 +25,9 @@
     private static final int FRAME_OVERHEAD_BYTES = 16;
     private static final int MAXIMUM_DEFERRED_RESULTS = 1_024;
 
+    /** Time in which a sender that is alive opens another connection and resumes its calls on it. */
+    private static final long ABANDONED_CALL_TIMEOUT_MS = 500;
+
     private final LinkContext context;
     private final ServedCalls calls;
     private final ControlReceiver controlReceiver;
@@ -62,6 +65,8 @@
         context.counters().add(Count.CONNECTIONS_ACCEPTED, -1);
         budget.remove(partialFrameMonitor);
         deferred.clear();
+        channel.eventLoop()
+                .schedule(() -> calls.withdrawAbandoned(this), ABANDONED_CALL_TIMEOUT_MS, TimeUnit.MILLISECONDS);
     }
 
     @Override
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/wire/FrameProto.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/wire/FrameProto.java
@@ -10879,10 +10879,20 @@
      * @return The remainingMs.
      */
     long getRemainingMs();
+
+    /**
+     * <pre>
+     * Whether the sender withdraws the call: the gate then refuses it, unless it has sent it to its target.
+     * </pre>
+     *
+     * <code>bool withdraw = 4;</code>
+     * @return The withdraw.
+     */
+    boolean getWithdraw();
   }
   /**
    * <pre>
-   * Queries a call that was sent on an earlier connection. A call not received yet is never run.
+   * Queries a call, which is done after its connection was lost or to withdraw it. A call not received yet is never run.
    * </pre>
    *
    * Protobuf type {@code sequoiashunt.link.CallQuery}
@@ -10988,6 +10998,21 @@
       return remainingMs_;
     }
 
+    public static final int WITHDRAW_FIELD_NUMBER = 4;
+    private boolean withdraw_ = false;
+    /**
+     * <pre>
+     * Whether the sender withdraws the call: the gate then refuses it, unless it has sent it to its target.
+     * </pre>
+     *
+     * <code>bool withdraw = 4;</code>
+     * @return The withdraw.
+     */
+    @java.lang.Override
+    public boolean getWithdraw() {
+      return withdraw_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -11011,6 +11036,9 @@
       if (remainingMs_ != 0L) {
         output.writeUInt64(3, remainingMs_);
       }
+      if (withdraw_ != false) {
+        output.writeBool(4, withdraw_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -11026,6 +11054,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt64Size(3, remainingMs_);
       }
+      if (withdraw_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(4, withdraw_);
+      }
       return size;
     }
     @java.lang.Override
@@ -11056,6 +11088,8 @@
           .equals(other.getCallId())) return false;
       if (getRemainingMs()
           != other.getRemainingMs()) return false;
+      if (getWithdraw()
+          != other.getWithdraw()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -11075,6 +11109,9 @@
       hash = (37 * hash) + REMAINING_MS_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getRemainingMs());
+      hash = (37 * hash) + WITHDRAW_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getWithdraw());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -11174,7 +11211,7 @@
     }
     /**
      * <pre>
-     * Queries a call that was sent on an earlier connection. A call not received yet is never run.
+     * Queries a call, which is done after its connection was lost or to withdraw it. A call not received yet is never run.
      * </pre>
      *
      * Protobuf type {@code sequoiashunt.link.CallQuery}
@@ -11213,6 +11250,7 @@
         number_ = 0L;
         callId_ = "";
         remainingMs_ = 0L;
+        withdraw_ = false;
         return this;
       }
 
@@ -11255,6 +11293,9 @@
         if (((from_bitField0_ & 0x00000004) != 0)) {
           result.remainingMs_ = remainingMs_;
         }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.withdraw_ = withdraw_;
+        }
       }
 
       @java.lang.Override
@@ -11280,6 +11321,9 @@
         if (other.getRemainingMs() != 0L) {
           setRemainingMs(other.getRemainingMs());
         }
+        if (other.getWithdraw() != false) {
+          setWithdraw(other.getWithdraw());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -11319,6 +11363,11 @@
                 bitField0_ |= 0x00000004;
                 break;
               } // case 24
+              case 32: {
+                withdraw_ = input.readBool();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -11472,6 +11521,50 @@
         return this;
       }
 
+      private boolean withdraw_ ;
+      /**
+       * <pre>
+       * Whether the sender withdraws the call: the gate then refuses it, unless it has sent it to its target.
+       * </pre>
+       *
+       * <code>bool withdraw = 4;</code>
+       * @return The withdraw.
+       */
+      @java.lang.Override
+      public boolean getWithdraw() {
+        return withdraw_;
+      }
+      /**
+       * <pre>
+       * Whether the sender withdraws the call: the gate then refuses it, unless it has sent it to its target.
+       * </pre>
+       *
+       * <code>bool withdraw = 4;</code>
+       * @param value The withdraw to set.
+       * @return This builder for chaining.
+       */
+      public Builder setWithdraw(boolean value) {
+
+        withdraw_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Whether the sender withdraws the call: the gate then refuses it, unless it has sent it to its target.
+       * </pre>
+       *
+       * <code>bool withdraw = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearWithdraw() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        withdraw_ = false;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:sequoiashunt.link.CallQuery)
     }
 
@@ -13060,15 +13153,15 @@
       "ders\030\007 \003(\0132\031.sequoiashunt.link.Header\022\023\n" +
       "\013body_length\030\010 \001(\r\022\014\n\004body\030\t \001(\014\022\017\n\007wait" +
       "_ms\030\n \001(\004\"3\n\nCallCancel\022\017\n\007call_id\030\001 \001(\t" +
-      "\022\024\n\014remaining_ms\030\002 \001(\004\"B\n\tCallQuery\022\016\n\006n" +
+      "\022\024\n\014remaining_ms\030\002 \001(\004\"T\n\tCallQuery\022\016\n\006n" +
       "umber\030\001 \001(\004\022\017\n\007call_id\030\002 \001(\t\022\024\n\014remainin" +
-      "g_ms\030\003 \001(\004\"\242\001\n\tCallState\022\016\n\006number\030\001 \001(\004" +
-      "\022\017\n\007call_id\030\002 \001(\t\0221\n\005state\030\003 \001(\0162\".sequo" +
-      "iashunt.link.CallState.State\"A\n\005State\022\017\n" +
-      "\013UNSPECIFIED\020\000\022\020\n\014NOT_RECEIVED\020\001\022\013\n\007RUNN" +
-      "ING\020\002\022\010\n\004LOST\020\003\"#\n\017CallAcknowledge\022\020\n\010ca" +
-      "ll_ids\030\001 \003(\tB(\n\032org.sequoiashunt.link.wi" +
-      "reB\nFrameProtob\006proto3"
+      "g_ms\030\003 \001(\004\022\020\n\010withdraw\030\004 \001(\010\"\242\001\n\tCallSta" +
+      "te\022\016\n\006number\030\001 \001(\004\022\017\n\007call_id\030\002 \001(\t\0221\n\005s" +
+      "tate\030\003 \001(\0162\".sequoiashunt.link.CallState" +
+      ".State\"A\n\005State\022\017\n\013UNSPECIFIED\020\000\022\020\n\014NOT_" +
+      "RECEIVED\020\001\022\013\n\007RUNNING\020\002\022\010\n\004LOST\020\003\"#\n\017Cal" +
+      "lAcknowledge\022\020\n\010call_ids\030\001 \003(\tB(\n\032org.se" +
+      "quoiashunt.link.wireB\nFrameProtob\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -13139,7 +13232,7 @@
     internal_static_sequoiashunt_link_CallQuery_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_sequoiashunt_link_CallQuery_descriptor,
-        new java.lang.String[] { "Number", "CallId", "RemainingMs", });
+        new java.lang.String[] { "Number", "CallId", "RemainingMs", "Withdraw", });
     internal_static_sequoiashunt_link_CallState_descriptor =
       getDescriptor().getMessageType(11);
     internal_static_sequoiashunt_link_CallState_fieldAccessorTable = new
--- a/sequoiashunt-link/src/test/java/org/sequoiashunt/link/FaultScheduleTest.java
+++ b/sequoiashunt-link/src/test/java/org/sequoiashunt/link/FaultScheduleTest.java
@@ -185,7 +185,7 @@
             connections.add(currentConnection);
             for (InFlightCall call : inFlightCalls.connectionOpened(currentConnection.peer)) {
                 currentConnection.toGate.add(
-                        FrameFactory.query(call.number(), call.request().callId(), remainingMs(call)));
+                        FrameFactory.query(call.number(), call.request().callId(), remainingMs(call), false));
             }
         }
 
--- a/sequoiashunt-link/src/test/java/org/sequoiashunt/link/LinkFixture.java
+++ b/sequoiashunt-link/src/test/java/org/sequoiashunt/link/LinkFixture.java
@@ -148,6 +148,12 @@
 
         final Queue<CallRequest> requests = new ConcurrentLinkedQueue<>();
         final Queue<CompletableFuture<CallResult>> runs = new ConcurrentLinkedQueue<>();
+        final Queue<String> withdrawals = new ConcurrentLinkedQueue<>();
+
+        @Override
+        public void withdrawCall(final String callId) {
+            withdrawals.add(callId);
+        }
 
         @Override
         public CompletableFuture<CallResult> handle(final CallRequest request) {
--- a/sequoiashunt-link/src/test/java/org/sequoiashunt/link/ServedCallsTest.java
+++ b/sequoiashunt-link/src/test/java/org/sequoiashunt/link/ServedCallsTest.java
@@ -95,6 +95,38 @@
         assertEquals(0, handler.runs.size());
     }
 
+    /** Guards against a call that its stopping node reported as not run and that runs nevertheless. */
+    @Test
+    void aWithdrawnCallThatHasNotArrivedIsNotRun() throws LinkProtocolException {
+        CallQuery withdrawal = CallQuery.newBuilder()
+                .setNumber(1)
+                .setCallId("call")
+                .setRemainingMs(TIMEOUT_MS)
+                .setWithdraw(true)
+                .build();
+        assertEquals(
+                CallState.State.NOT_RECEIVED,
+                servedCalls.query(withdrawal, this::receive).orElseThrow().getState());
+        servedCalls.start(start(clock.nowMs(), 0), this::receive);
+        assertEquals(0, handler.runs.size());
+        assertEquals(List.of("call"), List.copyOf(handler.withdrawals));
+    }
+
+    /** Guards against work that begins for a node that was killed. */
+    @Test
+    void callsOfAClosedConnectionAreWithdrawnUnlessResumed() throws LinkProtocolException {
+        ResultReceiver closed = this::receive;
+        ResultReceiver next = this::receive;
+        servedCalls.start(start(clock.nowMs(), 0), closed);
+        servedCalls.withdrawAbandoned(next);
+        assertEquals(0, handler.withdrawals.size());
+        servedCalls.withdrawAbandoned(closed);
+        assertEquals(List.of("call"), List.copyOf(handler.withdrawals));
+        servedCalls.query(CallQuery.newBuilder().setCallId("call").build(), next);
+        servedCalls.withdrawAbandoned(closed);
+        assertEquals(1, handler.withdrawals.size(), "the call was resumed on the next connection");
+    }
+
     private void receive(final long number, final String callId, final CallResult result) {
         results.add(result);
     }
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/LogKind.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/LogKind.java
@@ -24,6 +24,8 @@
     PLACED("placed", 5),
     /** An attempt to run a request got no complete answer; another attempt may follow. */
     ATTEMPT("attempt", 30),
+    /** An attempt was withdrawn from the gate of its target because this node stops. */
+    WITHDRAWN("withdrawn", 20),
     /** A gate refused a call. */
     GATE_REFUSED("gate-refused", 20),
     /** A request was answered by its target. */
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshCallerHandler.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshCallerHandler.java
@@ -156,6 +156,10 @@
             dependencies.metrics().countCallerDisconnect(route);
             return;
         }
+        if (dependencies.refusingRequests().getAsBoolean()) {
+            refuse(exchange, call.requestId(), route, arrivedMs, CallResult.notRun(Reason.DRAINING));
+            return;
+        }
         CompletableFuture<CallResult> result = dependencies.dispatcher().dispatch(call, route);
         if (!result.isDone()) {
             CallerDisconnectDetector.start(exchange, () -> {
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
@@ -71,6 +71,9 @@
 
     private static final long DRAIN_POLL_MS = 20;
 
+    /** Longest time in which the last answers reach callers and nodes: a round trip between regions takes half of it. */
+    private static final long LAST_ANSWERS_MS = 150;
+
     private final Closer closer = new Closer();
     private final Clock clock = SystemClock.start();
     private final Random random = new Random();
@@ -93,6 +96,8 @@
     private MoveController moveController;
     private LinkClient linkClient;
     private MeshCallerHandler callerHandler;
+    private MeshDispatcher dispatcher;
+    private LinkServer linkServer;
 
     private MeshNode(final MeshSettings settings, final PlatformComponents platformComponents) {
         this.settings = Objects.requireNonNull(settings, "settings");
@@ -152,7 +157,7 @@
         controlLoop.add(fleetController);
         controlLoop.add(moveController);
         openListeners(registry);
-        closer.register(LinkServer.open(
+        linkServer = closer.register(LinkServer.open(
                 context,
                 new InetSocketAddress(
                         settings.location().address().host(),
@@ -209,7 +214,7 @@
                 new PlacementCandidateSource(settings.location(), fleet, gates::reports, clock);
         SlidingWindowRetryBudget retries = new SlidingWindowRetryBudget(
                 clock, settings.retryBudget(), () -> fleet.liveReports().size() + 1);
-        MeshDispatcher dispatcher = new MeshDispatcher(new MeshDispatcher.Dependencies(
+        dispatcher = new MeshDispatcher(new MeshDispatcher.Dependencies(
                 clock,
                 closer.register(new Timers()),
                 configuration::current,
@@ -222,7 +227,7 @@
                 new CallIdGenerator(settings.location().node(), incarnation),
                 // The targets of this VM call other services; requests for their own come from this VM's callers.
                 called -> called.equals(service) ? 0 : gates.repeatedShare(),
-                new PlacementReporter(log)));
+                new PlacementReporter(log, metrics)));
         return new MeshCallerHandler.Dependencies(
                 clock,
                 platformComponents.headerNames(),
@@ -321,14 +326,19 @@
         draining = true;
         fleetController.requestReport();
         log.log(LogKind.STOP, "phase", "draining", "held", callerHandler.activeRequests(), "running", gates.running());
-        long deadlineMs = startedMs + Math.max(ACCEPT_WHILE_DRAINING_MS, settings.shutdownMs() - FORCED_STOP_MARGIN_MS);
-        while (clock.nowMs() < deadlineMs) {
+        long stopMs = startedMs + Math.max(ACCEPT_WHILE_DRAINING_MS, settings.shutdownMs() - FORCED_STOP_MARGIN_MS);
+        gates.drain(stopMs);
+        while (clock.nowMs() < stopMs) {
+            dispatcher.drain(stopMs);
             refusingRequests = clock.nowMs() - startedMs >= ACCEPT_WHILE_DRAINING_MS;
-            if (refusingRequests && callerHandler.activeRequests() == 0 && gates.running() == 0) {
+            if (refusingRequests && isIdle()) {
                 break;
             }
             Thread.sleep(DRAIN_POLL_MS);
         }
+        refusingRequests = true;
+        dispatcher.stop();
+        awaitLastAnswers();
         log.log(
                 LogKind.STOP,
                 "phase",
@@ -341,6 +351,18 @@
                 clock.nowMs() - startedMs);
     }
 
+    private boolean isIdle() {
+        return callerHandler.activeRequests() == 0 && gates.running() == 0;
+    }
+
+    /** Waits until the answers to callers are written and other nodes have acknowledged the results of their calls. */
+    private void awaitLastAnswers() throws InterruptedException {
+        long endMs = clock.nowMs() + LAST_ANSWERS_MS;
+        while (clock.nowMs() < endMs && (callerHandler.activeRequests() > 0 || linkServer.outstandingCalls() > 0)) {
+            Thread.sleep(DRAIN_POLL_MS);
+        }
+    }
+
     @Override
     public void close() throws ResourceCloseException {
         closer.close();
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/PlacementReporter.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/PlacementReporter.java
@@ -12,9 +12,11 @@
 final class PlacementReporter implements DispatchObserver {
 
     private final DecisionLog log;
+    private final MeshMetrics metrics;
 
-    PlacementReporter(final DecisionLog log) {
+    PlacementReporter(final DecisionLog log, final MeshMetrics metrics) {
         this.log = Objects.requireNonNull(log, "log");
+        this.metrics = Objects.requireNonNull(metrics, "metrics");
     }
 
     @Override
@@ -44,6 +46,21 @@
                 call.deadlineMs() - call.arrivedMs());
     }
 
+    @Override
+    public void attemptWithdrawn(final MeshCall call, final MeshRoute route, final PlacementCandidate candidate) {
+        metrics.count("attempts_withdrawn{route=\"" + route.name() + "\"}");
+        log.log(
+                LogKind.WITHDRAWN,
+                "request",
+                call.requestId(),
+                "route",
+                route.name(),
+                "target",
+                candidate.report().target(),
+                "peer",
+                candidate.node());
+    }
+
     @Override
     public void attemptEnded(
             final MeshCall call, final MeshRoute route, final PlacementCandidate candidate, final CallResult result) {
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/FakePlatform.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/FakePlatform.java
@@ -85,6 +85,8 @@
         int decoded = document.bytes()[0];
         MeshRoute lookRoute = new MeshRoute(
                 "look", "desk", "/look/", List.of(new WeightedService("desk", 1)), true, 1_500, 500, 1, 2);
+        MeshRoute slowRoute = new MeshRoute(
+                "slow", "desk", "/slow/", List.of(new WeightedService("desk", 1)), false, 10_000, 8_500, 1, 2);
         MeshRoute versionRoute = new MeshRoute(
                 "v" + decoded,
                 "desk",
@@ -95,7 +97,8 @@
                 500,
                 1,
                 2);
-        return MeshConfiguration.of(decoded, List.of(lookRoute, versionRoute), Set.of("desk"), CallerLimits.defaults());
+        return MeshConfiguration.of(
+                decoded, List.of(lookRoute, slowRoute, versionRoute), Set.of("desk"), CallerLimits.defaults());
     }
 
     @Override
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/MeshNodeTest.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/MeshNodeTest.java
@@ -143,8 +143,13 @@
     }
 
     private static void write(final Socket socket, final String path, final String id) throws IOException {
-        String text = "GET " + path + " HTTP/1.1\r\nHost: desk\r\nRequest-Id: " + id
-                + "\r\nLeft-Ms: 1000\r\nCaller: forged\r\n\r\n";
+        write(socket, path, id, 1_000);
+    }
+
+    private static void write(final Socket socket, final String path, final String id, final int remainingMs)
+            throws IOException {
+        String text = "GET " + path + " HTTP/1.1\r\nHost: desk\r\nRequest-Id: " + id + "\r\nLeft-Ms: " + remainingMs
+                + "\r\nCaller: forged\r\n\r\n";
         socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
     }
 
@@ -159,6 +164,24 @@
         assertEquals(200, announce(1, target.address() + " 1 ready"));
     }
 
+    /** Announces the target again and again until the returned thread is interrupted. */
+    private Thread keepAnnouncing() {
+        Thread thread = new Thread(() -> {
+            try {
+                for (int sequence = 2; true; sequence++) {
+                    announce(1, target.address() + " " + sequence + " ready");
+                    Thread.sleep(300);
+                }
+            } catch (Exception exception) {
+                // The test interrupted the thread.
+                return;
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+        return thread;
+    }
+
     private static void await(final Callable<Boolean> condition) throws Exception {
         long endNanos = System.nanoTime() + 10_000_000_000L;
         while (!condition.call()) {
@@ -231,6 +254,40 @@
         assertTrue(drainMs < 4_000, "drained in " + drainMs + " ms");
     }
 
+    /** Guards against requests in another node's queue that are cut by a planned stop and run afterwards. */
+    @Test
+    void requestsInTheQueueOfAnotherNodeAreRefusedBeforeAPlannedStop() throws Exception {
+        startTarget(COMPLETE_RESPONSE, "SILENT", "SILENT", "SILENT", "SILENT");
+        awaitTargetReachable();
+        List<Socket> callers = new ArrayList<>();
+        try {
+            for (int request = 0; request < 7; request++) {
+                Socket caller = new Socket(
+                        LoopbackAddresses.host(),
+                        settings.get(0).callerAddress().getPort());
+                callers.add(caller);
+                caller.setSoTimeout(10_000);
+                write(caller, "/slow/" + request, "slow-" + request, 10_000);
+                int running = Math.min(request + 1, 4);
+                await(() -> target.requests().size() == 1 + running);
+            }
+            Thread announcements = keepAnnouncing();
+            nodes.get(0).drain();
+            announcements.interrupt();
+            nodes.remove(0).close();
+            for (int request = 0; request < callers.size(); request++) {
+                HttpResponse<String> answer =
+                        RawResponse.read(callers.get(request).getInputStream());
+                assertEquals(request < 4 ? 502 : 503, answer.statusCode(), "request " + request);
+            }
+            assertEquals(5, target.requests().size(), "no refused request has run");
+        } finally {
+            for (Socket caller : callers) {
+                caller.close();
+            }
+        }
+    }
+
     @Test
     void targetGetsNoRequestsAfterAcknowledgedDraining() throws Exception {
         startTarget(COMPLETE_RESPONSE, COMPLETE_RESPONSE, COMPLETE_RESPONSE, COMPLETE_RESPONSE);
--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/overload/SimulatedNode.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/overload/SimulatedNode.java
@@ -138,6 +138,9 @@
     /** Counts where requests go. Confined to the thread of the experiment. */
     private record CountingPlacements(LoadStatistics tally, LoadScenario scenario) implements DispatchObserver {
 
+        @Override
+        public void attemptWithdrawn(final MeshCall call, final MeshRoute route, final PlacementCandidate candidate) {}
+
         @Override
         public void targetChosen(
                 final MeshCall call, final MeshRoute route, final PlacementCandidate candidate, final int attempt) {
