--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/move/EvidenceWindow.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/move/EvidenceWindow.java
@@ -37,6 +37,30 @@
         this.lengthMs = lengthMs;
     }
 
+    /**
+     * Returns the service whose answers are summed.
+     *
+     * @return the name of the service, never null.
+     */
+    public String service() {
+        return service;
+    }
+
+    /**
+     * Stores the counts of one node without counting the answers from before.
+     *
+     * @param node the name of the node, not null.
+     * @param incarnation the number of the node's process, different after each restart.
+     * @param tallies the node's counts since its start, not null.
+     */
+    public void setBaseline(final String node, final long incarnation, final List<VersionTally> tallies) {
+        for (VersionTally tally : tallies) {
+            if (tally.service().equals(service)) {
+                latestTallies.put(new TallySource(node, incarnation, tally.version(), tally.route()), tally);
+            }
+        }
+    }
+
     /**
      * Adds the increments since the previous counts of one node. Counts of other services are ignored.
      *
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/move/MovePolicy.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/move/MovePolicy.java
@@ -72,23 +72,20 @@
     /**
      * Decides the next state and share of a move.
      *
-     * @param request the operator's request, not null.
-     * @param current the current state and share of the move, not null.
-     * @param elapsedMs the time since the request, in milliseconds.
+     * @param current the move with its duration and elapsed time, not null.
      * @param evidence the recent answers of all versions of the service, not null.
      * @return the next state and share with the reason, or empty if nothing changes.
      */
-    public Optional<Decision> decide(
-            final MoveRequest request, final VersionMove current, final long elapsedMs, final EvidenceWindow evidence) {
+    public Optional<Decision> decide(final VersionMove current, final EvidenceWindow evidence) {
         if (current.state().isTerminal()) {
             return Optional.empty();
         }
-        Optional<String> fault = findFault(request.version(), evidence);
+        Optional<String> fault = findFault(current.version(), evidence);
         if (fault.isPresent()) {
             return Optional.of(decision(current, MoveState.ROLLED_BACK, 0, fault.get()));
         }
-        double elapsedFraction = elapsedMs / (double) request.durationMs();
-        long answers = evidence.sum(request.version(), false, null).answers();
+        double elapsedFraction = current.elapsedMs() / (double) current.durationMs();
+        long answers = evidence.sum(current.version(), false, null).answers();
         boolean atMaximumShare = current.sharePermille() >= SHARE_SCHEDULE[SHARE_SCHEDULE.length - 1].sharePermille();
         if (elapsedFraction >= ACCEPTANCE_ELAPSED_FRACTION && atMaximumShare && answers >= MINIMUM_ANSWERS_TO_ACCEPT) {
             return Optional.of(decision(
@@ -102,21 +99,20 @@
     }
 
     /**
-     * Returns the minimum time since the request after which the new version can have the given share. A node that has
+     * Returns the minimum time since the request after which the new version can have its share. A node that has
      * restarted uses it to continue a move, since it does not know when the request was made.
      *
-     * @param request the operator's request, not null.
-     * @param sharePermille the share of the new version, in thousandths.
+     * @param move the move, not null.
      * @return the time in milliseconds, zero if the share is below the first step.
      */
-    public long minimumElapsedMs(final MoveRequest request, final int sharePermille) {
+    public long minimumElapsedMs(final VersionMove move) {
         double elapsedFraction = 0;
         for (ShareStep step : SHARE_SCHEDULE) {
-            if (step.sharePermille() <= sharePermille) {
+            if (step.sharePermille() <= move.sharePermille()) {
                 elapsedFraction = step.elapsedFraction();
             }
         }
-        return Math.round(elapsedFraction * request.durationMs());
+        return Math.round(elapsedFraction * move.durationMs());
     }
 
     /** The share grows by one step at a time, after the first step only with enough answers to check the version. */
@@ -134,8 +130,7 @@
 
     private static Decision decision(
             final VersionMove current, final MoveState state, final int sharePermille, final String reason) {
-        return new Decision(
-                new VersionMove(current.service(), current.version(), current.order(), state, sharePermille), reason);
+        return new Decision(current.next(state, sharePermille), reason);
     }
 
     private static Optional<String> findFault(final String version, final EvidenceWindow evidence) {
--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/mesh/MeshDispatcherTest.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/mesh/MeshDispatcherTest.java
@@ -101,7 +101,7 @@
                 },
                 () -> configuration,
                 new WeightedServiceSelector(new Random(1)),
-                new MeshVersionSelector(new MoveTable(), new Random(1)),
+                new MeshVersionSelector(new MoveTable(clock), new Random(1)),
                 new PlacementCandidateSource(location, fleet, service -> List.of(), clock),
                 new Placement(new Random(1)),
                 retryBudget,
--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/mesh/MeshVersionSelectorTest.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/mesh/MeshVersionSelectorTest.java
@@ -13,10 +13,11 @@
 import org.sequoiashunt.peer.NodeAddress;
 import org.sequoiashunt.placement.Distance;
 import org.sequoiashunt.placement.PlacementCandidate;
+import org.sequoiashunt.time.SteppedClock;
 
 class MeshVersionSelectorTest {
 
-    private final MoveTable moves = new MoveTable();
+    private final MoveTable moves = new MoveTable(SteppedClock.of(1_000));
     private final MeshVersionSelector selector = new MeshVersionSelector(moves, new Random(3));
     private final List<PlacementCandidate> candidates = List.of(candidate("old", "v1"), candidate("new", "v2"));
 
@@ -26,7 +27,7 @@
     }
 
     private void mergeMove(final MoveState state, final int sharePermille) {
-        moves.merge(new VersionMove("desk", "v2", 8, state, sharePermille));
+        moves.merge(VersionMove.of("desk", "v2", 8, state, sharePermille));
     }
 
     private List<String> filteredTargets(final boolean useNewVersion) {
@@ -60,6 +61,37 @@
         assertTrue(selector.filter("desk", candidates.subList(1, 2), true).isEmpty());
     }
 
+    /** Guards against requests to the targets of a bad version that still run when the next move is ordered. */
+    @Test
+    void versionThatWasRolledBackStaysExcludedAfterTheNextOrder() {
+        mergeMove(MoveState.ROLLED_BACK, 0);
+        moves.merge(VersionMove.of("desk", "v3", 9, MoveState.RUNNING, 0));
+        assertEquals(List.of("old"), filteredTargets(false));
+        moves.merge(VersionMove.of("desk", "v2", 10, MoveState.RUNNING, 1_000));
+        assertEquals(List.of("new"), filteredTargets(true), "the operator has ordered the version again");
+    }
+
+    /** Guards against an outage: a version that was accepted at last must not be excluded by a late report. */
+    @Test
+    void lateRollbackDoesNotExcludeAVersionThatWasAcceptedLater() {
+        moves.merge(VersionMove.of("desk", "v2", 9, MoveState.COMPLETED, 900));
+        moves.merge(VersionMove.of("desk", "v3", 10, MoveState.RUNNING, 0));
+        mergeMove(MoveState.ROLLED_BACK, 0);
+        assertEquals(List.of("old", "new"), filteredTargets(false));
+    }
+
+    /** Guards against an outage: when a recorded completion stops the old targets, no node may go on with them. */
+    @Test
+    void recordedOutcomeReplacesAnotherNodesOutcome() {
+        mergeMove(MoveState.ROLLED_BACK, 0);
+        mergeMove(MoveState.COMPLETED, 900);
+        assertEquals(List.of("old"), filteredTargets(false), "no outcome is recorded");
+        moves.merge(VersionMove.of("desk", "v2", 8, MoveState.COMPLETED, 900).asRecorded());
+        assertEquals(List.of("new"), filteredTargets(false));
+        mergeMove(MoveState.ROLLED_BACK, 0);
+        assertEquals(List.of("new"), filteredTargets(false));
+    }
+
     @Test
     void completedMoveSendsAllRequestsToNewVersion() {
         mergeMove(MoveState.COMPLETED, 1_000);
@@ -69,9 +101,9 @@
     @Test
     void moveIsReplacedOnlyByMoveThatSupersedesIt() {
         mergeMove(MoveState.RUNNING, 500);
-        assertFalse(moves.merge(new VersionMove("desk", "v2", 8, MoveState.RUNNING, 100)));
+        assertFalse(moves.merge(VersionMove.of("desk", "v2", 8, MoveState.RUNNING, 100)));
         mergeMove(MoveState.ROLLED_BACK, 0);
-        assertFalse(moves.merge(new VersionMove("desk", "v2", 8, MoveState.RUNNING, 900)));
-        assertTrue(moves.merge(new VersionMove("desk", "v3", 9, MoveState.RUNNING, 0)));
+        assertFalse(moves.merge(VersionMove.of("desk", "v2", 8, MoveState.RUNNING, 900)));
+        assertTrue(moves.merge(VersionMove.of("desk", "v3", 9, MoveState.RUNNING, 0)));
     }
 }
--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/move/MovePolicyTest.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/move/MovePolicyTest.java
@@ -19,9 +19,9 @@
     private static final long WINDOW_MS = 2_500;
 
     private final MovePolicy policy = new MovePolicy();
-    private final MoveRequest request = new MoveRequest("desk", "v2", DURATION_MS, 7);
     private final EvidenceWindow evidence = new EvidenceWindow("desk", WINDOW_MS);
-    private VersionMove move = new VersionMove("desk", "v2", 7, MoveState.RUNNING, 0);
+    private VersionMove move =
+            VersionMove.of("desk", "v2", 7, MoveState.RUNNING, 0).withDuration(DURATION_MS);
     private long sharedFailuresFromMs = Long.MAX_VALUE;
     private long newVersionRequests;
     private long requests;
@@ -40,7 +40,7 @@
     private long simulateMove(final Behaviour behaviour) {
         for (long nowMs = 0; nowMs < DURATION_MS; nowMs += STEP_MS) {
             simulateAnswers(behaviour, nowMs);
-            Optional<MovePolicy.Decision> decision = policy.decide(request, move, nowMs, evidence);
+            Optional<MovePolicy.Decision> decision = policy.decide(move.withElapsed(nowMs), evidence);
             if (decision.isPresent()) {
                 move = decision.get().move();
             }
@@ -107,8 +107,8 @@
                         new VersionTally("desk", "v2", "lookup", counts[0], counts[1], 100 * counts[0]),
                         new VersionTally("desk", "v1", "lookup", counts[2], counts[3], 100 * counts[2])),
                 2_600);
-        move = new VersionMove("desk", "v2", 7, MoveState.RUNNING, share);
-        return policy.decide(request, move, 2_626, evidence);
+        move = VersionMove.of("desk", "v2", 7, MoveState.RUNNING, share).withDuration(DURATION_MS);
+        return policy.decide(move.withElapsed(2_626), evidence);
     }
 
     /** Guards against rolling back a good version when calls of its targets fail: 5 of 28 answers, in a row. */
@@ -175,8 +175,9 @@
 
     @Test
     void terminalStateDoesNotChange() {
-        VersionMove sealed = new VersionMove("desk", "v2", 7, MoveState.ROLLED_BACK, 0);
-        assertTrue(policy.decide(request, sealed, DURATION_MS, evidence).isEmpty());
+        VersionMove sealed =
+                VersionMove.of("desk", "v2", 7, MoveState.ROLLED_BACK, 0).withDuration(DURATION_MS);
+        assertTrue(policy.decide(sealed, evidence).isEmpty());
     }
 
     @Test
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/FleetCodec.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/FleetCodec.java
@@ -15,6 +15,7 @@
 import org.sequoiashunt.fleet.TargetReport;
 import org.sequoiashunt.fleet.VersionMove;
 import org.sequoiashunt.fleet.VersionTally;
+import org.sequoiashunt.fleet.VersionVerdict;
 import org.sequoiashunt.link.wire.FleetProto;
 import org.sequoiashunt.peer.ControlMessage;
 
@@ -207,6 +208,16 @@
                 .setOrder(move.order())
                 .setState(EnumCodec.encode(move.state()))
                 .setSharePermille(move.sharePermille())
+                .setDurationMs(move.durationMs())
+                .setElapsedMs(move.elapsedMs())
+                .setRecorded(move.recorded())
+                .addAllVerdicts(move.verdicts().stream()
+                        .map(verdict -> FleetProto.VersionVerdict.newBuilder()
+                                .setVersion(verdict.version())
+                                .setOrder(verdict.order())
+                                .setRolledBack(verdict.rolledBack())
+                                .build())
+                        .toList())
                 .build();
     }
 
@@ -216,6 +227,13 @@
                 move.getVersion(),
                 move.getOrder(),
                 EnumCodec.decode(MoveState.values(), move.getState()),
-                move.getSharePermille());
+                move.getSharePermille(),
+                move.getDurationMs(),
+                move.getElapsedMs(),
+                move.getRecorded(),
+                move.getVerdictsList().stream()
+                        .map(verdict ->
+                                new VersionVerdict(verdict.getVersion(), verdict.getOrder(), verdict.getRolledBack()))
+                        .toList());
     }
 }
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/wire/FleetProto.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/wire/FleetProto.java
@@ -4939,6 +4939,52 @@
      * @return The order.
      */
     long getOrder();
+
+    /**
+     * <pre>
+     * Zero if not known.
+     * </pre>
+     *
+     * <code>uint64 duration_ms = 6;</code>
+     * @return The durationMs.
+     */
+    long getDurationMs();
+
+    /**
+     * <code>uint64 elapsed_ms = 7;</code>
+     * @return The elapsedMs.
+     */
+    long getElapsedMs();
+
+    /**
+     * <code>bool recorded = 8;</code>
+     * @return The recorded.
+     */
+    boolean getRecorded();
+
+    /**
+     * <code>repeated .sequoiashunt.link.VersionVerdict verdicts = 9;</code>
+     */
+    java.util.List<org.sequoiashunt.link.wire.FleetProto.VersionVerdict> 
+        getVerdictsList();
+    /**
+     * <code>repeated .sequoiashunt.link.VersionVerdict verdicts = 9;</code>
+     */
+    org.sequoiashunt.link.wire.FleetProto.VersionVerdict getVerdicts(int index);
+    /**
+     * <code>repeated .sequoiashunt.link.VersionVerdict verdicts = 9;</code>
+     */
+    int getVerdictsCount();
+    /**
+     * <code>repeated .sequoiashunt.link.VersionVerdict verdicts = 9;</code>
+     */
+    java.util.List<? extends org.sequoiashunt.link.wire.FleetProto.VersionVerdictOrBuilder> 
+        getVerdictsOrBuilderList();
+    /**
+     * <code>repeated .sequoiashunt.link.VersionVerdict verdicts = 9;</code>
+     */
+    org.sequoiashunt.link.wire.FleetProto.VersionVerdictOrBuilder getVerdictsOrBuilder(
+        int index);
   }
   /**
    * Protobuf type {@code sequoiashunt.link.VersionMove}
@@ -4964,6 +5010,7 @@
     private VersionMove() {
       service_ = "";
       version_ = "";
+      verdicts_ = java.util.Collections.emptyList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -5095,6 +5142,84 @@
       return order_;
     }
 
+    public static final int DURATION_MS_FIELD_NUMBER = 6;
+    private long durationMs_ = 0L;
+    /**
+     * <pre>
+     * Zero if not known.
+     * </pre>
+     *
+     * <code>uint64 duration_ms = 6;</code>
+     * @return The durationMs.
+     */
+    @java.lang.Override
+    public long getDurationMs() {
+      return durationMs_;
+    }
+
+    public static final int ELAPSED_MS_FIELD_NUMBER = 7;
+    private long elapsedMs_ = 0L;
+    /**
+     * <code>uint64 elapsed_ms = 7;</code>
+     * @return The elapsedMs.
+     */
+    @java.lang.Override
+    public long getElapsedMs() {
+      return elapsedMs_;
+    }
+
+    public static final int RECORDED_FIELD_NUMBER = 8;
+    private boolean recorded_ = false;
+    /**
+     * <code>bool recorded = 8;</code>
+     * @return The recorded.
+     */
+    @java.lang.Override
+    public boolean getRecorded() {
+      return recorded_;
+    }
+
+    public static final int VERDICTS_FIELD_NUMBER = 9;
+    @SuppressWarnings("serial")
+    private java.util.List<org.sequoiashunt.link.wire.FleetProto.VersionVerdict> verdicts_;
+    /**
+     * <code>repeated .sequoiashunt.link.VersionVerdict verdicts = 9;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.sequoiashunt.link.wire.FleetProto.VersionVerdict> getVerdictsList() {
+      return verdicts_;
+    }
+    /**
+     * <code>repeated .sequoiashunt.link.VersionVerdict verdicts = 9;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.sequoiashunt.link.wire.FleetProto.VersionVerdictOrBuilder> 
+        getVerdictsOrBuilderList() {
+      return verdicts_;
+    }
+    /**
+     * <code>repeated .sequoiashunt.link.VersionVerdict verdicts = 9;</code>
+     */
+    @java.lang.Override
+    public int getVerdictsCount() {
+      return verdicts_.size();
+    }
+    /**
+     * <code>repeated .sequoiashunt.link.VersionVerdict verdicts = 9;</code>
+     */
+    @java.lang.Override
+    public org.sequoiashunt.link.wire.FleetProto.VersionVerdict getVerdicts(int index) {
+      return verdicts_.get(index);
+    }
+    /**
+     * <code>repeated .sequoiashunt.link.VersionVerdict verdicts = 9;</code>
+     */
+    @java.lang.Override
+    public org.sequoiashunt.link.wire.FleetProto.VersionVerdictOrBuilder getVerdictsOrBuilder(
+        int index) {
+      return verdicts_.get(index);
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -5124,6 +5249,18 @@
       if (order_ != 0L) {
         output.writeInt64(5, order_);
       }
+      if (durationMs_ != 0L) {
+        output.writeUInt64(6, durationMs_);
+      }
+      if (elapsedMs_ != 0L) {
+        output.writeUInt64(7, elapsedMs_);
+      }
+      if (recorded_ != false) {
+        output.writeBool(8, recorded_);
+      }
+      for (int i = 0; i < verdicts_.size(); i++) {
+        output.writeMessage(9, verdicts_.get(i));
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -5146,6 +5283,27 @@
         size += com.google.protobuf.CodedOutputStream
           .computeInt64Size(5, order_);
       }
+      if (durationMs_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(6, durationMs_);
+      }
+      if (elapsedMs_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(7, elapsedMs_);
+      }
+      if (recorded_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(8, recorded_);
+      }
+
+          {
+            final int count = verdicts_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(verdicts_.get(i));
+            }
+            size += 1 * count;
+          }
       return size;
     }
     @java.lang.Override
@@ -5180,6 +5338,14 @@
           != other.getSharePermille()) return false;
       if (getOrder()
           != other.getOrder()) return false;
+      if (getDurationMs()
+          != other.getDurationMs()) return false;
+      if (getElapsedMs()
+          != other.getElapsedMs()) return false;
+      if (getRecorded()
+          != other.getRecorded()) return false;
+      if (!getVerdictsList()
+          .equals(other.getVerdictsList())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -5202,6 +5368,19 @@
       hash = (37 * hash) + ORDER_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getOrder());
+      hash = (37 * hash) + DURATION_MS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getDurationMs());
+      hash = (37 * hash) + ELAPSED_MS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getElapsedMs());
+      hash = (37 * hash) + RECORDED_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getRecorded());
+      if (getVerdictsCount() > 0) {
+        hash = (37 * hash) + VERDICTS_FIELD_NUMBER;
+        hash = (53 * hash) + getVerdictsList().hashCode();
+      }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -5300,26 +5479,1264 @@
       return builder;
     }
     /**
-     * Protobuf type {@code sequoiashunt.link.VersionMove}
+     * Protobuf type {@code sequoiashunt.link.VersionMove}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:sequoiashunt.link.VersionMove)
+        org.sequoiashunt.link.wire.FleetProto.VersionMoveOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_VersionMove_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_VersionMove_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.sequoiashunt.link.wire.FleetProto.VersionMove.class, org.sequoiashunt.link.wire.FleetProto.VersionMove.Builder.class);
+      }
+
+      // Construct using org.sequoiashunt.link.wire.FleetProto.VersionMove.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        service_ = "";
+        version_ = "";
+        state_ = 0;
+        sharePermille_ = 0;
+        order_ = 0L;
+        durationMs_ = 0L;
+        elapsedMs_ = 0L;
+        recorded_ = false;
+        if (verdictsBuilder_ == null) {
+          verdicts_ = java.util.Collections.emptyList();
+        } else {
+          verdicts_ = null;
+          verdictsBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000100);
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_VersionMove_descriptor;
+      }
+
+      @java.lang.Override
+      public org.sequoiashunt.link.wire.FleetProto.VersionMove getDefaultInstanceForType() {
+        return org.sequoiashunt.link.wire.FleetProto.VersionMove.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.sequoiashunt.link.wire.FleetProto.VersionMove build() {
+        org.sequoiashunt.link.wire.FleetProto.VersionMove result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.sequoiashunt.link.wire.FleetProto.VersionMove buildPartial() {
+        org.sequoiashunt.link.wire.FleetProto.VersionMove result = new org.sequoiashunt.link.wire.FleetProto.VersionMove(this);
+        buildPartialRepeatedFields(result);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartialRepeatedFields(org.sequoiashunt.link.wire.FleetProto.VersionMove result) {
+        if (verdictsBuilder_ == null) {
+          if (((bitField0_ & 0x00000100) != 0)) {
+            verdicts_ = java.util.Collections.unmodifiableList(verdicts_);
+            bitField0_ = (bitField0_ & ~0x00000100);
+          }
+          result.verdicts_ = verdicts_;
+        } else {
+          result.verdicts_ = verdictsBuilder_.build();
+        }
+      }
+
+      private void buildPartial0(org.sequoiashunt.link.wire.FleetProto.VersionMove result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.service_ = service_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.version_ = version_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.state_ = state_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.sharePermille_ = sharePermille_;
+        }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.order_ = order_;
+        }
+        if (((from_bitField0_ & 0x00000020) != 0)) {
+          result.durationMs_ = durationMs_;
+        }
+        if (((from_bitField0_ & 0x00000040) != 0)) {
+          result.elapsedMs_ = elapsedMs_;
+        }
+        if (((from_bitField0_ & 0x00000080) != 0)) {
+          result.recorded_ = recorded_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.sequoiashunt.link.wire.FleetProto.VersionMove) {
+          return mergeFrom((org.sequoiashunt.link.wire.FleetProto.VersionMove)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.sequoiashunt.link.wire.FleetProto.VersionMove other) {
+        if (other == org.sequoiashunt.link.wire.FleetProto.VersionMove.getDefaultInstance()) return this;
+        if (!other.getService().isEmpty()) {
+          service_ = other.service_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (!other.getVersion().isEmpty()) {
+          version_ = other.version_;
+          bitField0_ |= 0x00000002;
+          onChanged();
+        }
+        if (other.getState() != 0) {
+          setState(other.getState());
+        }
+        if (other.getSharePermille() != 0) {
+          setSharePermille(other.getSharePermille());
+        }
+        if (other.getOrder() != 0L) {
+          setOrder(other.getOrder());
+        }
+        if (other.getDurationMs() != 0L) {
+          setDurationMs(other.getDurationMs());
+        }
+        if (other.getElapsedMs() != 0L) {
+          setElapsedMs(other.getElapsedMs());
+        }
+        if (other.getRecorded() != false) {
+          setRecorded(other.getRecorded());
+        }
+        if (verdictsBuilder_ == null) {
+          if (!other.verdicts_.isEmpty()) {
+            if (verdicts_.isEmpty()) {
+              verdicts_ = other.verdicts_;
+              bitField0_ = (bitField0_ & ~0x00000100);
+            } else {
+              ensureVerdictsIsMutable();
+              verdicts_.addAll(other.verdicts_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.verdicts_.isEmpty()) {
+            if (verdictsBuilder_.isEmpty()) {
+              verdictsBuilder_.dispose();
+              verdictsBuilder_ = null;
+              verdicts_ = other.verdicts_;
+              bitField0_ = (bitField0_ & ~0x00000100);
+              verdictsBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetVerdictsFieldBuilder() : null;
+            } else {
+              verdictsBuilder_.addAllMessages(other.verdicts_);
+            }
+          }
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                service_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 18: {
+                version_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 18
+              case 24: {
+                state_ = input.readUInt32();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              case 32: {
+                sharePermille_ = input.readUInt32();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
+              case 40: {
+                order_ = input.readInt64();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 40
+              case 48: {
+                durationMs_ = input.readUInt64();
+                bitField0_ |= 0x00000020;
+                break;
+              } // case 48
+              case 56: {
+                elapsedMs_ = input.readUInt64();
+                bitField0_ |= 0x00000040;
+                break;
+              } // case 56
+              case 64: {
+                recorded_ = input.readBool();
+                bitField0_ |= 0x00000080;
+                break;
+              } // case 64
+              case 74: {
+                org.sequoiashunt.link.wire.FleetProto.VersionVerdict m =
+                    input.readMessage(
+                        org.sequoiashunt.link.wire.FleetProto.VersionVerdict.parser(),
+                        extensionRegistry);
+                if (verdictsBuilder_ == null) {
+                  ensureVerdictsIsMutable();
+                  verdicts_.add(m);
+                } else {
+                  verdictsBuilder_.addMessage(m);
+                }
+                break;
+              } // case 74
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object service_ = "";
+      /**
+       * <code>string service = 1;</code>
+       * @return The service.
+       */
+      public java.lang.String getService() {
+        java.lang.Object ref = service_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          service_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string service = 1;</code>
+       * @return The bytes for service.
+       */
+      public com.google.protobuf.ByteString
+          getServiceBytes() {
+        java.lang.Object ref = service_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          service_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string service = 1;</code>
+       * @param value The service to set.
+       * @return This builder for chaining.
+       */
+      public Builder setService(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        service_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string service = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearService() {
+        service_ = getDefaultInstance().getService();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string service = 1;</code>
+       * @param value The bytes for service to set.
+       * @return This builder for chaining.
+       */
+      public Builder setServiceBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        service_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object version_ = "";
+      /**
+       * <code>string version = 2;</code>
+       * @return The version.
+       */
+      public java.lang.String getVersion() {
+        java.lang.Object ref = version_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          version_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string version = 2;</code>
+       * @return The bytes for version.
+       */
+      public com.google.protobuf.ByteString
+          getVersionBytes() {
+        java.lang.Object ref = version_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          version_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string version = 2;</code>
+       * @param value The version to set.
+       * @return This builder for chaining.
+       */
+      public Builder setVersion(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        version_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string version = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearVersion() {
+        version_ = getDefaultInstance().getVersion();
+        bitField0_ = (bitField0_ & ~0x00000002);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string version = 2;</code>
+       * @param value The bytes for version to set.
+       * @return This builder for chaining.
+       */
+      public Builder setVersionBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        version_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+
+      private int state_ ;
+      /**
+       * <code>uint32 state = 3;</code>
+       * @return The state.
+       */
+      @java.lang.Override
+      public int getState() {
+        return state_;
+      }
+      /**
+       * <code>uint32 state = 3;</code>
+       * @param value The state to set.
+       * @return This builder for chaining.
+       */
+      public Builder setState(int value) {
+
+        state_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint32 state = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearState() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        state_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private int sharePermille_ ;
+      /**
+       * <code>uint32 share_permille = 4;</code>
+       * @return The sharePermille.
+       */
+      @java.lang.Override
+      public int getSharePermille() {
+        return sharePermille_;
+      }
+      /**
+       * <code>uint32 share_permille = 4;</code>
+       * @param value The sharePermille to set.
+       * @return This builder for chaining.
+       */
+      public Builder setSharePermille(int value) {
+
+        sharePermille_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint32 share_permille = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearSharePermille() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        sharePermille_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private long order_ ;
+      /**
+       * <code>int64 order = 5;</code>
+       * @return The order.
+       */
+      @java.lang.Override
+      public long getOrder() {
+        return order_;
+      }
+      /**
+       * <code>int64 order = 5;</code>
+       * @param value The order to set.
+       * @return This builder for chaining.
+       */
+      public Builder setOrder(long value) {
+
+        order_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>int64 order = 5;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearOrder() {
+        bitField0_ = (bitField0_ & ~0x00000010);
+        order_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long durationMs_ ;
+      /**
+       * <pre>
+       * Zero if not known.
+       * </pre>
+       *
+       * <code>uint64 duration_ms = 6;</code>
+       * @return The durationMs.
+       */
+      @java.lang.Override
+      public long getDurationMs() {
+        return durationMs_;
+      }
+      /**
+       * <pre>
+       * Zero if not known.
+       * </pre>
+       *
+       * <code>uint64 duration_ms = 6;</code>
+       * @param value The durationMs to set.
+       * @return This builder for chaining.
+       */
+      public Builder setDurationMs(long value) {
+
+        durationMs_ = value;
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Zero if not known.
+       * </pre>
+       *
+       * <code>uint64 duration_ms = 6;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearDurationMs() {
+        bitField0_ = (bitField0_ & ~0x00000020);
+        durationMs_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long elapsedMs_ ;
+      /**
+       * <code>uint64 elapsed_ms = 7;</code>
+       * @return The elapsedMs.
+       */
+      @java.lang.Override
+      public long getElapsedMs() {
+        return elapsedMs_;
+      }
+      /**
+       * <code>uint64 elapsed_ms = 7;</code>
+       * @param value The elapsedMs to set.
+       * @return This builder for chaining.
+       */
+      public Builder setElapsedMs(long value) {
+
+        elapsedMs_ = value;
+        bitField0_ |= 0x00000040;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 elapsed_ms = 7;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearElapsedMs() {
+        bitField0_ = (bitField0_ & ~0x00000040);
+        elapsedMs_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private boolean recorded_ ;
+      /**
+       * <code>bool recorded = 8;</code>
+       * @return The recorded.
+       */
+      @java.lang.Override
+      public boolean getRecorded() {
+        return recorded_;
+      }
+      /**
+       * <code>bool recorded = 8;</code>
+       * @param value The recorded to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRecorded(boolean value) {
+
+        recorded_ = value;
+        bitField0_ |= 0x00000080;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>bool recorded = 8;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRecorded() {
+        bitField0_ = (bitField0_ & ~0x00000080);
+        recorded_ = false;
+        onChanged();
+        return this;
+      }
+
+      private java.util.List<org.sequoiashunt.link.wire.FleetProto.VersionVerdict> verdicts_ =
+        java.util.Collections.emptyList();
+      private void ensureVerdictsIsMutable() {
+        if (!((bitField0_ & 0x00000100) != 0)) {
+          verdicts_ = new java.util.ArrayList<org.sequoiashunt.link.wire.FleetProto.VersionVerdict>(verdicts_);
+          bitField0_ |= 0x00000100;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.sequoiashunt.link.wire.FleetProto.VersionVerdict, org.sequoiashunt.link.wire.FleetProto.VersionVerdict.Builder, org.sequoiashunt.link.wire.FleetProto.VersionVerdictOrBuilder> verdictsBuilder_;
+
+      /**
+       * <code>repeated .sequoiashunt.link.VersionVerdict verdicts = 9;</code>
+       */
+      public java.util.List<org.sequoiashunt.link.wire.FleetProto.VersionVerdict> getVerdictsList() {
+        if (verdictsBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(verdicts_);
+        } else {
+          return verdictsBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.VersionVerdict verdicts = 9;</code>
+       */
+      public int getVerdictsCount() {
+        if (verdictsBuilder_ == null) {
+          return verdicts_.size();
+        } else {
+          return verdictsBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.VersionVerdict verdicts = 9;</code>
+       */
+      public org.sequoiashunt.link.wire.FleetProto.VersionVerdict getVerdicts(int index) {
+        if (verdictsBuilder_ == null) {
+          return verdicts_.get(index);
+        } else {
+          return verdictsBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.VersionVerdict verdicts = 9;</code>
+       */
+      public Builder setVerdicts(
+          int index, org.sequoiashunt.link.wire.FleetProto.VersionVerdict value) {
+        if (verdictsBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureVerdictsIsMutable();
+          verdicts_.set(index, value);
+          onChanged();
+        } else {
+          verdictsBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.VersionVerdict verdicts = 9;</code>
+       */
+      public Builder setVerdicts(
+          int index, org.sequoiashunt.link.wire.FleetProto.VersionVerdict.Builder builderForValue) {
+        if (verdictsBuilder_ == null) {
+          ensureVerdictsIsMutable();
+          verdicts_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          verdictsBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.VersionVerdict verdicts = 9;</code>
+       */
+      public Builder addVerdicts(org.sequoiashunt.link.wire.FleetProto.VersionVerdict value) {
+        if (verdictsBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureVerdictsIsMutable();
+          verdicts_.add(value);
+          onChanged();
+        } else {
+          verdictsBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.VersionVerdict verdicts = 9;</code>
+       */
+      public Builder addVerdicts(
+          int index, org.sequoiashunt.link.wire.FleetProto.VersionVerdict value) {
+        if (verdictsBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureVerdictsIsMutable();
+          verdicts_.add(index, value);
+          onChanged();
+        } else {
+          verdictsBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.VersionVerdict verdicts = 9;</code>
+       */
+      public Builder addVerdicts(
+          org.sequoiashunt.link.wire.FleetProto.VersionVerdict.Builder builderForValue) {
+        if (verdictsBuilder_ == null) {
+          ensureVerdictsIsMutable();
+          verdicts_.add(builderForValue.build());
+          onChanged();
+        } else {
+          verdictsBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.VersionVerdict verdicts = 9;</code>
+       */
+      public Builder addVerdicts(
+          int index, org.sequoiashunt.link.wire.FleetProto.VersionVerdict.Builder builderForValue) {
+        if (verdictsBuilder_ == null) {
+          ensureVerdictsIsMutable();
+          verdicts_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          verdictsBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.VersionVerdict verdicts = 9;</code>
+       */
+      public Builder addAllVerdicts(
+          java.lang.Iterable<? extends org.sequoiashunt.link.wire.FleetProto.VersionVerdict> values) {
+        if (verdictsBuilder_ == null) {
+          ensureVerdictsIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, verdicts_);
+          onChanged();
+        } else {
+          verdictsBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.VersionVerdict verdicts = 9;</code>
+       */
+      public Builder clearVerdicts() {
+        if (verdictsBuilder_ == null) {
+          verdicts_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000100);
+          onChanged();
+        } else {
+          verdictsBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.VersionVerdict verdicts = 9;</code>
+       */
+      public Builder removeVerdicts(int index) {
+        if (verdictsBuilder_ == null) {
+          ensureVerdictsIsMutable();
+          verdicts_.remove(index);
+          onChanged();
+        } else {
+          verdictsBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.VersionVerdict verdicts = 9;</code>
+       */
+      public org.sequoiashunt.link.wire.FleetProto.VersionVerdict.Builder getVerdictsBuilder(
+          int index) {
+        return internalGetVerdictsFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.VersionVerdict verdicts = 9;</code>
+       */
+      public org.sequoiashunt.link.wire.FleetProto.VersionVerdictOrBuilder getVerdictsOrBuilder(
+          int index) {
+        if (verdictsBuilder_ == null) {
+          return verdicts_.get(index);  } else {
+          return verdictsBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.VersionVerdict verdicts = 9;</code>
+       */
+      public java.util.List<? extends org.sequoiashunt.link.wire.FleetProto.VersionVerdictOrBuilder> 
+           getVerdictsOrBuilderList() {
+        if (verdictsBuilder_ != null) {
+          return verdictsBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(verdicts_);
+        }
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.VersionVerdict verdicts = 9;</code>
+       */
+      public org.sequoiashunt.link.wire.FleetProto.VersionVerdict.Builder addVerdictsBuilder() {
+        return internalGetVerdictsFieldBuilder().addBuilder(
+            org.sequoiashunt.link.wire.FleetProto.VersionVerdict.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.VersionVerdict verdicts = 9;</code>
+       */
+      public org.sequoiashunt.link.wire.FleetProto.VersionVerdict.Builder addVerdictsBuilder(
+          int index) {
+        return internalGetVerdictsFieldBuilder().addBuilder(
+            index, org.sequoiashunt.link.wire.FleetProto.VersionVerdict.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.VersionVerdict verdicts = 9;</code>
+       */
+      public java.util.List<org.sequoiashunt.link.wire.FleetProto.VersionVerdict.Builder> 
+           getVerdictsBuilderList() {
+        return internalGetVerdictsFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.sequoiashunt.link.wire.FleetProto.VersionVerdict, org.sequoiashunt.link.wire.FleetProto.VersionVerdict.Builder, org.sequoiashunt.link.wire.FleetProto.VersionVerdictOrBuilder> 
+          internalGetVerdictsFieldBuilder() {
+        if (verdictsBuilder_ == null) {
+          verdictsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.sequoiashunt.link.wire.FleetProto.VersionVerdict, org.sequoiashunt.link.wire.FleetProto.VersionVerdict.Builder, org.sequoiashunt.link.wire.FleetProto.VersionVerdictOrBuilder>(
+                  verdicts_,
+                  ((bitField0_ & 0x00000100) != 0),
+                  getParentForChildren(),
+                  isClean());
+          verdicts_ = null;
+        }
+        return verdictsBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:sequoiashunt.link.VersionMove)
+    }
+
+    // @@protoc_insertion_point(class_scope:sequoiashunt.link.VersionMove)
+    private static final org.sequoiashunt.link.wire.FleetProto.VersionMove DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.sequoiashunt.link.wire.FleetProto.VersionMove();
+    }
+
+    public static org.sequoiashunt.link.wire.FleetProto.VersionMove getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<VersionMove>
+        PARSER = new com.google.protobuf.AbstractParser<VersionMove>() {
+      @java.lang.Override
+      public VersionMove parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<VersionMove> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<VersionMove> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.sequoiashunt.link.wire.FleetProto.VersionMove getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface VersionVerdictOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:sequoiashunt.link.VersionVerdict)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string version = 1;</code>
+     * @return The version.
+     */
+    java.lang.String getVersion();
+    /**
+     * <code>string version = 1;</code>
+     * @return The bytes for version.
+     */
+    com.google.protobuf.ByteString
+        getVersionBytes();
+
+    /**
+     * <code>int64 order = 2;</code>
+     * @return The order.
+     */
+    long getOrder();
+
+    /**
+     * <code>bool rolled_back = 3;</code>
+     * @return The rolledBack.
+     */
+    boolean getRolledBack();
+  }
+  /**
+   * <pre>
+   * Outcome of an earlier move.
+   * </pre>
+   *
+   * Protobuf type {@code sequoiashunt.link.VersionVerdict}
+   */
+  public static final class VersionVerdict extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:sequoiashunt.link.VersionVerdict)
+      VersionVerdictOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 1,
+        /* suffix= */ "",
+        "VersionVerdict");
+    }
+    // Use VersionVerdict.newBuilder() to construct.
+    private VersionVerdict(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private VersionVerdict() {
+      version_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_VersionVerdict_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_VersionVerdict_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_VersionVerdict_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.sequoiashunt.link.wire.FleetProto.VersionVerdict.class, org.sequoiashunt.link.wire.FleetProto.VersionVerdict.Builder.class);
+    }
+
+    public static final int VERSION_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object version_ = "";
+    /**
+     * <code>string version = 1;</code>
+     * @return The version.
+     */
+    @java.lang.Override
+    public java.lang.String getVersion() {
+      java.lang.Object ref = version_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        version_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string version = 1;</code>
+     * @return The bytes for version.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getVersionBytes() {
+      java.lang.Object ref = version_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        version_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int ORDER_FIELD_NUMBER = 2;
+    private long order_ = 0L;
+    /**
+     * <code>int64 order = 2;</code>
+     * @return The order.
+     */
+    @java.lang.Override
+    public long getOrder() {
+      return order_;
+    }
+
+    public static final int ROLLED_BACK_FIELD_NUMBER = 3;
+    private boolean rolledBack_ = false;
+    /**
+     * <code>bool rolled_back = 3;</code>
+     * @return The rolledBack.
+     */
+    @java.lang.Override
+    public boolean getRolledBack() {
+      return rolledBack_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(version_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, version_);
+      }
+      if (order_ != 0L) {
+        output.writeInt64(2, order_);
+      }
+      if (rolledBack_ != false) {
+        output.writeBool(3, rolledBack_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(version_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, version_);
+      }
+      if (order_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(2, order_);
+      }
+      if (rolledBack_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(3, rolledBack_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.sequoiashunt.link.wire.FleetProto.VersionVerdict)) {
+        return super.equals(obj);
+      }
+      org.sequoiashunt.link.wire.FleetProto.VersionVerdict other = (org.sequoiashunt.link.wire.FleetProto.VersionVerdict) obj;
+
+      if (!getVersion()
+          .equals(other.getVersion())) return false;
+      if (getOrder()
+          != other.getOrder()) return false;
+      if (getRolledBack()
+          != other.getRolledBack()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + VERSION_FIELD_NUMBER;
+      hash = (53 * hash) + getVersion().hashCode();
+      hash = (37 * hash) + ORDER_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getOrder());
+      hash = (37 * hash) + ROLLED_BACK_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getRolledBack());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.sequoiashunt.link.wire.FleetProto.VersionVerdict parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.VersionVerdict parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.VersionVerdict parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.VersionVerdict parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.VersionVerdict parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.VersionVerdict parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.VersionVerdict parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.VersionVerdict parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.sequoiashunt.link.wire.FleetProto.VersionVerdict parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.sequoiashunt.link.wire.FleetProto.VersionVerdict parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.VersionVerdict parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.VersionVerdict parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.sequoiashunt.link.wire.FleetProto.VersionVerdict prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * Outcome of an earlier move.
+     * </pre>
+     *
+     * Protobuf type {@code sequoiashunt.link.VersionVerdict}
      */
     public static final class Builder extends
         com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-        // @@protoc_insertion_point(builder_implements:sequoiashunt.link.VersionMove)
-        org.sequoiashunt.link.wire.FleetProto.VersionMoveOrBuilder {
+        // @@protoc_insertion_point(builder_implements:sequoiashunt.link.VersionVerdict)
+        org.sequoiashunt.link.wire.FleetProto.VersionVerdictOrBuilder {
       public static final com.google.protobuf.Descriptors.Descriptor
           getDescriptor() {
-        return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_VersionMove_descriptor;
+        return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_VersionVerdict_descriptor;
       }
 
       @java.lang.Override
       protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
           internalGetFieldAccessorTable() {
-        return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_VersionMove_fieldAccessorTable
+        return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_VersionVerdict_fieldAccessorTable
             .ensureFieldAccessorsInitialized(
-                org.sequoiashunt.link.wire.FleetProto.VersionMove.class, org.sequoiashunt.link.wire.FleetProto.VersionMove.Builder.class);
+                org.sequoiashunt.link.wire.FleetProto.VersionVerdict.class, org.sequoiashunt.link.wire.FleetProto.VersionVerdict.Builder.class);
       }
 
-      // Construct using org.sequoiashunt.link.wire.FleetProto.VersionMove.newBuilder()
+      // Construct using org.sequoiashunt.link.wire.FleetProto.VersionVerdict.newBuilder()
       private Builder() {
 
       }
@@ -5333,28 +6750,26 @@
       public Builder clear() {
         super.clear();
         bitField0_ = 0;
-        service_ = "";
         version_ = "";
-        state_ = 0;
-        sharePermille_ = 0;
         order_ = 0L;
+        rolledBack_ = false;
         return this;
       }
 
       @java.lang.Override
       public com.google.protobuf.Descriptors.Descriptor
           getDescriptorForType() {
-        return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_VersionMove_descriptor;
+        return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_VersionVerdict_descriptor;
       }
 
       @java.lang.Override
-      public org.sequoiashunt.link.wire.FleetProto.VersionMove getDefaultInstanceForType() {
-        return org.sequoiashunt.link.wire.FleetProto.VersionMove.getDefaultInstance();
+      public org.sequoiashunt.link.wire.FleetProto.VersionVerdict getDefaultInstanceForType() {
+        return org.sequoiashunt.link.wire.FleetProto.VersionVerdict.getDefaultInstance();
       }
 
       @java.lang.Override
-      public org.sequoiashunt.link.wire.FleetProto.VersionMove build() {
-        org.sequoiashunt.link.wire.FleetProto.VersionMove result = buildPartial();
+      public org.sequoiashunt.link.wire.FleetProto.VersionVerdict build() {
+        org.sequoiashunt.link.wire.FleetProto.VersionVerdict result = buildPartial();
         if (!result.isInitialized()) {
           throw newUninitializedMessageException(result);
         }
@@ -5362,63 +6777,49 @@
       }
 
       @java.lang.Override
-      public org.sequoiashunt.link.wire.FleetProto.VersionMove buildPartial() {
-        org.sequoiashunt.link.wire.FleetProto.VersionMove result = new org.sequoiashunt.link.wire.FleetProto.VersionMove(this);
+      public org.sequoiashunt.link.wire.FleetProto.VersionVerdict buildPartial() {
+        org.sequoiashunt.link.wire.FleetProto.VersionVerdict result = new org.sequoiashunt.link.wire.FleetProto.VersionVerdict(this);
         if (bitField0_ != 0) { buildPartial0(result); }
         onBuilt();
         return result;
       }
 
-      private void buildPartial0(org.sequoiashunt.link.wire.FleetProto.VersionMove result) {
+      private void buildPartial0(org.sequoiashunt.link.wire.FleetProto.VersionVerdict result) {
         int from_bitField0_ = bitField0_;
         if (((from_bitField0_ & 0x00000001) != 0)) {
-          result.service_ = service_;
+          result.version_ = version_;
         }
         if (((from_bitField0_ & 0x00000002) != 0)) {
-          result.version_ = version_;
+          result.order_ = order_;
         }
         if (((from_bitField0_ & 0x00000004) != 0)) {
-          result.state_ = state_;
-        }
-        if (((from_bitField0_ & 0x00000008) != 0)) {
-          result.sharePermille_ = sharePermille_;
-        }
-        if (((from_bitField0_ & 0x00000010) != 0)) {
-          result.order_ = order_;
+          result.rolledBack_ = rolledBack_;
         }
       }
 
       @java.lang.Override
       public Builder mergeFrom(com.google.protobuf.Message other) {
-        if (other instanceof org.sequoiashunt.link.wire.FleetProto.VersionMove) {
-          return mergeFrom((org.sequoiashunt.link.wire.FleetProto.VersionMove)other);
+        if (other instanceof org.sequoiashunt.link.wire.FleetProto.VersionVerdict) {
+          return mergeFrom((org.sequoiashunt.link.wire.FleetProto.VersionVerdict)other);
         } else {
           super.mergeFrom(other);
           return this;
         }
       }
 
-      public Builder mergeFrom(org.sequoiashunt.link.wire.FleetProto.VersionMove other) {
-        if (other == org.sequoiashunt.link.wire.FleetProto.VersionMove.getDefaultInstance()) return this;
-        if (!other.getService().isEmpty()) {
-          service_ = other.service_;
-          bitField0_ |= 0x00000001;
-          onChanged();
-        }
+      public Builder mergeFrom(org.sequoiashunt.link.wire.FleetProto.VersionVerdict other) {
+        if (other == org.sequoiashunt.link.wire.FleetProto.VersionVerdict.getDefaultInstance()) return this;
         if (!other.getVersion().isEmpty()) {
           version_ = other.version_;
-          bitField0_ |= 0x00000002;
+          bitField0_ |= 0x00000001;
           onChanged();
         }
-        if (other.getState() != 0) {
-          setState(other.getState());
-        }
-        if (other.getSharePermille() != 0) {
-          setSharePermille(other.getSharePermille());
-        }
         if (other.getOrder() != 0L) {
           setOrder(other.getOrder());
         }
+        if (other.getRolledBack() != false) {
+          setRolledBack(other.getRolledBack());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -5444,30 +6845,20 @@
                 done = true;
                 break;
               case 10: {
-                service_ = input.readStringRequireUtf8();
+                version_ = input.readStringRequireUtf8();
                 bitField0_ |= 0x00000001;
                 break;
               } // case 10
-              case 18: {
-                version_ = input.readStringRequireUtf8();
+              case 16: {
+                order_ = input.readInt64();
                 bitField0_ |= 0x00000002;
                 break;
-              } // case 18
+              } // case 16
               case 24: {
-                state_ = input.readUInt32();
+                rolledBack_ = input.readBool();
                 bitField0_ |= 0x00000004;
                 break;
               } // case 24
-              case 32: {
-                sharePermille_ = input.readUInt32();
-                bitField0_ |= 0x00000008;
-                break;
-              } // case 32
-              case 40: {
-                order_ = input.readInt64();
-                bitField0_ |= 0x00000010;
-                break;
-              } // case 40
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -5485,81 +6876,9 @@
       }
       private int bitField0_;
 
-      private java.lang.Object service_ = "";
-      /**
-       * <code>string service = 1;</code>
-       * @return The service.
-       */
-      public java.lang.String getService() {
-        java.lang.Object ref = service_;
-        if (!(ref instanceof java.lang.String)) {
-          com.google.protobuf.ByteString bs =
-              (com.google.protobuf.ByteString) ref;
-          java.lang.String s = bs.toStringUtf8();
-          service_ = s;
-          return s;
-        } else {
-          return (java.lang.String) ref;
-        }
-      }
-      /**
-       * <code>string service = 1;</code>
-       * @return The bytes for service.
-       */
-      public com.google.protobuf.ByteString
-          getServiceBytes() {
-        java.lang.Object ref = service_;
-        if (ref instanceof String) {
-          com.google.protobuf.ByteString b = 
-              com.google.protobuf.ByteString.copyFromUtf8(
-                  (java.lang.String) ref);
-          service_ = b;
-          return b;
-        } else {
-          return (com.google.protobuf.ByteString) ref;
-        }
-      }
-      /**
-       * <code>string service = 1;</code>
-       * @param value The service to set.
-       * @return This builder for chaining.
-       */
-      public Builder setService(
-          java.lang.String value) {
-        java.util.Objects.requireNonNull(value);
-        service_ = value;
-        bitField0_ |= 0x00000001;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>string service = 1;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearService() {
-        service_ = getDefaultInstance().getService();
-        bitField0_ = (bitField0_ & ~0x00000001);
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>string service = 1;</code>
-       * @param value The bytes for service to set.
-       * @return This builder for chaining.
-       */
-      public Builder setServiceBytes(
-          com.google.protobuf.ByteString value) {
-        java.util.Objects.requireNonNull(value);
-        checkByteStringIsUtf8(value);
-        service_ = value;
-        bitField0_ |= 0x00000001;
-        onChanged();
-        return this;
-      }
-
       private java.lang.Object version_ = "";
       /**
-       * <code>string version = 2;</code>
+       * <code>string version = 1;</code>
        * @return The version.
        */
       public java.lang.String getVersion() {
@@ -5575,7 +6894,7 @@
         }
       }
       /**
-       * <code>string version = 2;</code>
+       * <code>string version = 1;</code>
        * @return The bytes for version.
        */
       public com.google.protobuf.ByteString
@@ -5592,7 +6911,7 @@
         }
       }
       /**
-       * <code>string version = 2;</code>
+       * <code>string version = 1;</code>
        * @param value The version to set.
        * @return This builder for chaining.
        */
@@ -5600,22 +6919,22 @@
           java.lang.String value) {
         java.util.Objects.requireNonNull(value);
         version_ = value;
-        bitField0_ |= 0x00000002;
+        bitField0_ |= 0x00000001;
         onChanged();
         return this;
       }
       /**
-       * <code>string version = 2;</code>
+       * <code>string version = 1;</code>
        * @return This builder for chaining.
        */
       public Builder clearVersion() {
         version_ = getDefaultInstance().getVersion();
-        bitField0_ = (bitField0_ & ~0x00000002);
+        bitField0_ = (bitField0_ & ~0x00000001);
         onChanged();
         return this;
       }
       /**
-       * <code>string version = 2;</code>
+       * <code>string version = 1;</code>
        * @param value The bytes for version to set.
        * @return This builder for chaining.
        */
@@ -5624,124 +6943,92 @@
         java.util.Objects.requireNonNull(value);
         checkByteStringIsUtf8(value);
         version_ = value;
-        bitField0_ |= 0x00000002;
-        onChanged();
-        return this;
-      }
-
-      private int state_ ;
-      /**
-       * <code>uint32 state = 3;</code>
-       * @return The state.
-       */
-      @java.lang.Override
-      public int getState() {
-        return state_;
-      }
-      /**
-       * <code>uint32 state = 3;</code>
-       * @param value The state to set.
-       * @return This builder for chaining.
-       */
-      public Builder setState(int value) {
-
-        state_ = value;
-        bitField0_ |= 0x00000004;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>uint32 state = 3;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearState() {
-        bitField0_ = (bitField0_ & ~0x00000004);
-        state_ = 0;
+        bitField0_ |= 0x00000001;
         onChanged();
         return this;
       }
 
-      private int sharePermille_ ;
+      private long order_ ;
       /**
-       * <code>uint32 share_permille = 4;</code>
-       * @return The sharePermille.
+       * <code>int64 order = 2;</code>
+       * @return The order.
        */
       @java.lang.Override
-      public int getSharePermille() {
-        return sharePermille_;
+      public long getOrder() {
+        return order_;
       }
       /**
-       * <code>uint32 share_permille = 4;</code>
-       * @param value The sharePermille to set.
+       * <code>int64 order = 2;</code>
+       * @param value The order to set.
        * @return This builder for chaining.
        */
-      public Builder setSharePermille(int value) {
+      public Builder setOrder(long value) {
 
-        sharePermille_ = value;
-        bitField0_ |= 0x00000008;
+        order_ = value;
+        bitField0_ |= 0x00000002;
         onChanged();
         return this;
       }
       /**
-       * <code>uint32 share_permille = 4;</code>
+       * <code>int64 order = 2;</code>
        * @return This builder for chaining.
        */
-      public Builder clearSharePermille() {
-        bitField0_ = (bitField0_ & ~0x00000008);
-        sharePermille_ = 0;
+      public Builder clearOrder() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        order_ = 0L;
         onChanged();
         return this;
       }
 
-      private long order_ ;
+      private boolean rolledBack_ ;
       /**
-       * <code>int64 order = 5;</code>
-       * @return The order.
+       * <code>bool rolled_back = 3;</code>
+       * @return The rolledBack.
        */
       @java.lang.Override
-      public long getOrder() {
-        return order_;
+      public boolean getRolledBack() {
+        return rolledBack_;
       }
       /**
-       * <code>int64 order = 5;</code>
-       * @param value The order to set.
+       * <code>bool rolled_back = 3;</code>
+       * @param value The rolledBack to set.
        * @return This builder for chaining.
        */
-      public Builder setOrder(long value) {
+      public Builder setRolledBack(boolean value) {
 
-        order_ = value;
-        bitField0_ |= 0x00000010;
+        rolledBack_ = value;
+        bitField0_ |= 0x00000004;
         onChanged();
         return this;
       }
       /**
-       * <code>int64 order = 5;</code>
+       * <code>bool rolled_back = 3;</code>
        * @return This builder for chaining.
        */
-      public Builder clearOrder() {
-        bitField0_ = (bitField0_ & ~0x00000010);
-        order_ = 0L;
+      public Builder clearRolledBack() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        rolledBack_ = false;
         onChanged();
         return this;
       }
 
-      // @@protoc_insertion_point(builder_scope:sequoiashunt.link.VersionMove)
+      // @@protoc_insertion_point(builder_scope:sequoiashunt.link.VersionVerdict)
     }
 
-    // @@protoc_insertion_point(class_scope:sequoiashunt.link.VersionMove)
-    private static final org.sequoiashunt.link.wire.FleetProto.VersionMove DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:sequoiashunt.link.VersionVerdict)
+    private static final org.sequoiashunt.link.wire.FleetProto.VersionVerdict DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new org.sequoiashunt.link.wire.FleetProto.VersionMove();
+      DEFAULT_INSTANCE = new org.sequoiashunt.link.wire.FleetProto.VersionVerdict();
     }
 
-    public static org.sequoiashunt.link.wire.FleetProto.VersionMove getDefaultInstance() {
+    public static org.sequoiashunt.link.wire.FleetProto.VersionVerdict getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<VersionMove>
-        PARSER = new com.google.protobuf.AbstractParser<VersionMove>() {
+    private static final com.google.protobuf.Parser<VersionVerdict>
+        PARSER = new com.google.protobuf.AbstractParser<VersionVerdict>() {
       @java.lang.Override
-      public VersionMove parsePartialFrom(
+      public VersionVerdict parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -5760,17 +7047,17 @@
       }
     };
 
-    public static com.google.protobuf.Parser<VersionMove> parser() {
+    public static com.google.protobuf.Parser<VersionVerdict> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<VersionMove> getParserForType() {
+    public com.google.protobuf.Parser<VersionVerdict> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public org.sequoiashunt.link.wire.FleetProto.VersionMove getDefaultInstanceForType() {
+    public org.sequoiashunt.link.wire.FleetProto.VersionVerdict getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
@@ -13357,6 +14644,11 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_sequoiashunt_link_VersionMove_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_sequoiashunt_link_VersionVerdict_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_sequoiashunt_link_VersionVerdict_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_sequoiashunt_link_KnownNode_descriptor;
   private static final 
@@ -13425,35 +14717,40 @@
       "\030\013 \003(\0132\034.sequoiashunt.link.RouteTime\"t\n\014" +
       "VersionTally\022\017\n\007service\030\001 \001(\t\022\017\n\007version" +
       "\030\002 \001(\t\022\r\n\005route\030\003 \001(\t\022\017\n\007answers\030\004 \001(\004\022\020" +
-      "\n\010failures\030\005 \001(\004\022\020\n\010total_ms\030\006 \001(\004\"e\n\013Ve" +
-      "rsionMove\022\017\n\007service\030\001 \001(\t\022\017\n\007version\030\002 " +
-      "\001(\t\022\r\n\005state\030\003 \001(\r\022\026\n\016share_permille\030\004 \001" +
-      "(\r\022\r\n\005order\030\005 \001(\003\"b\n\tKnownNode\022\014\n\004node\030\001" +
-      " \001(\t\022/\n\007address\030\002 \001(\0132\036.sequoiashunt.lin" +
-      "k.NodeAddress\022\026\n\016failure_domain\030\003 \001(\t\"\320\003" +
-      "\n\nNodeReport\022\014\n\004node\030\001 \001(\t\022\023\n\013incarnatio" +
-      "n\030\002 \001(\004\022\020\n\010sequence\030\003 \001(\004\022/\n\007address\030\004 \001" +
-      "(\0132\036.sequoiashunt.link.NodeAddress\022\026\n\016fa" +
-      "ilure_domain\030\005 \001(\t\022\016\n\006region\030\006 \001(\t\022\017\n\007le" +
-      "aving\030\007 \001(\010\022\035\n\025configuration_version\030\010 \001" +
-      "(\004\0220\n\007targets\030\t \003(\0132\037.sequoiashunt.link." +
-      "TargetReport\0220\n\007tallies\030\n \003(\0132\037.sequoias" +
-      "hunt.link.VersionTally\022-\n\005moves\030\013 \003(\0132\036." +
-      "sequoiashunt.link.VersionMove\022+\n\005known\030\014" +
-      " \003(\0132\034.sequoiashunt.link.KnownNode\022\035\n\020co" +
-      "nfirmed_age_ms\030\r \001(\004H\000\210\001\001\022\020\n\010capacity\030\016 " +
-      "\001(\rB\023\n\021_confirmed_age_ms\"N\n\rRelayedRepor" +
-      "t\022-\n\006report\030\001 \001(\0132\035.sequoiashunt.link.No" +
-      "deReport\022\016\n\006age_ms\030\002 \001(\004\"C\n\016RelayedRepor" +
-      "ts\0221\n\007reports\030\001 \003(\0132 .sequoiashunt.link." +
-      "RelayedReport\"\036\n\013ReportBatch\022\017\n\007reports\030" +
-      "\001 \001(\014\"A\n\rReportRequest\0220\n\010reply_to\030\001 \001(\013" +
-      "2\036.sequoiashunt.link.NodeAddress\"_\n\024Conf" +
-      "igurationRequest\0220\n\010reply_to\030\001 \001(\0132\036.seq" +
-      "uoiashunt.link.NodeAddress\022\025\n\rknown_vers" +
-      "ion\030\002 \001(\004\"6\n\021ConfigurationCopy\022\017\n\007versio" +
-      "n\030\001 \001(\004\022\020\n\010document\030\002 \001(\014B(\n\032org.sequoia" +
-      "shunt.link.wireB\nFleetProtob\006proto3"
+      "\n\010failures\030\005 \001(\004\022\020\n\010total_ms\030\006 \001(\004\"\325\001\n\013V" +
+      "ersionMove\022\017\n\007service\030\001 \001(\t\022\017\n\007version\030\002" +
+      " \001(\t\022\r\n\005state\030\003 \001(\r\022\026\n\016share_permille\030\004 " +
+      "\001(\r\022\r\n\005order\030\005 \001(\003\022\023\n\013duration_ms\030\006 \001(\004\022" +
+      "\022\n\nelapsed_ms\030\007 \001(\004\022\020\n\010recorded\030\010 \001(\010\0223\n" +
+      "\010verdicts\030\t \003(\0132!.sequoiashunt.link.Vers" +
+      "ionVerdict\"E\n\016VersionVerdict\022\017\n\007version\030" +
+      "\001 \001(\t\022\r\n\005order\030\002 \001(\003\022\023\n\013rolled_back\030\003 \001(" +
+      "\010\"b\n\tKnownNode\022\014\n\004node\030\001 \001(\t\022/\n\007address\030" +
+      "\002 \001(\0132\036.sequoiashunt.link.NodeAddress\022\026\n" +
+      "\016failure_domain\030\003 \001(\t\"\320\003\n\nNodeReport\022\014\n\004" +
+      "node\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\020\n\010seque" +
+      "nce\030\003 \001(\004\022/\n\007address\030\004 \001(\0132\036.sequoiashun" +
+      "t.link.NodeAddress\022\026\n\016failure_domain\030\005 \001" +
+      "(\t\022\016\n\006region\030\006 \001(\t\022\017\n\007leaving\030\007 \001(\010\022\035\n\025c" +
+      "onfiguration_version\030\010 \001(\004\0220\n\007targets\030\t " +
+      "\003(\0132\037.sequoiashunt.link.TargetReport\0220\n\007" +
+      "tallies\030\n \003(\0132\037.sequoiashunt.link.Versio" +
+      "nTally\022-\n\005moves\030\013 \003(\0132\036.sequoiashunt.lin" +
+      "k.VersionMove\022+\n\005known\030\014 \003(\0132\034.sequoiash" +
+      "unt.link.KnownNode\022\035\n\020confirmed_age_ms\030\r" +
+      " \001(\004H\000\210\001\001\022\020\n\010capacity\030\016 \001(\rB\023\n\021_confirme" +
+      "d_age_ms\"N\n\rRelayedReport\022-\n\006report\030\001 \001(" +
+      "\0132\035.sequoiashunt.link.NodeReport\022\016\n\006age_" +
+      "ms\030\002 \001(\004\"C\n\016RelayedReports\0221\n\007reports\030\001 " +
+      "\003(\0132 .sequoiashunt.link.RelayedReport\"\036\n" +
+      "\013ReportBatch\022\017\n\007reports\030\001 \001(\014\"A\n\rReportR" +
+      "equest\0220\n\010reply_to\030\001 \001(\0132\036.sequoiashunt." +
+      "link.NodeAddress\"_\n\024ConfigurationRequest" +
+      "\0220\n\010reply_to\030\001 \001(\0132\036.sequoiashunt.link.N" +
+      "odeAddress\022\025\n\rknown_version\030\002 \001(\004\"6\n\021Con" +
+      "figurationCopy\022\017\n\007version\030\001 \001(\004\022\020\n\010docum" +
+      "ent\030\002 \001(\014B(\n\032org.sequoiashunt.link.wireB" +
+      "\nFleetProtob\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -13489,51 +14786,57 @@
     internal_static_sequoiashunt_link_VersionMove_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_sequoiashunt_link_VersionMove_descriptor,
-        new java.lang.String[] { "Service", "Version", "State", "SharePermille", "Order", });
-    internal_static_sequoiashunt_link_KnownNode_descriptor =
+        new java.lang.String[] { "Service", "Version", "State", "SharePermille", "Order", "DurationMs", "ElapsedMs", "Recorded", "Verdicts", });
+    internal_static_sequoiashunt_link_VersionVerdict_descriptor =
       getDescriptor().getMessageType(5);
+    internal_static_sequoiashunt_link_VersionVerdict_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_sequoiashunt_link_VersionVerdict_descriptor,
+        new java.lang.String[] { "Version", "Order", "RolledBack", });
+    internal_static_sequoiashunt_link_KnownNode_descriptor =
+      getDescriptor().getMessageType(6);
     internal_static_sequoiashunt_link_KnownNode_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_sequoiashunt_link_KnownNode_descriptor,
         new java.lang.String[] { "Node", "Address", "FailureDomain", });
     internal_static_sequoiashunt_link_NodeReport_descriptor =
-      getDescriptor().getMessageType(6);
+      getDescriptor().getMessageType(7);
     internal_static_sequoiashunt_link_NodeReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_sequoiashunt_link_NodeReport_descriptor,
         new java.lang.String[] { "Node", "Incarnation", "Sequence", "Address", "FailureDomain", "Region", "Leaving", "ConfigurationVersion", "Targets", "Tallies", "Moves", "Known", "ConfirmedAgeMs", "Capacity", });
     internal_static_sequoiashunt_link_RelayedReport_descriptor =
-      getDescriptor().getMessageType(7);
+      getDescriptor().getMessageType(8);
     internal_static_sequoiashunt_link_RelayedReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_sequoiashunt_link_RelayedReport_descriptor,
         new java.lang.String[] { "Report", "AgeMs", });
     internal_static_sequoiashunt_link_RelayedReports_descriptor =
-      getDescriptor().getMessageType(8);
+      getDescriptor().getMessageType(9);
     internal_static_sequoiashunt_link_RelayedReports_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_sequoiashunt_link_RelayedReports_descriptor,
         new java.lang.String[] { "Reports", });
     internal_static_sequoiashunt_link_ReportBatch_descriptor =
-      getDescriptor().getMessageType(9);
+      getDescriptor().getMessageType(10);
     internal_static_sequoiashunt_link_ReportBatch_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_sequoiashunt_link_ReportBatch_descriptor,
         new java.lang.String[] { "Reports", });
     internal_static_sequoiashunt_link_ReportRequest_descriptor =
-      getDescriptor().getMessageType(10);
+      getDescriptor().getMessageType(11);
     internal_static_sequoiashunt_link_ReportRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_sequoiashunt_link_ReportRequest_descriptor,
         new java.lang.String[] { "ReplyTo", });
     internal_static_sequoiashunt_link_ConfigurationRequest_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(12);
     internal_static_sequoiashunt_link_ConfigurationRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_sequoiashunt_link_ConfigurationRequest_descriptor,
         new java.lang.String[] { "ReplyTo", "KnownVersion", });
     internal_static_sequoiashunt_link_ConfigurationCopy_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(13);
     internal_static_sequoiashunt_link_ConfigurationCopy_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_sequoiashunt_link_ConfigurationCopy_descriptor,
--- a/sequoiashunt-link/src/test/java/org/sequoiashunt/link/FleetCodecTest.java
+++ b/sequoiashunt-link/src/test/java/org/sequoiashunt/link/FleetCodecTest.java
@@ -23,6 +23,7 @@
 import org.sequoiashunt.fleet.TargetReport;
 import org.sequoiashunt.fleet.VersionMove;
 import org.sequoiashunt.fleet.VersionTally;
+import org.sequoiashunt.fleet.VersionVerdict;
 import org.sequoiashunt.peer.ControlMessage;
 import org.sequoiashunt.peer.NodeAddress;
 
@@ -60,7 +61,11 @@
                 OptionalLong.of(310),
                 List.of(target),
                 List.of(new VersionTally("desk", "v2", "look", 40, 2, 3_900)),
-                List.of(new VersionMove("desk", "v2", 77, MoveState.RUNNING, 150)),
+                List.of(VersionMove.of("desk", "v2", 77, MoveState.RUNNING, 150)
+                        .withDuration(16_000)
+                        .withElapsed(7_000)
+                        .withVerdicts(List.of(new VersionVerdict("v0", 70, true)))
+                        .asRecorded()),
                 List.of(new KnownNode("sidecar-can-tho-b-1", new NodeAddress("10.4.0.26", 7_560), "can-tho-b")));
     }
 
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
@@ -79,7 +79,7 @@
     private final Random random = new Random();
     private final long incarnation = random.nextLong(Long.MAX_VALUE);
     private final ControlLoop controlLoop = new ControlLoop();
-    private final MoveTable moveTable = new MoveTable();
+    private final MoveTable moveTable = new MoveTable(clock);
     private final AnswerCounters answerCounters = new AnswerCounters();
     private final MeshMetrics metrics;
     private final FleetView fleet = new FleetView(clock);
@@ -275,7 +275,9 @@
                         this::applyDesiredState,
                         health));
         startTask("entry", new NodeEntryTask(platformComponents.platform(), self, fleet, random, health));
-        startTask("moves", new MoveRecorder(platformComponents.platform(), moveTable, moveController, health));
+        startTask(
+                "moves",
+                new MoveRecorder(platformComponents.platform(), moveTable, moveController::rank, health, clock));
     }
 
     private void startTask(final String name, final BlockingTask task) {
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MoveController.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MoveController.java
@@ -1,16 +1,14 @@
 package org.sequoiashunt.node.mesh;
 
-import java.util.List;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.concurrent.ConcurrentHashMap;
 import org.sequoiashunt.blackboard.Controller;
 import org.sequoiashunt.fleet.FleetView;
 import org.sequoiashunt.fleet.MoveState;
 import org.sequoiashunt.fleet.NodeReport;
 import org.sequoiashunt.fleet.VersionMove;
-import org.sequoiashunt.fleet.VersionTally;
 import org.sequoiashunt.mesh.MoveTable;
 import org.sequoiashunt.move.AnswerCounters;
 import org.sequoiashunt.move.EvidenceWindow;
@@ -22,17 +20,27 @@
 /**
  * Runs the moves of traffic between versions that the operator has ordered.
  *
- * <p>Every node collects the evidence, but only the live node whose name sorts first decides, so that the next node by
- * name takes over as soon as the deciding node is gone. Two nodes may decide at the same time without harm: the states
- * of a move supersede each other in one direction only, and outcomes are recorded by compare-and-swap.
+ * <p>Every node has the orders, from the store or from the reports of others, and collects the evidence. Live nodes are
+ * ranked by name. The first one decides about shares and outcomes, so that the next one takes over as soon as it is
+ * gone. Until its loss is noticed, nobody would take a bad version back; therefore the next nodes roll a version back as
+ * well, if its fault has persisted for a time that grows with their rank. Several nodes may decide at the same time
+ * without harm: {@link VersionMove#merge} only advances a move, and outcomes are recorded by compare-and-swap.
  *
- * <p>One thread calls {@link #tick}; {@link #acceptOrder} may be called from any thread.
+ * <p>One thread calls {@link #tick}; {@link #acceptOrder} and {@link #rank} may be called from any thread.
  */
 final class MoveController implements Controller {
 
     /** Time span of the evidence for a decision: long compared with report periods, short to detect late faults. */
     private static final long EVIDENCE_WINDOW_MS = 2_500;
 
+    /** Time per rank for which a fault must persist before a node that is not the first rolls the version back. */
+    private static final long STAND_IN_DELAY_MS = 1_000;
+
+    /** Highest rank that rolls versions back; it covers the loss of two nodes at the same time. */
+    private static final int MAXIMUM_STAND_IN_RANK = 2;
+
+    private static final long NO_FAULT = -1;
+
     private final String node;
     private final FleetView fleet;
     private final MoveTable moveTable;
@@ -41,7 +49,7 @@
     private final DecisionLog log;
     private final Runnable onChange;
     private final MovePolicy policy = new MovePolicy();
-    private final Map<String, ActiveMove> activeMoves = new ConcurrentHashMap<>();
+    private final Map<String, ActiveMove> activeMoves = new HashMap<>();
 
     MoveController(
             final String node,
@@ -60,17 +68,18 @@
         this.onChange = Objects.requireNonNull(onChange, "onChange");
     }
 
-    /** Starts the ordered move, which replaces an earlier one; ignores an order whose revision is not higher. */
+    /** Starts the ordered move, which replaces an earlier one; ignores an order that is known or has been replaced. */
     void acceptOrder(final MoveRequest order) {
-        ActiveMove existing = activeMoves.get(order.service());
-        if (existing != null && existing.order().orderRevision() >= order.orderRevision()) {
+        Optional<VersionMove> known = moveTable.find(order.service());
+        if (known.isPresent()
+                && (known.get().order() > order.orderRevision()
+                        || known.get().order() == order.orderRevision()
+                                && known.get().durationMs() > 0)) {
             return;
         }
-        activeMoves.put(
-                order.service(),
-                new ActiveMove(order, clock.nowMs(), new EvidenceWindow(order.service(), EVIDENCE_WINDOW_MS)));
-        boolean merged = moveTable.merge(
-                new VersionMove(order.service(), order.version(), order.orderRevision(), MoveState.RUNNING, 0));
+        boolean isNew = known.isEmpty() || known.get().order() < order.orderRevision();
+        moveTable.merge(VersionMove.of(order.service(), order.version(), order.orderRevision(), MoveState.RUNNING, 0)
+                .withDuration(order.durationMs()));
         log.log(
                 LogKind.MOVE,
                 "service",
@@ -82,67 +91,46 @@
                 "durationMs",
                 order.durationMs(),
                 "state",
-                merged ? "ordered" : "known");
+                isNew ? "ordered" : "known");
     }
 
-    boolean hasOrder(final VersionMove move) {
-        ActiveMove activeMove = activeMoves.get(move.service());
-        return activeMove != null && activeMove.order().orderRevision() == move.order();
-    }
-
-    /** Returns whether this node decides about moves: no live node that can decide has a name that sorts before. */
-    boolean isDecisionMaker() {
-        return fleet.liveReports().stream()
+    /** Returns the number of live nodes that can decide about moves and whose names sort before that of this node. */
+    int rank() {
+        return (int) fleet.liveReports().stream()
                 .map(FleetView.ReceivedReport::report)
                 .filter(report -> !report.leaving() && report.configurationVersion() > 0)
-                .noneMatch(report -> report.node().compareTo(node) < 0);
+                .filter(report -> report.node().compareTo(node) < 0)
+                .count();
     }
 
     @Override
     public void tick() {
-        for (ActiveMove activeMove : activeMoves.values()) {
-            VersionMove move = moveTable.find(activeMove.order().service()).orElse(null);
-            if (move == null
-                    || move.order() != activeMove.order().orderRevision()
-                    || move.state().isTerminal()) {
+        for (VersionMove move : moveTable.all()) {
+            if (move.state().isTerminal() || move.durationMs() == 0) {
+                activeMoves.remove(move.service());
                 continue;
             }
-            collectEvidence(activeMove);
-            if (isDecisionMaker()) {
-                decide(activeMove, move);
+            ActiveMove activeMove = activeMoves.get(move.service());
+            if (activeMove == null || activeMove.order != move.order()) {
+                activeMove = new ActiveMove(move);
+                activeMoves.put(move.service(), activeMove);
             }
+            activeMove.collectEvidence();
+            decide(activeMove, move, rank());
         }
     }
 
-    private void collectEvidence(final ActiveMove activeMove) {
-        long nowMs = clock.nowMs();
-        String service = activeMove.order().service();
-        activeMove.evidence().add(node, 0, answerCounters.tallies(service::equals), nowMs);
-        for (FleetView.ReceivedReport received : fleet.liveReports()) {
-            NodeReport report = received.report();
-            List<VersionTally> reportedTallies = report.tallies();
-            activeMove.evidence().add(report.node(), report.incarnation(), reportedTallies, nowMs);
-        }
-    }
-
-    /** Returns the time since the order, or, if this node received it late, the least time that fits the share. */
-    private long elapsedMs(final ActiveMove activeMove, final VersionMove move) {
-        long nowMs = clock.nowMs();
-        long minimumElapsedMs = policy.minimumElapsedMs(activeMove.order(), move.sharePermille());
-        long elapsedMs = nowMs - activeMove.startMs();
-        if (elapsedMs < minimumElapsedMs) {
-            activeMoves.put(
-                    activeMove.order().service(),
-                    new ActiveMove(activeMove.order(), nowMs - minimumElapsedMs, activeMove.evidence()));
+    private void decide(final ActiveMove activeMove, final VersionMove move, final int rank) {
+        if (rank > MAXIMUM_STAND_IN_RANK) {
+            return;
         }
-        return Math.max(elapsedMs, minimumElapsedMs);
-    }
-
-    private void decide(final ActiveMove activeMove, final VersionMove move) {
-        long elapsedMs = elapsedMs(activeMove, move);
-        Optional<MovePolicy.Decision> decision =
-                policy.decide(activeMove.order(), move, elapsedMs, activeMove.evidence());
-        if (decision.isPresent() && moveTable.merge(decision.get().move())) {
+        VersionMove current = move.withElapsed(Math.max(move.elapsedMs(), policy.minimumElapsedMs(move)));
+        moveTable.merge(current);
+        Optional<MovePolicy.Decision> decision = policy.decide(current, activeMove.evidence);
+        boolean hasFault = decision.isPresent() && decision.get().move().state() == MoveState.ROLLED_BACK;
+        activeMove.recordFault(hasFault);
+        boolean mayDecide = rank == 0 || hasFault && activeMove.faultAgeMs() >= rank * STAND_IN_DELAY_MS;
+        if (mayDecide && decision.isPresent() && moveTable.merge(decision.get().move())) {
             VersionMove next = decision.get().move();
             log.log(
                     LogKind.MOVE,
@@ -157,7 +145,9 @@
                     "sharePermille",
                     next.sharePermille(),
                     "elapsedMs",
-                    elapsedMs,
+                    next.elapsedMs(),
+                    "rank",
+                    rank,
                     "reason",
                     decision.get().reason());
             onChange.run();
@@ -169,6 +159,50 @@
         return false;
     }
 
-    /** An order, the start time of its move and the evidence about it. Immutable except for the evidence. */
-    private record ActiveMove(MoveRequest order, long startMs, EvidenceWindow evidence) {}
+    /** The evidence about a running move. Confined to the thread that calls {@link #tick}. */
+    private final class ActiveMove {
+
+        private final long order;
+        private final EvidenceWindow evidence;
+        /** The latest report of each node whose tallies are counted. */
+        private final Map<String, NodeReport> countedReports = new HashMap<>();
+
+        private long faultSinceMs = NO_FAULT;
+
+        private ActiveMove(final VersionMove move) {
+            this.order = move.order();
+            this.evidence = new EvidenceWindow(move.service(), EVIDENCE_WINDOW_MS);
+            if (move.elapsedMs() > EVIDENCE_WINDOW_MS) {
+                // Answers from before the window began are not recent.
+                evidence.setBaseline(node, 0, answerCounters.tallies(move.service()::equals));
+                for (FleetView.ReceivedReport received : fleet.liveReports()) {
+                    NodeReport report = received.report();
+                    evidence.setBaseline(report.node(), report.incarnation(), report.tallies());
+                }
+            }
+        }
+
+        private void collectEvidence() {
+            long nowMs = clock.nowMs();
+            evidence.add(node, 0, answerCounters.tallies(evidence.service()::equals), nowMs);
+            for (FleetView.ReceivedReport received : fleet.liveReports()) {
+                NodeReport report = received.report();
+                if (countedReports.put(report.node(), report) != report) {
+                    evidence.add(report.node(), report.incarnation(), report.tallies(), nowMs);
+                }
+            }
+        }
+
+        private void recordFault(final boolean hasFault) {
+            if (!hasFault) {
+                faultSinceMs = NO_FAULT;
+            } else if (faultSinceMs == NO_FAULT) {
+                faultSinceMs = clock.nowMs();
+            }
+        }
+
+        private long faultAgeMs() {
+            return faultSinceMs == NO_FAULT ? 0 : clock.nowMs() - faultSinceMs;
+        }
+    }
 }
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MoveRecorder.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MoveRecorder.java
@@ -3,15 +3,20 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
+import java.util.function.IntSupplier;
 import org.sequoiashunt.blackboard.BlockingTask;
 import org.sequoiashunt.fleet.MoveState;
 import org.sequoiashunt.fleet.VersionMove;
 import org.sequoiashunt.mesh.MeshPlatform;
 import org.sequoiashunt.mesh.MoveTable;
 import org.sequoiashunt.store.StoreException;
+import org.sequoiashunt.time.Clock;
 
 /**
- * Records the states of moves of traffic in the platform's store while this node decides about moves.
+ * Records the states of moves of traffic in the platform's store.
+ *
+ * <p>The node that decides records them. The next nodes by rank do so if a state stays unrecorded for long, since the
+ * deciding node may be cut off from the store alone.
  *
  * <p>Confined to the thread of its loop. Invariant: the write of a state is retried until the store has answered.
  */
@@ -19,54 +24,73 @@
 
     private static final long RECORDING_PERIOD_MS = 150;
 
-    /** Time between two steps while no moves exist or another node decides about them. */
+    /** Time between two steps while all states are recorded or other nodes record them. */
     private static final long IDLE_PERIOD_MS = 800;
 
     private static final long RETRY_MS = 400;
 
+    /** Time per rank for which a state must be unrecorded: the report of a recorded state takes less to arrive. */
+    private static final long TAKEOVER_DELAY_MS = 3_000;
+
+    /** Highest rank that records; it covers two nodes without the store. */
+    private static final int MAXIMUM_RECORDING_RANK = 2;
+
     private final MeshPlatform platform;
     private final MoveTable moveTable;
-    private final MoveController controller;
+    private final IntSupplier rank;
     private final StoreHealth health;
-    private final Map<String, VersionMove> recordedMoves = new HashMap<>();
+    private final Clock clock;
+    private final Map<String, UnrecordedState> unrecordedStates = new HashMap<>();
 
     MoveRecorder(
             final MeshPlatform platform,
             final MoveTable moveTable,
-            final MoveController controller,
-            final StoreHealth health) {
+            final IntSupplier rank,
+            final StoreHealth health,
+            final Clock clock) {
         this.platform = Objects.requireNonNull(platform, "platform");
         this.moveTable = Objects.requireNonNull(moveTable, "moveTable");
-        this.controller = Objects.requireNonNull(controller, "controller");
+        this.rank = Objects.requireNonNull(rank, "rank");
         this.health = Objects.requireNonNull(health, "health");
+        this.clock = Objects.requireNonNull(clock, "clock");
     }
 
     @Override
     public long step() {
-        if (moveTable.all().isEmpty() || !controller.isDecisionMaker()) {
-            return IDLE_PERIOD_MS;
-        }
+        boolean hasRunningMove = false;
+        int currentRank = rank.getAsInt();
         try {
             for (VersionMove move : moveTable.all()) {
-                if (needsRecording(move)) {
-                    VersionMove stored = platform.record(move);
-                    recordedMoves.put(move.service(), move);
-                    moveTable.merge(stored);
+                hasRunningMove |= !move.state().isTerminal();
+                if (needsRecording(move) && unrecordedMs(move) >= currentRank * TAKEOVER_DELAY_MS) {
+                    moveTable.merge(platform.record(move));
                     health.recordSuccess();
                 }
             }
-            return RECORDING_PERIOD_MS;
+            return hasRunningMove && currentRank == 0 ? RECORDING_PERIOD_MS : IDLE_PERIOD_MS;
         } catch (StoreException exception) {
             health.recordFailure("moves", exception.getMessage());
-            return RETRY_MS;
+            return currentRank == 0 ? RETRY_MS : IDLE_PERIOD_MS;
         }
     }
 
-    /** Ignores changes of the share: the operator reads the state of a move only. */
+    /** Ignores changes of the share, since the operator reads the state of a move only, and orders not known in full. */
     private boolean needsRecording(final VersionMove move) {
-        VersionMove lastRecorded = recordedMoves.get(move.service());
-        boolean unchanged =
-                lastRecorded != null && lastRecorded.order() == move.order() && lastRecorded.state() == move.state();
-        return !unchanged && (move.state() != MoveState.RUNNING || controller.hasOrder(move));
+        return !move.recorded()
+                && rank.getAsInt() <= MAXIMUM_RECORDING_RANK
+                && (move.state() != MoveState.RUNNING || move.durationMs() > 0);
     }
+
+    private long unrecordedMs(final VersionMove move) {
+        long nowMs = clock.nowMs();
+        UnrecordedState seen = unrecordedStates.get(move.service());
+        if (seen == null || seen.order() != move.order() || seen.state() != move.state()) {
+            seen = new UnrecordedState(move.order(), move.state(), nowMs);
+            unrecordedStates.put(move.service(), seen);
+        }
+        return nowMs - seen.sinceMs();
+    }
+
+    /** State of a move and when this node first saw it unrecorded. Immutable and thread-safe. */
+    private record UnrecordedState(long order, MoveState state, long sinceMs) {}
 }
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/FakePlatform.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/FakePlatform.java
@@ -121,7 +121,8 @@
     }
 
     @Override
-    public VersionMove record(final VersionMove move) {
-        return move;
+    public VersionMove record(final VersionMove move) throws StoreException {
+        requireUp();
+        return move.asRecorded();
     }
 }
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/FleetControllerTest.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/FleetControllerTest.java
@@ -76,7 +76,7 @@
                         gates,
                         configuration,
                         new WatcherSelection(LOCATION, CAPACITY, fleet, configuration::version, clock),
-                        new MoveTable(),
+                        new MoveTable(clock),
                         new AnswerCounters(),
                         (receiver, message) -> sent.computeIfAbsent(receiver, unused -> new ArrayList<>())
                                 .add(message),
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/MoveControllerTest.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/MoveControllerTest.java
@@ -7,6 +7,7 @@
 import java.io.PrintStream;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.sequoiashunt.call.Body;
@@ -15,10 +16,12 @@
 import org.sequoiashunt.call.CallResult;
 import org.sequoiashunt.fleet.FleetView;
 import org.sequoiashunt.fleet.MoveState;
+import org.sequoiashunt.fleet.NodeReport;
 import org.sequoiashunt.fleet.VersionMove;
 import org.sequoiashunt.mesh.MoveTable;
 import org.sequoiashunt.move.AnswerCounters;
 import org.sequoiashunt.move.MoveRequest;
+import org.sequoiashunt.peer.NodeAddress;
 import org.sequoiashunt.time.SteppedClock;
 
 class MoveControllerTest {
@@ -26,12 +29,13 @@
     private static final MoveRequest ORDER = new MoveRequest("desk", "v2", 16_000, 7);
 
     private final SteppedClock clock = SteppedClock.of(1_000);
-    private final MoveTable moveTable = new MoveTable();
+    private final FleetView fleet = new FleetView(clock);
+    private final MoveTable moveTable = new MoveTable(clock);
     private final AnswerCounters answerCounters = new AnswerCounters();
     private final DecisionLog log =
             DecisionLog.start("n-1", clock, new PrintStream(OutputStream.nullOutputStream(), true));
     private final MoveController controller =
-            new MoveController("n-1", new FleetView(clock), moveTable, answerCounters, clock, log, () -> {});
+            new MoveController("n-1", fleet, moveTable, answerCounters, clock, log, () -> {});
 
     @AfterEach
     void close() throws InterruptedException {
@@ -39,6 +43,10 @@
     }
 
     private void recordAnswers(final String version, final int count) {
+        recordAnswers(version, count, 200);
+    }
+
+    private void recordAnswers(final String version, final int count, final int status) {
         for (int call = 0; call < count; call++) {
             CallRequest request = new CallRequest(
                     "c",
@@ -53,7 +61,7 @@
                     true,
                     Optional.empty(),
                     Long.MAX_VALUE);
-            answerCounters.record(request, CallResult.complete(new CallResponse(200, List.of(), Body.EMPTY)), 90);
+            answerCounters.record(request, CallResult.complete(new CallResponse(status, List.of(), Body.EMPTY)), 90);
         }
     }
 
@@ -78,10 +86,67 @@
         assertEquals(MoveState.COMPLETED, moveTable.find("desk").orElseThrow().state());
     }
 
+    private void reportLiveNode(final String node, final long sequence) {
+        fleet.accept(new NodeReport(
+                node,
+                1,
+                sequence,
+                new NodeAddress("127.0.0.1", 9),
+                "d",
+                "r",
+                600,
+                false,
+                1,
+                OptionalLong.empty(),
+                List.of(),
+                List.of(),
+                List.of(),
+                List.of()));
+    }
+
+    private MoveState stateAfterBadAnswers(final int steps, final String... liveNodes) {
+        for (int step = 0; step < steps; step++) {
+            for (String liveNode : liveNodes) {
+                reportLiveNode(liveNode, clock.nowMs());
+            }
+            recordAnswers("v2", 10, step % 2 == 0 ? 500 : 200);
+            recordAnswers("v1", 20);
+            controller.tick();
+            clock.advance(100);
+        }
+        return moveTable.find("desk").orElseThrow().state();
+    }
+
+    /** Guards against a rollout that nobody judges: its node is lost and the next one has not read the order. */
+    @Test
+    void moveOfALostNodeIsCarriedOnFromItsReport() {
+        moveTable.merge(VersionMove.of("desk", "v2", ORDER.orderRevision(), MoveState.RUNNING, 300)
+                .withDuration(ORDER.durationMs())
+                .withElapsed(8_400));
+        assertEquals(MoveState.ROLLED_BACK, stateAfterBadAnswers(10));
+    }
+
+    /** Guards against a bad version that keeps its share until the loss of the deciding node is noticed. */
+    @Test
+    void standInRollsBackIfTheFaultPersists() {
+        moveTable.merge(VersionMove.of("desk", "v2", ORDER.orderRevision(), MoveState.RUNNING, 300)
+                .withDuration(ORDER.durationMs())
+                .withElapsed(8_400));
+        assertEquals(MoveState.RUNNING, stateAfterBadAnswers(10, "n-0"), "the first node has time to decide");
+        assertEquals(MoveState.ROLLED_BACK, stateAfterBadAnswers(10, "n-0"));
+    }
+
+    @Test
+    void onlyTheFirstNodesRollBack() {
+        moveTable.merge(VersionMove.of("desk", "v2", ORDER.orderRevision(), MoveState.RUNNING, 300)
+                .withDuration(ORDER.durationMs()));
+        assertEquals(MoveState.RUNNING, stateAfterBadAnswers(60, "n-00", "n-01", "n-02"));
+    }
+
     /** The node whose name sorts first decides again after a restart, but has lost the start time of the move. */
     @Test
     void newDecisionMakerContinuesFromCurrentShare() {
-        moveTable.merge(new VersionMove("desk", "v2", ORDER.orderRevision(), MoveState.RUNNING, 900));
+        moveTable.merge(VersionMove.of("desk", "v2", ORDER.orderRevision(), MoveState.RUNNING, 900));
         controller.acceptOrder(ORDER);
         long elapsedMs = simulate(ORDER.durationMs());
         assertEquals(MoveState.COMPLETED, moveTable.find("desk").orElseThrow().state());
--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/overload/SimulatedNode.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/overload/SimulatedNode.java
@@ -75,7 +75,7 @@
                 events,
                 Optional::empty,
                 new WeightedServiceSelector(random),
-                new MeshVersionSelector(new MoveTable(), random),
+                new MeshVersionSelector(new MoveTable(events.clock()), random),
                 new PlacementCandidateSource(place, fleet, gates::reports, events.clock()),
                 new Placement(random),
                 new SlidingWindowRetryBudget(
