--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshPlatform.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshPlatform.java
@@ -7,6 +7,7 @@
 import org.sequoiashunt.fleet.KnownNode;
 import org.sequoiashunt.fleet.VersionMove;
 import org.sequoiashunt.store.StoreException;
+import org.sequoiashunt.target.TargetDeparture;
 
 /**
  * Access to the platform's store for a mesh: the operator's documents, the registrations by which nodes find each
@@ -16,6 +17,9 @@
  */
 public interface MeshPlatform {
 
+    /** Most departures that {@link #recordDepartures} records at a time. */
+    int MAXIMUM_RECORDED_DEPARTURES = 16;
+
     /**
      * Reads the complete state that the operator requested.
      *
@@ -72,6 +76,35 @@
      */
     boolean renewLease(long lease) throws StoreException;
 
+    /**
+     * Reads the departures of a node's targets that were recorded and whose leases have not ended.
+     *
+     * @param node the name of the node, not null.
+     * @return the departures, never null.
+     * @throws StoreException if the store did not answer.
+     */
+    List<TargetDeparture> readDepartures(String node) throws StoreException;
+
+    /**
+     * Grants a lease for records of departures.
+     *
+     * @param durationMs how long the records last, in milliseconds.
+     * @return the number of the lease.
+     * @throws StoreException if the store did not answer.
+     */
+    long grantLease(long durationMs) throws StoreException;
+
+    /**
+     * Records departures of a node's targets.
+     *
+     * @param node the name of the node, not null.
+     * @param departures the departures, not null, at most {@value #MAXIMUM_RECORDED_DEPARTURES}.
+     * @param lease the number of the lease with which the records end.
+     * @return true if they were recorded, false if the lease has ended.
+     * @throws StoreException if the store did not answer.
+     */
+    boolean recordDepartures(String node, List<TargetDeparture> departures, long lease) throws StoreException;
+
     /**
      * Records the state of a move, for the operator and for nodes that start later. An outcome is never overwritten.
      *
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/target/TargetRegistry.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/target/TargetRegistry.java
@@ -1,6 +1,7 @@
 package org.sequoiashunt.target;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
@@ -17,6 +18,10 @@
  * number orders the announcements of one incarnation. A late announcement never restores an earlier incarnation or a
  * target that has left.
  *
+ * <p>A process that has just started does not know which targets have left. Until the departures that the process before
+ * it acknowledged are restored, a target that may have left is held until its second announcement, which shows that it
+ * still runs.
+ *
  * <p>Thread-safe: guarded by its own monitor. Invariants: at most one target per address; a target that has left stays
  * removed until a later incarnation announces itself; departures are kept for a bounded time and in bounded number.
  */
@@ -41,19 +46,23 @@
     private static final int MAXIMUM_TARGETS = 64;
 
     private final Clock clock;
+    private final long announcementPeriodMs;
     private final long silenceTimeoutMs;
     private final Map<String, TrackedTarget> trackedTargets = new HashMap<>();
     private final Map<String, Departure> departures = new HashMap<>();
     private final Map<String, Long> unknownTargetDeparturesMs = new HashMap<>();
+    private final Map<String, TrackedTarget> heldTargets = new HashMap<>();
+    private boolean departuresKnown;
 
     /**
-     * Creates an empty registry.
+     * Creates an empty registry that holds targets until {@link #completeDepartures} is called.
      *
      * @param clock the clock, not null.
      * @param announcementPeriodMs the time between two announcements, in milliseconds, positive.
      */
     public TargetRegistry(final Clock clock, final long announcementPeriodMs) {
         this.clock = Objects.requireNonNull(clock, "clock");
+        this.announcementPeriodMs = announcementPeriodMs;
         this.silenceTimeoutMs = announcementPeriodMs * MISSED_ANNOUNCEMENT_LIMIT;
     }
 
@@ -79,6 +88,9 @@
         if (isAddressHeldByLaterTarget(announcement)) {
             return Change.OUTDATED;
         }
+        if (tracked == null && mustHold(announcement, nowMs)) {
+            return Change.HELD;
+        }
         boolean restarted = tracked != null && tracked.announcement().startedAtMs() < announcement.startedAtMs();
         boolean leaving = announcement.leaving()
                 || tracked != null && !restarted && tracked.announcement().leaving();
@@ -90,6 +102,84 @@
         return changeFrom(tracked, restarted, leaving);
     }
 
+    /**
+     * Returns whether an announcement may be a late one of a target that has left. The first announcement of an
+     * incarnation and one that leaves are not held.
+     */
+    private boolean mustHold(final TargetAnnouncement announcement, final long nowMs) {
+        if (departuresKnown || announcement.leaving() || announcement.sequence() <= FIRST_SEQUENCE) {
+            return false;
+        }
+        TrackedTarget held = heldTargets.get(announcement.target());
+        if (held != null && held.announcement().startedAtMs() == announcement.startedAtMs()) {
+            boolean stillRuns = announcement.sequence() > held.announcement().sequence()
+                    && nowMs - held.announcedAtMs() >= announcementPeriodMs / 2;
+            if (stillRuns) {
+                heldTargets.remove(announcement.target());
+            }
+            return !stillRuns;
+        }
+        if (heldTargets.size() < MAXIMUM_TARGETS) {
+            heldTargets.put(announcement.target(), new TrackedTarget(announcement, nowMs));
+        }
+        return true;
+    }
+
+    /**
+     * Restores departures that an earlier process of this node has acknowledged.
+     *
+     * @param restored the departures, not null.
+     */
+    public synchronized void restoreDepartures(final Collection<TargetDeparture> restored) {
+        for (TargetDeparture departure : restored) {
+            TrackedTarget tracked = trackedTargets.get(departure.target());
+            if (departure.startedAtMs().isEmpty()) {
+                if (tracked == null) {
+                    recordUnknownTargetDeparture(departure.target());
+                }
+                continue;
+            }
+            long startedAtMs = departure.startedAtMs().getAsLong();
+            Departure known = departures.get(departure.target());
+            boolean isLatest = known == null || known.startedAtMs() < startedAtMs;
+            boolean hasRestarted = tracked != null && tracked.announcement().startedAtMs() > startedAtMs;
+            if (isLatest && !hasRestarted) {
+                removeDeparted(departure.target(), startedAtMs);
+            }
+        }
+    }
+
+    /** Records that all departures of earlier processes have been restored; the held targets join unless they left. */
+    public synchronized void completeDepartures() {
+        departuresKnown = true;
+        List<TrackedTarget> held = List.copyOf(heldTargets.values());
+        heldTargets.clear();
+        held.forEach(target -> announce(target.announcement()));
+    }
+
+    /**
+     * Returns the departure of a target.
+     *
+     * @param target the identity, not null.
+     * @return the departure, or empty if the target accepts requests or is not known.
+     */
+    public synchronized Optional<TargetDeparture> departureOf(final String target) {
+        TrackedTarget tracked = trackedTargets.get(target);
+        if (tracked != null) {
+            return tracked.announcement().leaving()
+                    ? Optional.of(new TargetDeparture(
+                            target, OptionalLong.of(tracked.announcement().startedAtMs())))
+                    : Optional.empty();
+        }
+        Departure departure = departures.get(target);
+        if (departure != null) {
+            return Optional.of(new TargetDeparture(target, OptionalLong.of(departure.startedAtMs())));
+        }
+        return unknownTargetDeparturesMs.containsKey(target)
+                ? Optional.of(new TargetDeparture(target, OptionalLong.empty()))
+                : Optional.empty();
+    }
+
     private static Change changeFrom(final TrackedTarget tracked, final boolean restarted, final boolean leaving) {
         if (tracked == null || restarted) {
             return leaving ? Change.LEAVING : Change.JOINED;
@@ -219,6 +309,8 @@
         JOINED,
         /** A tracked target has announced itself again. */
         REFRESHED,
+        /** The target is not known and may have left; its next announcement shows that it still runs. */
+        HELD,
         /** A target has started to leave and accepts no new requests. */
         LEAVING,
         /** The announcement was late, or the registry was full, and no target was added or updated. */
--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/target/TargetRegistryTest.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/target/TargetRegistryTest.java
@@ -5,6 +5,7 @@
 
 import java.util.List;
 import java.util.OptionalLong;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.sequoiashunt.peer.NodeAddress;
 import org.sequoiashunt.target.TargetRegistry.Change;
@@ -17,6 +18,11 @@
     private final SteppedClock clock = SteppedClock.of(0);
     private final TargetRegistry registry = new TargetRegistry(clock, PERIOD_MS);
 
+    @BeforeEach
+    void restoreNoDepartures() {
+        registry.completeDepartures();
+    }
+
     private static TargetAnnouncement announcement(
             final String target, final long startedAtMs, final long sequence, final boolean leaving) {
         return new TargetAnnouncement(
@@ -116,4 +122,45 @@
         registry.announce(announcement("a", 1, 2, false));
         assertEquals(List.of("a"), accepting());
     }
+
+    /** Guards against a target that left before a restart of its node and is used again after a late announcement. */
+    @Test
+    void lateAnnouncementDoesNotRestoreTargetThatLeftBeforeTheRestart() {
+        registry.announce(announcement("a", 7, 15, true));
+        TargetRegistry restarted = new TargetRegistry(clock, PERIOD_MS);
+        restarted.restoreDepartures(List.of(registry.departureOf("a").orElseThrow()));
+        restarted.completeDepartures();
+        assertEquals(Change.OUTDATED, restarted.announce(announcement("a", 7, 14, false)));
+        assertEquals(Change.JOINED, restarted.announce(announcement("a", 8, 1, false)), "a later incarnation");
+        restarted.restoreDepartures(List.of(new TargetDeparture("a", OptionalLong.of(7))));
+        assertEquals(1, restarted.acceptingTargets().size(), "the departure of the earlier one came late");
+    }
+
+    /** Guards against the same while nothing tells which targets left: a single announcement may be a late one. */
+    @Test
+    void targetIsHeldUntilItsSecondAnnouncementWhileDeparturesAreUnknown() {
+        TargetRegistry restarted = new TargetRegistry(clock, PERIOD_MS);
+        assertEquals(Change.HELD, restarted.announce(announcement("a", 7, 14, false)));
+        clock.advance(20);
+        assertEquals(Change.HELD, restarted.announce(announcement("a", 7, 15, false)), "late ones come together");
+        assertEquals(0, restarted.acceptingTargets().size());
+        clock.advance(PERIOD_MS);
+        assertEquals(Change.JOINED, restarted.announce(announcement("a", 7, 16, false)));
+        assertEquals(Change.JOINED, restarted.announce(announcement("b", 9, 1, false)), "a new incarnation");
+    }
+
+    @Test
+    void heldTargetsJoinOnceDeparturesAreRestoredUnlessTheyLeft() {
+        TargetRegistry restarted = new TargetRegistry(clock, PERIOD_MS);
+        restarted.announce(announcement("a", 7, 14, false));
+        restarted.announce(
+                new TargetAnnouncement("b", new NodeAddress("10.0.0.1", 81), "desk", "v1", 4, false, 7, 30, 0));
+        restarted.restoreDepartures(List.of(new TargetDeparture("a", OptionalLong.of(7))));
+        restarted.completeDepartures();
+        assertEquals(
+                List.of("b"),
+                restarted.acceptingTargets().stream()
+                        .map(TargetAnnouncement::target)
+                        .toList());
+    }
 }
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/FleetCodec.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/FleetCodec.java
@@ -2,10 +2,14 @@
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import org.sequoiashunt.call.Body;
 import org.sequoiashunt.fleet.ConfigurationCopy;
 import org.sequoiashunt.fleet.ConfigurationRequest;
+import org.sequoiashunt.fleet.DepartureNotice;
+import org.sequoiashunt.fleet.DepartureReceipt;
 import org.sequoiashunt.fleet.KnownNode;
 import org.sequoiashunt.fleet.MoveState;
 import org.sequoiashunt.fleet.NodeReport;
@@ -18,6 +22,7 @@
 import org.sequoiashunt.fleet.VersionVerdict;
 import org.sequoiashunt.link.wire.FleetProto;
 import org.sequoiashunt.peer.ControlMessage;
+import org.sequoiashunt.target.TargetDeparture;
 
 /**
  * Codec of node reports, batches of them, and requests for and copies of configuration documents. Stateless and
@@ -38,7 +43,9 @@
                 || message instanceof ConfigurationRequest
                 || message instanceof ConfigurationCopy
                 || message instanceof ReportBatch
-                || message instanceof ReportRequest;
+                || message instanceof ReportRequest
+                || message instanceof DepartureNotice
+                || message instanceof DepartureReceipt;
     }
 
     @Override
@@ -55,6 +62,15 @@
         } else if (message instanceof ReportRequest request) {
             builder.setReportRequest(
                     FleetProto.ReportRequest.newBuilder().setReplyTo(MemberCodec.encode(request.replyTo())));
+        } else if (message instanceof DepartureNotice notice) {
+            FleetProto.DepartureNotice.Builder encoded = FleetProto.DepartureNotice.newBuilder()
+                    .setNode(notice.node())
+                    .addAllDepartures(encodeDepartures(notice.departures()));
+            notice.replyTo().ifPresent(address -> encoded.setReplyTo(MemberCodec.encode(address)));
+            builder.setDepartureNotice(encoded);
+        } else if (message instanceof DepartureReceipt receipt) {
+            builder.setDepartureReceipt(
+                    FleetProto.DepartureReceipt.newBuilder().addAllDepartures(encodeDepartures(receipt.departures())));
         } else {
             ConfigurationCopy copy = (ConfigurationCopy) message;
             builder.setConfigurationCopy(FleetProto.ConfigurationCopy.newBuilder()
@@ -81,10 +97,42 @@
             case REPORT_BATCH -> decode(message.getReportBatch());
             case REPORT_REQUEST ->
                 new ReportRequest(MemberCodec.decode(message.getReportRequest().getReplyTo()));
+            case DEPARTURE_NOTICE ->
+                new DepartureNotice(
+                        message.getDepartureNotice().getNode(),
+                        decodeDepartures(message.getDepartureNotice().getDeparturesList()),
+                        message.getDepartureNotice().hasReplyTo()
+                                ? Optional.of(MemberCodec.decode(
+                                        message.getDepartureNotice().getReplyTo()))
+                                : Optional.empty());
+            case DEPARTURE_RECEIPT ->
+                new DepartureReceipt(
+                        decodeDepartures(message.getDepartureReceipt().getDeparturesList()));
             default -> throw new IllegalArgumentException("fleet payload has no message or one of an unknown type");
         };
     }
 
+    private static List<FleetProto.TargetDeparture> encodeDepartures(final List<TargetDeparture> departures) {
+        return departures.stream()
+                .map(departure -> {
+                    FleetProto.TargetDeparture.Builder encoded =
+                            FleetProto.TargetDeparture.newBuilder().setTarget(departure.target());
+                    departure.startedAtMs().ifPresent(encoded::setStartedAtMs);
+                    return encoded.build();
+                })
+                .toList();
+    }
+
+    private static List<TargetDeparture> decodeDepartures(final List<FleetProto.TargetDeparture> departures) {
+        return departures.stream()
+                .map(departure -> new TargetDeparture(
+                        departure.getTarget(),
+                        departure.hasStartedAtMs()
+                                ? OptionalLong.of(departure.getStartedAtMs())
+                                : OptionalLong.empty()))
+                .toList();
+    }
+
     private static ByteString encode(final ReportBatch batch) {
         FleetProto.RelayedReports.Builder builder = FleetProto.RelayedReports.newBuilder();
         batch.reports()
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/wire/FleetProto.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/wire/FleetProto.java
@@ -105,6 +105,36 @@
      */
     org.sequoiashunt.link.wire.FleetProto.ReportRequestOrBuilder getReportRequestOrBuilder();
 
+    /**
+     * <code>.sequoiashunt.link.DepartureNotice departure_notice = 6;</code>
+     * @return Whether the departureNotice field is set.
+     */
+    boolean hasDepartureNotice();
+    /**
+     * <code>.sequoiashunt.link.DepartureNotice departure_notice = 6;</code>
+     * @return The departureNotice.
+     */
+    org.sequoiashunt.link.wire.FleetProto.DepartureNotice getDepartureNotice();
+    /**
+     * <code>.sequoiashunt.link.DepartureNotice departure_notice = 6;</code>
+     */
+    org.sequoiashunt.link.wire.FleetProto.DepartureNoticeOrBuilder getDepartureNoticeOrBuilder();
+
+    /**
+     * <code>.sequoiashunt.link.DepartureReceipt departure_receipt = 7;</code>
+     * @return Whether the departureReceipt field is set.
+     */
+    boolean hasDepartureReceipt();
+    /**
+     * <code>.sequoiashunt.link.DepartureReceipt departure_receipt = 7;</code>
+     * @return The departureReceipt.
+     */
+    org.sequoiashunt.link.wire.FleetProto.DepartureReceipt getDepartureReceipt();
+    /**
+     * <code>.sequoiashunt.link.DepartureReceipt departure_receipt = 7;</code>
+     */
+    org.sequoiashunt.link.wire.FleetProto.DepartureReceiptOrBuilder getDepartureReceiptOrBuilder();
+
     org.sequoiashunt.link.wire.FleetProto.Fleet.ContentCase getContentCase();
   }
   /**
@@ -160,6 +190,8 @@
       CONFIGURATION_COPY(3),
       REPORT_BATCH(4),
       REPORT_REQUEST(5),
+      DEPARTURE_NOTICE(6),
+      DEPARTURE_RECEIPT(7),
       CONTENT_NOT_SET(0);
       private final int value;
       private ContentCase(int value) {
@@ -182,6 +214,8 @@
           case 3: return CONFIGURATION_COPY;
           case 4: return REPORT_BATCH;
           case 5: return REPORT_REQUEST;
+          case 6: return DEPARTURE_NOTICE;
+          case 7: return DEPARTURE_RECEIPT;
           case 0: return CONTENT_NOT_SET;
           default: return null;
         }
@@ -352,6 +386,68 @@
       return org.sequoiashunt.link.wire.FleetProto.ReportRequest.getDefaultInstance();
     }
 
+    public static final int DEPARTURE_NOTICE_FIELD_NUMBER = 6;
+    /**
+     * <code>.sequoiashunt.link.DepartureNotice departure_notice = 6;</code>
+     * @return Whether the departureNotice field is set.
+     */
+    @java.lang.Override
+    public boolean hasDepartureNotice() {
+      return contentCase_ == 6;
+    }
+    /**
+     * <code>.sequoiashunt.link.DepartureNotice departure_notice = 6;</code>
+     * @return The departureNotice.
+     */
+    @java.lang.Override
+    public org.sequoiashunt.link.wire.FleetProto.DepartureNotice getDepartureNotice() {
+      if (contentCase_ == 6) {
+         return (org.sequoiashunt.link.wire.FleetProto.DepartureNotice) content_;
+      }
+      return org.sequoiashunt.link.wire.FleetProto.DepartureNotice.getDefaultInstance();
+    }
+    /**
+     * <code>.sequoiashunt.link.DepartureNotice departure_notice = 6;</code>
+     */
+    @java.lang.Override
+    public org.sequoiashunt.link.wire.FleetProto.DepartureNoticeOrBuilder getDepartureNoticeOrBuilder() {
+      if (contentCase_ == 6) {
+         return (org.sequoiashunt.link.wire.FleetProto.DepartureNotice) content_;
+      }
+      return org.sequoiashunt.link.wire.FleetProto.DepartureNotice.getDefaultInstance();
+    }
+
+    public static final int DEPARTURE_RECEIPT_FIELD_NUMBER = 7;
+    /**
+     * <code>.sequoiashunt.link.DepartureReceipt departure_receipt = 7;</code>
+     * @return Whether the departureReceipt field is set.
+     */
+    @java.lang.Override
+    public boolean hasDepartureReceipt() {
+      return contentCase_ == 7;
+    }
+    /**
+     * <code>.sequoiashunt.link.DepartureReceipt departure_receipt = 7;</code>
+     * @return The departureReceipt.
+     */
+    @java.lang.Override
+    public org.sequoiashunt.link.wire.FleetProto.DepartureReceipt getDepartureReceipt() {
+      if (contentCase_ == 7) {
+         return (org.sequoiashunt.link.wire.FleetProto.DepartureReceipt) content_;
+      }
+      return org.sequoiashunt.link.wire.FleetProto.DepartureReceipt.getDefaultInstance();
+    }
+    /**
+     * <code>.sequoiashunt.link.DepartureReceipt departure_receipt = 7;</code>
+     */
+    @java.lang.Override
+    public org.sequoiashunt.link.wire.FleetProto.DepartureReceiptOrBuilder getDepartureReceiptOrBuilder() {
+      if (contentCase_ == 7) {
+         return (org.sequoiashunt.link.wire.FleetProto.DepartureReceipt) content_;
+      }
+      return org.sequoiashunt.link.wire.FleetProto.DepartureReceipt.getDefaultInstance();
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -381,6 +477,12 @@
       if (contentCase_ == 5) {
         output.writeMessage(5, (org.sequoiashunt.link.wire.FleetProto.ReportRequest) content_);
       }
+      if (contentCase_ == 6) {
+        output.writeMessage(6, (org.sequoiashunt.link.wire.FleetProto.DepartureNotice) content_);
+      }
+      if (contentCase_ == 7) {
+        output.writeMessage(7, (org.sequoiashunt.link.wire.FleetProto.DepartureReceipt) content_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -405,6 +507,14 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(5, (org.sequoiashunt.link.wire.FleetProto.ReportRequest) content_);
       }
+      if (contentCase_ == 6) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(6, (org.sequoiashunt.link.wire.FleetProto.DepartureNotice) content_);
+      }
+      if (contentCase_ == 7) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(7, (org.sequoiashunt.link.wire.FleetProto.DepartureReceipt) content_);
+      }
       return size;
     }
     @java.lang.Override
@@ -451,6 +561,14 @@
           if (!getReportRequest()
               .equals(other.getReportRequest())) return false;
           break;
+        case 6:
+          if (!getDepartureNotice()
+              .equals(other.getDepartureNotice())) return false;
+          break;
+        case 7:
+          if (!getDepartureReceipt()
+              .equals(other.getDepartureReceipt())) return false;
+          break;
         case 0:
         default:
       }
@@ -486,6 +604,14 @@
           hash = (37 * hash) + REPORT_REQUEST_FIELD_NUMBER;
           hash = (53 * hash) + getReportRequest().hashCode();
           break;
+        case 6:
+          hash = (37 * hash) + DEPARTURE_NOTICE_FIELD_NUMBER;
+          hash = (53 * hash) + getDepartureNotice().hashCode();
+          break;
+        case 7:
+          hash = (37 * hash) + DEPARTURE_RECEIPT_FIELD_NUMBER;
+          hash = (53 * hash) + getDepartureReceipt().hashCode();
+          break;
         case 0:
         default:
       }
@@ -635,6 +761,12 @@
         if (reportRequestBuilder_ != null) {
           reportRequestBuilder_.clear();
         }
+        if (departureNoticeBuilder_ != null) {
+          departureNoticeBuilder_.clear();
+        }
+        if (departureReceiptBuilder_ != null) {
+          departureReceiptBuilder_.clear();
+        }
         contentCase_ = 0;
         content_ = null;
         return this;
@@ -696,6 +828,14 @@
             reportRequestBuilder_ != null) {
           result.content_ = reportRequestBuilder_.build();
         }
+        if (contentCase_ == 6 &&
+            departureNoticeBuilder_ != null) {
+          result.content_ = departureNoticeBuilder_.build();
+        }
+        if (contentCase_ == 7 &&
+            departureReceiptBuilder_ != null) {
+          result.content_ = departureReceiptBuilder_.build();
+        }
       }
 
       @java.lang.Override
@@ -731,6 +871,14 @@
             mergeReportRequest(other.getReportRequest());
             break;
           }
+          case DEPARTURE_NOTICE: {
+            mergeDepartureNotice(other.getDepartureNotice());
+            break;
+          }
+          case DEPARTURE_RECEIPT: {
+            mergeDepartureReceipt(other.getDepartureReceipt());
+            break;
+          }
           case CONTENT_NOT_SET: {
             break;
           }
@@ -794,6 +942,20 @@
                 contentCase_ = 5;
                 break;
               } // case 42
+              case 50: {
+                input.readMessage(
+                    internalGetDepartureNoticeFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                contentCase_ = 6;
+                break;
+              } // case 50
+              case 58: {
+                input.readMessage(
+                    internalGetDepartureReceiptFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                contentCase_ = 7;
+                break;
+              } // case 58
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -1526,6 +1688,286 @@
         return reportRequestBuilder_;
       }
 
+      private com.google.protobuf.SingleFieldBuilder<
+          org.sequoiashunt.link.wire.FleetProto.DepartureNotice, org.sequoiashunt.link.wire.FleetProto.DepartureNotice.Builder, org.sequoiashunt.link.wire.FleetProto.DepartureNoticeOrBuilder> departureNoticeBuilder_;
+      /**
+       * <code>.sequoiashunt.link.DepartureNotice departure_notice = 6;</code>
+       * @return Whether the departureNotice field is set.
+       */
+      @java.lang.Override
+      public boolean hasDepartureNotice() {
+        return contentCase_ == 6;
+      }
+      /**
+       * <code>.sequoiashunt.link.DepartureNotice departure_notice = 6;</code>
+       * @return The departureNotice.
+       */
+      @java.lang.Override
+      public org.sequoiashunt.link.wire.FleetProto.DepartureNotice getDepartureNotice() {
+        if (departureNoticeBuilder_ == null) {
+          if (contentCase_ == 6) {
+            return (org.sequoiashunt.link.wire.FleetProto.DepartureNotice) content_;
+          }
+          return org.sequoiashunt.link.wire.FleetProto.DepartureNotice.getDefaultInstance();
+        } else {
+          if (contentCase_ == 6) {
+            return departureNoticeBuilder_.getMessage();
+          }
+          return org.sequoiashunt.link.wire.FleetProto.DepartureNotice.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.sequoiashunt.link.DepartureNotice departure_notice = 6;</code>
+       */
+      public Builder setDepartureNotice(org.sequoiashunt.link.wire.FleetProto.DepartureNotice value) {
+        if (departureNoticeBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          content_ = value;
+          onChanged();
+        } else {
+          departureNoticeBuilder_.setMessage(value);
+        }
+        contentCase_ = 6;
+        return this;
+      }
+      /**
+       * <code>.sequoiashunt.link.DepartureNotice departure_notice = 6;</code>
+       */
+      public Builder setDepartureNotice(
+          org.sequoiashunt.link.wire.FleetProto.DepartureNotice.Builder builderForValue) {
+        if (departureNoticeBuilder_ == null) {
+          content_ = builderForValue.build();
+          onChanged();
+        } else {
+          departureNoticeBuilder_.setMessage(builderForValue.build());
+        }
+        contentCase_ = 6;
+        return this;
+      }
+      /**
+       * <code>.sequoiashunt.link.DepartureNotice departure_notice = 6;</code>
+       */
+      public Builder mergeDepartureNotice(org.sequoiashunt.link.wire.FleetProto.DepartureNotice value) {
+        if (departureNoticeBuilder_ == null) {
+          if (contentCase_ == 6 &&
+              content_ != org.sequoiashunt.link.wire.FleetProto.DepartureNotice.getDefaultInstance()) {
+            content_ = org.sequoiashunt.link.wire.FleetProto.DepartureNotice.newBuilder((org.sequoiashunt.link.wire.FleetProto.DepartureNotice) content_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            content_ = value;
+          }
+          onChanged();
+        } else {
+          if (contentCase_ == 6) {
+            departureNoticeBuilder_.mergeFrom(value);
+          } else {
+            departureNoticeBuilder_.setMessage(value);
+          }
+        }
+        contentCase_ = 6;
+        return this;
+      }
+      /**
+       * <code>.sequoiashunt.link.DepartureNotice departure_notice = 6;</code>
+       */
+      public Builder clearDepartureNotice() {
+        if (departureNoticeBuilder_ == null) {
+          if (contentCase_ == 6) {
+            contentCase_ = 0;
+            content_ = null;
+            onChanged();
+          }
+        } else {
+          if (contentCase_ == 6) {
+            contentCase_ = 0;
+            content_ = null;
+          }
+          departureNoticeBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.sequoiashunt.link.DepartureNotice departure_notice = 6;</code>
+       */
+      public org.sequoiashunt.link.wire.FleetProto.DepartureNotice.Builder getDepartureNoticeBuilder() {
+        return internalGetDepartureNoticeFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.sequoiashunt.link.DepartureNotice departure_notice = 6;</code>
+       */
+      @java.lang.Override
+      public org.sequoiashunt.link.wire.FleetProto.DepartureNoticeOrBuilder getDepartureNoticeOrBuilder() {
+        if ((contentCase_ == 6) && (departureNoticeBuilder_ != null)) {
+          return departureNoticeBuilder_.getMessageOrBuilder();
+        } else {
+          if (contentCase_ == 6) {
+            return (org.sequoiashunt.link.wire.FleetProto.DepartureNotice) content_;
+          }
+          return org.sequoiashunt.link.wire.FleetProto.DepartureNotice.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.sequoiashunt.link.DepartureNotice departure_notice = 6;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.sequoiashunt.link.wire.FleetProto.DepartureNotice, org.sequoiashunt.link.wire.FleetProto.DepartureNotice.Builder, org.sequoiashunt.link.wire.FleetProto.DepartureNoticeOrBuilder> 
+          internalGetDepartureNoticeFieldBuilder() {
+        if (departureNoticeBuilder_ == null) {
+          if (!(contentCase_ == 6)) {
+            content_ = org.sequoiashunt.link.wire.FleetProto.DepartureNotice.getDefaultInstance();
+          }
+          departureNoticeBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.sequoiashunt.link.wire.FleetProto.DepartureNotice, org.sequoiashunt.link.wire.FleetProto.DepartureNotice.Builder, org.sequoiashunt.link.wire.FleetProto.DepartureNoticeOrBuilder>(
+                  (org.sequoiashunt.link.wire.FleetProto.DepartureNotice) content_,
+                  getParentForChildren(),
+                  isClean());
+          content_ = null;
+        }
+        contentCase_ = 6;
+        onChanged();
+        return departureNoticeBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          org.sequoiashunt.link.wire.FleetProto.DepartureReceipt, org.sequoiashunt.link.wire.FleetProto.DepartureReceipt.Builder, org.sequoiashunt.link.wire.FleetProto.DepartureReceiptOrBuilder> departureReceiptBuilder_;
+      /**
+       * <code>.sequoiashunt.link.DepartureReceipt departure_receipt = 7;</code>
+       * @return Whether the departureReceipt field is set.
+       */
+      @java.lang.Override
+      public boolean hasDepartureReceipt() {
+        return contentCase_ == 7;
+      }
+      /**
+       * <code>.sequoiashunt.link.DepartureReceipt departure_receipt = 7;</code>
+       * @return The departureReceipt.
+       */
+      @java.lang.Override
+      public org.sequoiashunt.link.wire.FleetProto.DepartureReceipt getDepartureReceipt() {
+        if (departureReceiptBuilder_ == null) {
+          if (contentCase_ == 7) {
+            return (org.sequoiashunt.link.wire.FleetProto.DepartureReceipt) content_;
+          }
+          return org.sequoiashunt.link.wire.FleetProto.DepartureReceipt.getDefaultInstance();
+        } else {
+          if (contentCase_ == 7) {
+            return departureReceiptBuilder_.getMessage();
+          }
+          return org.sequoiashunt.link.wire.FleetProto.DepartureReceipt.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.sequoiashunt.link.DepartureReceipt departure_receipt = 7;</code>
+       */
+      public Builder setDepartureReceipt(org.sequoiashunt.link.wire.FleetProto.DepartureReceipt value) {
+        if (departureReceiptBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          content_ = value;
+          onChanged();
+        } else {
+          departureReceiptBuilder_.setMessage(value);
+        }
+        contentCase_ = 7;
+        return this;
+      }
+      /**
+       * <code>.sequoiashunt.link.DepartureReceipt departure_receipt = 7;</code>
+       */
+      public Builder setDepartureReceipt(
+          org.sequoiashunt.link.wire.FleetProto.DepartureReceipt.Builder builderForValue) {
+        if (departureReceiptBuilder_ == null) {
+          content_ = builderForValue.build();
+          onChanged();
+        } else {
+          departureReceiptBuilder_.setMessage(builderForValue.build());
+        }
+        contentCase_ = 7;
+        return this;
+      }
+      /**
+       * <code>.sequoiashunt.link.DepartureReceipt departure_receipt = 7;</code>
+       */
+      public Builder mergeDepartureReceipt(org.sequoiashunt.link.wire.FleetProto.DepartureReceipt value) {
+        if (departureReceiptBuilder_ == null) {
+          if (contentCase_ == 7 &&
+              content_ != org.sequoiashunt.link.wire.FleetProto.DepartureReceipt.getDefaultInstance()) {
+            content_ = org.sequoiashunt.link.wire.FleetProto.DepartureReceipt.newBuilder((org.sequoiashunt.link.wire.FleetProto.DepartureReceipt) content_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            content_ = value;
+          }
+          onChanged();
+        } else {
+          if (contentCase_ == 7) {
+            departureReceiptBuilder_.mergeFrom(value);
+          } else {
+            departureReceiptBuilder_.setMessage(value);
+          }
+        }
+        contentCase_ = 7;
+        return this;
+      }
+      /**
+       * <code>.sequoiashunt.link.DepartureReceipt departure_receipt = 7;</code>
+       */
+      public Builder clearDepartureReceipt() {
+        if (departureReceiptBuilder_ == null) {
+          if (contentCase_ == 7) {
+            contentCase_ = 0;
+            content_ = null;
+            onChanged();
+          }
+        } else {
+          if (contentCase_ == 7) {
+            contentCase_ = 0;
+            content_ = null;
+          }
+          departureReceiptBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.sequoiashunt.link.DepartureReceipt departure_receipt = 7;</code>
+       */
+      public org.sequoiashunt.link.wire.FleetProto.DepartureReceipt.Builder getDepartureReceiptBuilder() {
+        return internalGetDepartureReceiptFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.sequoiashunt.link.DepartureReceipt departure_receipt = 7;</code>
+       */
+      @java.lang.Override
+      public org.sequoiashunt.link.wire.FleetProto.DepartureReceiptOrBuilder getDepartureReceiptOrBuilder() {
+        if ((contentCase_ == 7) && (departureReceiptBuilder_ != null)) {
+          return departureReceiptBuilder_.getMessageOrBuilder();
+        } else {
+          if (contentCase_ == 7) {
+            return (org.sequoiashunt.link.wire.FleetProto.DepartureReceipt) content_;
+          }
+          return org.sequoiashunt.link.wire.FleetProto.DepartureReceipt.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.sequoiashunt.link.DepartureReceipt departure_receipt = 7;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.sequoiashunt.link.wire.FleetProto.DepartureReceipt, org.sequoiashunt.link.wire.FleetProto.DepartureReceipt.Builder, org.sequoiashunt.link.wire.FleetProto.DepartureReceiptOrBuilder> 
+          internalGetDepartureReceiptFieldBuilder() {
+        if (departureReceiptBuilder_ == null) {
+          if (!(contentCase_ == 7)) {
+            content_ = org.sequoiashunt.link.wire.FleetProto.DepartureReceipt.getDefaultInstance();
+          }
+          departureReceiptBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.sequoiashunt.link.wire.FleetProto.DepartureReceipt, org.sequoiashunt.link.wire.FleetProto.DepartureReceipt.Builder, org.sequoiashunt.link.wire.FleetProto.DepartureReceiptOrBuilder>(
+                  (org.sequoiashunt.link.wire.FleetProto.DepartureReceipt) content_,
+                  getParentForChildren(),
+                  isClean());
+          content_ = null;
+        }
+        contentCase_ = 7;
+        onChanged();
+        return departureReceiptBuilder_;
+      }
+
       // @@protoc_insertion_point(builder_scope:sequoiashunt.link.Fleet)
     }
 
@@ -13436,33 +13878,2608 @@
 
   }
 
-  public interface ConfigurationRequestOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:sequoiashunt.link.ConfigurationRequest)
+  public interface TargetDepartureOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:sequoiashunt.link.TargetDeparture)
       com.google.protobuf.MessageOrBuilder {
 
     /**
-     * <code>.sequoiashunt.link.NodeAddress reply_to = 1;</code>
-     * @return Whether the replyTo field is set.
+     * <code>string target = 1;</code>
+     * @return The target.
      */
-    boolean hasReplyTo();
+    java.lang.String getTarget();
     /**
-     * <code>.sequoiashunt.link.NodeAddress reply_to = 1;</code>
-     * @return The replyTo.
+     * <code>string target = 1;</code>
+     * @return The bytes for target.
      */
-    org.sequoiashunt.link.wire.EntryProto.NodeAddress getReplyTo();
+    com.google.protobuf.ByteString
+        getTargetBytes();
+
     /**
-     * <code>.sequoiashunt.link.NodeAddress reply_to = 1;</code>
+     * <pre>
+     * Absent if the incarnation is not known.
+     * </pre>
+     *
+     * <code>optional int64 started_at_ms = 2;</code>
+     * @return Whether the startedAtMs field is set.
      */
-    org.sequoiashunt.link.wire.EntryProto.NodeAddressOrBuilder getReplyToOrBuilder();
-
+    boolean hasStartedAtMs();
     /**
-     * <code>uint64 known_version = 2;</code>
-     * @return The knownVersion.
+     * <pre>
+     * Absent if the incarnation is not known.
+     * </pre>
+     *
+     * <code>optional int64 started_at_ms = 2;</code>
+     * @return The startedAtMs.
      */
-    long getKnownVersion();
+    long getStartedAtMs();
   }
   /**
-   * Protobuf type {@code sequoiashunt.link.ConfigurationRequest}
+   * <pre>
+   * Departure of an incarnation of a target.
+   * </pre>
+   *
+   * Protobuf type {@code sequoiashunt.link.TargetDeparture}
+   */
+  public static final class TargetDeparture extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:sequoiashunt.link.TargetDeparture)
+      TargetDepartureOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 1,
+        /* suffix= */ "",
+        "TargetDeparture");
+    }
+    // Use TargetDeparture.newBuilder() to construct.
+    private TargetDeparture(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private TargetDeparture() {
+      target_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_TargetDeparture_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_TargetDeparture_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_TargetDeparture_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.sequoiashunt.link.wire.FleetProto.TargetDeparture.class, org.sequoiashunt.link.wire.FleetProto.TargetDeparture.Builder.class);
+    }
+
+    private int bitField0_;
+    public static final int TARGET_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object target_ = "";
+    /**
+     * <code>string target = 1;</code>
+     * @return The target.
+     */
+    @java.lang.Override
+    public java.lang.String getTarget() {
+      java.lang.Object ref = target_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        target_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string target = 1;</code>
+     * @return The bytes for target.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getTargetBytes() {
+      java.lang.Object ref = target_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        target_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int STARTED_AT_MS_FIELD_NUMBER = 2;
+    private long startedAtMs_ = 0L;
+    /**
+     * <pre>
+     * Absent if the incarnation is not known.
+     * </pre>
+     *
+     * <code>optional int64 started_at_ms = 2;</code>
+     * @return Whether the startedAtMs field is set.
+     */
+    @java.lang.Override
+    public boolean hasStartedAtMs() {
+      return ((bitField0_ & 0x00000001) != 0);
+    }
+    /**
+     * <pre>
+     * Absent if the incarnation is not known.
+     * </pre>
+     *
+     * <code>optional int64 started_at_ms = 2;</code>
+     * @return The startedAtMs.
+     */
+    @java.lang.Override
+    public long getStartedAtMs() {
+      return startedAtMs_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(target_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, target_);
+      }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        output.writeInt64(2, startedAtMs_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(target_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, target_);
+      }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(2, startedAtMs_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.sequoiashunt.link.wire.FleetProto.TargetDeparture)) {
+        return super.equals(obj);
+      }
+      org.sequoiashunt.link.wire.FleetProto.TargetDeparture other = (org.sequoiashunt.link.wire.FleetProto.TargetDeparture) obj;
+
+      if (!getTarget()
+          .equals(other.getTarget())) return false;
+      if (hasStartedAtMs() != other.hasStartedAtMs()) return false;
+      if (hasStartedAtMs()) {
+        if (getStartedAtMs()
+            != other.getStartedAtMs()) return false;
+      }
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + TARGET_FIELD_NUMBER;
+      hash = (53 * hash) + getTarget().hashCode();
+      if (hasStartedAtMs()) {
+        hash = (37 * hash) + STARTED_AT_MS_FIELD_NUMBER;
+        hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+            getStartedAtMs());
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.sequoiashunt.link.wire.FleetProto.TargetDeparture parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.TargetDeparture parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.TargetDeparture parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.TargetDeparture parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.TargetDeparture parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.TargetDeparture parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.TargetDeparture parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.TargetDeparture parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.sequoiashunt.link.wire.FleetProto.TargetDeparture parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.sequoiashunt.link.wire.FleetProto.TargetDeparture parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.TargetDeparture parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.TargetDeparture parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.sequoiashunt.link.wire.FleetProto.TargetDeparture prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * Departure of an incarnation of a target.
+     * </pre>
+     *
+     * Protobuf type {@code sequoiashunt.link.TargetDeparture}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:sequoiashunt.link.TargetDeparture)
+        org.sequoiashunt.link.wire.FleetProto.TargetDepartureOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_TargetDeparture_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_TargetDeparture_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.sequoiashunt.link.wire.FleetProto.TargetDeparture.class, org.sequoiashunt.link.wire.FleetProto.TargetDeparture.Builder.class);
+      }
+
+      // Construct using org.sequoiashunt.link.wire.FleetProto.TargetDeparture.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        target_ = "";
+        startedAtMs_ = 0L;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_TargetDeparture_descriptor;
+      }
+
+      @java.lang.Override
+      public org.sequoiashunt.link.wire.FleetProto.TargetDeparture getDefaultInstanceForType() {
+        return org.sequoiashunt.link.wire.FleetProto.TargetDeparture.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.sequoiashunt.link.wire.FleetProto.TargetDeparture build() {
+        org.sequoiashunt.link.wire.FleetProto.TargetDeparture result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.sequoiashunt.link.wire.FleetProto.TargetDeparture buildPartial() {
+        org.sequoiashunt.link.wire.FleetProto.TargetDeparture result = new org.sequoiashunt.link.wire.FleetProto.TargetDeparture(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.sequoiashunt.link.wire.FleetProto.TargetDeparture result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.target_ = target_;
+        }
+        int to_bitField0_ = 0;
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.startedAtMs_ = startedAtMs_;
+          to_bitField0_ |= 0x00000001;
+        }
+        result.bitField0_ |= to_bitField0_;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.sequoiashunt.link.wire.FleetProto.TargetDeparture) {
+          return mergeFrom((org.sequoiashunt.link.wire.FleetProto.TargetDeparture)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.sequoiashunt.link.wire.FleetProto.TargetDeparture other) {
+        if (other == org.sequoiashunt.link.wire.FleetProto.TargetDeparture.getDefaultInstance()) return this;
+        if (!other.getTarget().isEmpty()) {
+          target_ = other.target_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.hasStartedAtMs()) {
+          setStartedAtMs(other.getStartedAtMs());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                target_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                startedAtMs_ = input.readInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object target_ = "";
+      /**
+       * <code>string target = 1;</code>
+       * @return The target.
+       */
+      public java.lang.String getTarget() {
+        java.lang.Object ref = target_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          target_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string target = 1;</code>
+       * @return The bytes for target.
+       */
+      public com.google.protobuf.ByteString
+          getTargetBytes() {
+        java.lang.Object ref = target_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          target_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string target = 1;</code>
+       * @param value The target to set.
+       * @return This builder for chaining.
+       */
+      public Builder setTarget(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        target_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string target = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearTarget() {
+        target_ = getDefaultInstance().getTarget();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string target = 1;</code>
+       * @param value The bytes for target to set.
+       * @return This builder for chaining.
+       */
+      public Builder setTargetBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        target_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private long startedAtMs_ ;
+      /**
+       * <pre>
+       * Absent if the incarnation is not known.
+       * </pre>
+       *
+       * <code>optional int64 started_at_ms = 2;</code>
+       * @return Whether the startedAtMs field is set.
+       */
+      @java.lang.Override
+      public boolean hasStartedAtMs() {
+        return ((bitField0_ & 0x00000002) != 0);
+      }
+      /**
+       * <pre>
+       * Absent if the incarnation is not known.
+       * </pre>
+       *
+       * <code>optional int64 started_at_ms = 2;</code>
+       * @return The startedAtMs.
+       */
+      @java.lang.Override
+      public long getStartedAtMs() {
+        return startedAtMs_;
+      }
+      /**
+       * <pre>
+       * Absent if the incarnation is not known.
+       * </pre>
+       *
+       * <code>optional int64 started_at_ms = 2;</code>
+       * @param value The startedAtMs to set.
+       * @return This builder for chaining.
+       */
+      public Builder setStartedAtMs(long value) {
+
+        startedAtMs_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Absent if the incarnation is not known.
+       * </pre>
+       *
+       * <code>optional int64 started_at_ms = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearStartedAtMs() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        startedAtMs_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:sequoiashunt.link.TargetDeparture)
+    }
+
+    // @@protoc_insertion_point(class_scope:sequoiashunt.link.TargetDeparture)
+    private static final org.sequoiashunt.link.wire.FleetProto.TargetDeparture DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.sequoiashunt.link.wire.FleetProto.TargetDeparture();
+    }
+
+    public static org.sequoiashunt.link.wire.FleetProto.TargetDeparture getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<TargetDeparture>
+        PARSER = new com.google.protobuf.AbstractParser<TargetDeparture>() {
+      @java.lang.Override
+      public TargetDeparture parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<TargetDeparture> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<TargetDeparture> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.sequoiashunt.link.wire.FleetProto.TargetDeparture getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface DepartureNoticeOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:sequoiashunt.link.DepartureNotice)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string node = 1;</code>
+     * @return The node.
+     */
+    java.lang.String getNode();
+    /**
+     * <code>string node = 1;</code>
+     * @return The bytes for node.
+     */
+    com.google.protobuf.ByteString
+        getNodeBytes();
+
+    /**
+     * <code>repeated .sequoiashunt.link.TargetDeparture departures = 2;</code>
+     */
+    java.util.List<org.sequoiashunt.link.wire.FleetProto.TargetDeparture> 
+        getDeparturesList();
+    /**
+     * <code>repeated .sequoiashunt.link.TargetDeparture departures = 2;</code>
+     */
+    org.sequoiashunt.link.wire.FleetProto.TargetDeparture getDepartures(int index);
+    /**
+     * <code>repeated .sequoiashunt.link.TargetDeparture departures = 2;</code>
+     */
+    int getDeparturesCount();
+    /**
+     * <code>repeated .sequoiashunt.link.TargetDeparture departures = 2;</code>
+     */
+    java.util.List<? extends org.sequoiashunt.link.wire.FleetProto.TargetDepartureOrBuilder> 
+        getDeparturesOrBuilderList();
+    /**
+     * <code>repeated .sequoiashunt.link.TargetDeparture departures = 2;</code>
+     */
+    org.sequoiashunt.link.wire.FleetProto.TargetDepartureOrBuilder getDeparturesOrBuilder(
+        int index);
+
+    /**
+     * <pre>
+     * Absent if no receipt is needed.
+     * </pre>
+     *
+     * <code>optional .sequoiashunt.link.NodeAddress reply_to = 3;</code>
+     * @return Whether the replyTo field is set.
+     */
+    boolean hasReplyTo();
+    /**
+     * <pre>
+     * Absent if no receipt is needed.
+     * </pre>
+     *
+     * <code>optional .sequoiashunt.link.NodeAddress reply_to = 3;</code>
+     * @return The replyTo.
+     */
+    org.sequoiashunt.link.wire.EntryProto.NodeAddress getReplyTo();
+    /**
+     * <pre>
+     * Absent if no receipt is needed.
+     * </pre>
+     *
+     * <code>optional .sequoiashunt.link.NodeAddress reply_to = 3;</code>
+     */
+    org.sequoiashunt.link.wire.EntryProto.NodeAddressOrBuilder getReplyToOrBuilder();
+  }
+  /**
+   * <pre>
+   * Departures of a node's targets, kept by peers for the node's next process.
+   * </pre>
+   *
+   * Protobuf type {@code sequoiashunt.link.DepartureNotice}
+   */
+  public static final class DepartureNotice extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:sequoiashunt.link.DepartureNotice)
+      DepartureNoticeOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 1,
+        /* suffix= */ "",
+        "DepartureNotice");
+    }
+    // Use DepartureNotice.newBuilder() to construct.
+    private DepartureNotice(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private DepartureNotice() {
+      node_ = "";
+      departures_ = java.util.Collections.emptyList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_DepartureNotice_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_DepartureNotice_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_DepartureNotice_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.sequoiashunt.link.wire.FleetProto.DepartureNotice.class, org.sequoiashunt.link.wire.FleetProto.DepartureNotice.Builder.class);
+    }
+
+    private int bitField0_;
+    public static final int NODE_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object node_ = "";
+    /**
+     * <code>string node = 1;</code>
+     * @return The node.
+     */
+    @java.lang.Override
+    public java.lang.String getNode() {
+      java.lang.Object ref = node_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        node_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string node = 1;</code>
+     * @return The bytes for node.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getNodeBytes() {
+      java.lang.Object ref = node_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        node_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int DEPARTURES_FIELD_NUMBER = 2;
+    @SuppressWarnings("serial")
+    private java.util.List<org.sequoiashunt.link.wire.FleetProto.TargetDeparture> departures_;
+    /**
+     * <code>repeated .sequoiashunt.link.TargetDeparture departures = 2;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.sequoiashunt.link.wire.FleetProto.TargetDeparture> getDeparturesList() {
+      return departures_;
+    }
+    /**
+     * <code>repeated .sequoiashunt.link.TargetDeparture departures = 2;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.sequoiashunt.link.wire.FleetProto.TargetDepartureOrBuilder> 
+        getDeparturesOrBuilderList() {
+      return departures_;
+    }
+    /**
+     * <code>repeated .sequoiashunt.link.TargetDeparture departures = 2;</code>
+     */
+    @java.lang.Override
+    public int getDeparturesCount() {
+      return departures_.size();
+    }
+    /**
+     * <code>repeated .sequoiashunt.link.TargetDeparture departures = 2;</code>
+     */
+    @java.lang.Override
+    public org.sequoiashunt.link.wire.FleetProto.TargetDeparture getDepartures(int index) {
+      return departures_.get(index);
+    }
+    /**
+     * <code>repeated .sequoiashunt.link.TargetDeparture departures = 2;</code>
+     */
+    @java.lang.Override
+    public org.sequoiashunt.link.wire.FleetProto.TargetDepartureOrBuilder getDeparturesOrBuilder(
+        int index) {
+      return departures_.get(index);
+    }
+
+    public static final int REPLY_TO_FIELD_NUMBER = 3;
+    private org.sequoiashunt.link.wire.EntryProto.NodeAddress replyTo_;
+    /**
+     * <pre>
+     * Absent if no receipt is needed.
+     * </pre>
+     *
+     * <code>optional .sequoiashunt.link.NodeAddress reply_to = 3;</code>
+     * @return Whether the replyTo field is set.
+     */
+    @java.lang.Override
+    public boolean hasReplyTo() {
+      return ((bitField0_ & 0x00000001) != 0);
+    }
+    /**
+     * <pre>
+     * Absent if no receipt is needed.
+     * </pre>
+     *
+     * <code>optional .sequoiashunt.link.NodeAddress reply_to = 3;</code>
+     * @return The replyTo.
+     */
+    @java.lang.Override
+    public org.sequoiashunt.link.wire.EntryProto.NodeAddress getReplyTo() {
+      return replyTo_ == null ? org.sequoiashunt.link.wire.EntryProto.NodeAddress.getDefaultInstance() : replyTo_;
+    }
+    /**
+     * <pre>
+     * Absent if no receipt is needed.
+     * </pre>
+     *
+     * <code>optional .sequoiashunt.link.NodeAddress reply_to = 3;</code>
+     */
+    @java.lang.Override
+    public org.sequoiashunt.link.wire.EntryProto.NodeAddressOrBuilder getReplyToOrBuilder() {
+      return replyTo_ == null ? org.sequoiashunt.link.wire.EntryProto.NodeAddress.getDefaultInstance() : replyTo_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(node_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, node_);
+      }
+      for (int i = 0; i < departures_.size(); i++) {
+        output.writeMessage(2, departures_.get(i));
+      }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        output.writeMessage(3, getReplyTo());
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(node_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, node_);
+      }
+
+          {
+            final int count = departures_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(departures_.get(i));
+            }
+            size += 1 * count;
+          }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(3, getReplyTo());
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.sequoiashunt.link.wire.FleetProto.DepartureNotice)) {
+        return super.equals(obj);
+      }
+      org.sequoiashunt.link.wire.FleetProto.DepartureNotice other = (org.sequoiashunt.link.wire.FleetProto.DepartureNotice) obj;
+
+      if (!getNode()
+          .equals(other.getNode())) return false;
+      if (!getDeparturesList()
+          .equals(other.getDeparturesList())) return false;
+      if (hasReplyTo() != other.hasReplyTo()) return false;
+      if (hasReplyTo()) {
+        if (!getReplyTo()
+            .equals(other.getReplyTo())) return false;
+      }
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + NODE_FIELD_NUMBER;
+      hash = (53 * hash) + getNode().hashCode();
+      if (getDeparturesCount() > 0) {
+        hash = (37 * hash) + DEPARTURES_FIELD_NUMBER;
+        hash = (53 * hash) + getDeparturesList().hashCode();
+      }
+      if (hasReplyTo()) {
+        hash = (37 * hash) + REPLY_TO_FIELD_NUMBER;
+        hash = (53 * hash) + getReplyTo().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.sequoiashunt.link.wire.FleetProto.DepartureNotice parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.DepartureNotice parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.DepartureNotice parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.DepartureNotice parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.DepartureNotice parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.DepartureNotice parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.DepartureNotice parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.DepartureNotice parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.sequoiashunt.link.wire.FleetProto.DepartureNotice parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.sequoiashunt.link.wire.FleetProto.DepartureNotice parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.DepartureNotice parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.DepartureNotice parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.sequoiashunt.link.wire.FleetProto.DepartureNotice prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * Departures of a node's targets, kept by peers for the node's next process.
+     * </pre>
+     *
+     * Protobuf type {@code sequoiashunt.link.DepartureNotice}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:sequoiashunt.link.DepartureNotice)
+        org.sequoiashunt.link.wire.FleetProto.DepartureNoticeOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_DepartureNotice_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_DepartureNotice_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.sequoiashunt.link.wire.FleetProto.DepartureNotice.class, org.sequoiashunt.link.wire.FleetProto.DepartureNotice.Builder.class);
+      }
+
+      // Construct using org.sequoiashunt.link.wire.FleetProto.DepartureNotice.newBuilder()
+      private Builder() {
+        maybeForceBuilderInitialization();
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+        maybeForceBuilderInitialization();
+      }
+      private void maybeForceBuilderInitialization() {
+        if (com.google.protobuf.GeneratedMessage
+                .alwaysUseFieldBuilders) {
+          internalGetDeparturesFieldBuilder();
+          internalGetReplyToFieldBuilder();
+        }
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        node_ = "";
+        if (departuresBuilder_ == null) {
+          departures_ = java.util.Collections.emptyList();
+        } else {
+          departures_ = null;
+          departuresBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000002);
+        replyTo_ = null;
+        if (replyToBuilder_ != null) {
+          replyToBuilder_.dispose();
+          replyToBuilder_ = null;
+        }
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_DepartureNotice_descriptor;
+      }
+
+      @java.lang.Override
+      public org.sequoiashunt.link.wire.FleetProto.DepartureNotice getDefaultInstanceForType() {
+        return org.sequoiashunt.link.wire.FleetProto.DepartureNotice.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.sequoiashunt.link.wire.FleetProto.DepartureNotice build() {
+        org.sequoiashunt.link.wire.FleetProto.DepartureNotice result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.sequoiashunt.link.wire.FleetProto.DepartureNotice buildPartial() {
+        org.sequoiashunt.link.wire.FleetProto.DepartureNotice result = new org.sequoiashunt.link.wire.FleetProto.DepartureNotice(this);
+        buildPartialRepeatedFields(result);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartialRepeatedFields(org.sequoiashunt.link.wire.FleetProto.DepartureNotice result) {
+        if (departuresBuilder_ == null) {
+          if (((bitField0_ & 0x00000002) != 0)) {
+            departures_ = java.util.Collections.unmodifiableList(departures_);
+            bitField0_ = (bitField0_ & ~0x00000002);
+          }
+          result.departures_ = departures_;
+        } else {
+          result.departures_ = departuresBuilder_.build();
+        }
+      }
+
+      private void buildPartial0(org.sequoiashunt.link.wire.FleetProto.DepartureNotice result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.node_ = node_;
+        }
+        int to_bitField0_ = 0;
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.replyTo_ = replyToBuilder_ == null
+              ? replyTo_
+              : replyToBuilder_.build();
+          to_bitField0_ |= 0x00000001;
+        }
+        result.bitField0_ |= to_bitField0_;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.sequoiashunt.link.wire.FleetProto.DepartureNotice) {
+          return mergeFrom((org.sequoiashunt.link.wire.FleetProto.DepartureNotice)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.sequoiashunt.link.wire.FleetProto.DepartureNotice other) {
+        if (other == org.sequoiashunt.link.wire.FleetProto.DepartureNotice.getDefaultInstance()) return this;
+        if (!other.getNode().isEmpty()) {
+          node_ = other.node_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (departuresBuilder_ == null) {
+          if (!other.departures_.isEmpty()) {
+            if (departures_.isEmpty()) {
+              departures_ = other.departures_;
+              bitField0_ = (bitField0_ & ~0x00000002);
+            } else {
+              ensureDeparturesIsMutable();
+              departures_.addAll(other.departures_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.departures_.isEmpty()) {
+            if (departuresBuilder_.isEmpty()) {
+              departuresBuilder_.dispose();
+              departuresBuilder_ = null;
+              departures_ = other.departures_;
+              bitField0_ = (bitField0_ & ~0x00000002);
+              departuresBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetDeparturesFieldBuilder() : null;
+            } else {
+              departuresBuilder_.addAllMessages(other.departures_);
+            }
+          }
+        }
+        if (other.hasReplyTo()) {
+          mergeReplyTo(other.getReplyTo());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                node_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 18: {
+                org.sequoiashunt.link.wire.FleetProto.TargetDeparture m =
+                    input.readMessage(
+                        org.sequoiashunt.link.wire.FleetProto.TargetDeparture.parser(),
+                        extensionRegistry);
+                if (departuresBuilder_ == null) {
+                  ensureDeparturesIsMutable();
+                  departures_.add(m);
+                } else {
+                  departuresBuilder_.addMessage(m);
+                }
+                break;
+              } // case 18
+              case 26: {
+                input.readMessage(
+                    internalGetReplyToFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 26
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object node_ = "";
+      /**
+       * <code>string node = 1;</code>
+       * @return The node.
+       */
+      public java.lang.String getNode() {
+        java.lang.Object ref = node_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          node_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string node = 1;</code>
+       * @return The bytes for node.
+       */
+      public com.google.protobuf.ByteString
+          getNodeBytes() {
+        java.lang.Object ref = node_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          node_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string node = 1;</code>
+       * @param value The node to set.
+       * @return This builder for chaining.
+       */
+      public Builder setNode(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        node_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string node = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearNode() {
+        node_ = getDefaultInstance().getNode();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string node = 1;</code>
+       * @param value The bytes for node to set.
+       * @return This builder for chaining.
+       */
+      public Builder setNodeBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        node_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private java.util.List<org.sequoiashunt.link.wire.FleetProto.TargetDeparture> departures_ =
+        java.util.Collections.emptyList();
+      private void ensureDeparturesIsMutable() {
+        if (!((bitField0_ & 0x00000002) != 0)) {
+          departures_ = new java.util.ArrayList<org.sequoiashunt.link.wire.FleetProto.TargetDeparture>(departures_);
+          bitField0_ |= 0x00000002;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.sequoiashunt.link.wire.FleetProto.TargetDeparture, org.sequoiashunt.link.wire.FleetProto.TargetDeparture.Builder, org.sequoiashunt.link.wire.FleetProto.TargetDepartureOrBuilder> departuresBuilder_;
+
+      /**
+       * <code>repeated .sequoiashunt.link.TargetDeparture departures = 2;</code>
+       */
+      public java.util.List<org.sequoiashunt.link.wire.FleetProto.TargetDeparture> getDeparturesList() {
+        if (departuresBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(departures_);
+        } else {
+          return departuresBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.TargetDeparture departures = 2;</code>
+       */
+      public int getDeparturesCount() {
+        if (departuresBuilder_ == null) {
+          return departures_.size();
+        } else {
+          return departuresBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.TargetDeparture departures = 2;</code>
+       */
+      public org.sequoiashunt.link.wire.FleetProto.TargetDeparture getDepartures(int index) {
+        if (departuresBuilder_ == null) {
+          return departures_.get(index);
+        } else {
+          return departuresBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.TargetDeparture departures = 2;</code>
+       */
+      public Builder setDepartures(
+          int index, org.sequoiashunt.link.wire.FleetProto.TargetDeparture value) {
+        if (departuresBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureDeparturesIsMutable();
+          departures_.set(index, value);
+          onChanged();
+        } else {
+          departuresBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.TargetDeparture departures = 2;</code>
+       */
+      public Builder setDepartures(
+          int index, org.sequoiashunt.link.wire.FleetProto.TargetDeparture.Builder builderForValue) {
+        if (departuresBuilder_ == null) {
+          ensureDeparturesIsMutable();
+          departures_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          departuresBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.TargetDeparture departures = 2;</code>
+       */
+      public Builder addDepartures(org.sequoiashunt.link.wire.FleetProto.TargetDeparture value) {
+        if (departuresBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureDeparturesIsMutable();
+          departures_.add(value);
+          onChanged();
+        } else {
+          departuresBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.TargetDeparture departures = 2;</code>
+       */
+      public Builder addDepartures(
+          int index, org.sequoiashunt.link.wire.FleetProto.TargetDeparture value) {
+        if (departuresBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureDeparturesIsMutable();
+          departures_.add(index, value);
+          onChanged();
+        } else {
+          departuresBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.TargetDeparture departures = 2;</code>
+       */
+      public Builder addDepartures(
+          org.sequoiashunt.link.wire.FleetProto.TargetDeparture.Builder builderForValue) {
+        if (departuresBuilder_ == null) {
+          ensureDeparturesIsMutable();
+          departures_.add(builderForValue.build());
+          onChanged();
+        } else {
+          departuresBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.TargetDeparture departures = 2;</code>
+       */
+      public Builder addDepartures(
+          int index, org.sequoiashunt.link.wire.FleetProto.TargetDeparture.Builder builderForValue) {
+        if (departuresBuilder_ == null) {
+          ensureDeparturesIsMutable();
+          departures_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          departuresBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.TargetDeparture departures = 2;</code>
+       */
+      public Builder addAllDepartures(
+          java.lang.Iterable<? extends org.sequoiashunt.link.wire.FleetProto.TargetDeparture> values) {
+        if (departuresBuilder_ == null) {
+          ensureDeparturesIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, departures_);
+          onChanged();
+        } else {
+          departuresBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.TargetDeparture departures = 2;</code>
+       */
+      public Builder clearDepartures() {
+        if (departuresBuilder_ == null) {
+          departures_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000002);
+          onChanged();
+        } else {
+          departuresBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.TargetDeparture departures = 2;</code>
+       */
+      public Builder removeDepartures(int index) {
+        if (departuresBuilder_ == null) {
+          ensureDeparturesIsMutable();
+          departures_.remove(index);
+          onChanged();
+        } else {
+          departuresBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.TargetDeparture departures = 2;</code>
+       */
+      public org.sequoiashunt.link.wire.FleetProto.TargetDeparture.Builder getDeparturesBuilder(
+          int index) {
+        return internalGetDeparturesFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.TargetDeparture departures = 2;</code>
+       */
+      public org.sequoiashunt.link.wire.FleetProto.TargetDepartureOrBuilder getDeparturesOrBuilder(
+          int index) {
+        if (departuresBuilder_ == null) {
+          return departures_.get(index);  } else {
+          return departuresBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.TargetDeparture departures = 2;</code>
+       */
+      public java.util.List<? extends org.sequoiashunt.link.wire.FleetProto.TargetDepartureOrBuilder> 
+           getDeparturesOrBuilderList() {
+        if (departuresBuilder_ != null) {
+          return departuresBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(departures_);
+        }
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.TargetDeparture departures = 2;</code>
+       */
+      public org.sequoiashunt.link.wire.FleetProto.TargetDeparture.Builder addDeparturesBuilder() {
+        return internalGetDeparturesFieldBuilder().addBuilder(
+            org.sequoiashunt.link.wire.FleetProto.TargetDeparture.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.TargetDeparture departures = 2;</code>
+       */
+      public org.sequoiashunt.link.wire.FleetProto.TargetDeparture.Builder addDeparturesBuilder(
+          int index) {
+        return internalGetDeparturesFieldBuilder().addBuilder(
+            index, org.sequoiashunt.link.wire.FleetProto.TargetDeparture.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.TargetDeparture departures = 2;</code>
+       */
+      public java.util.List<org.sequoiashunt.link.wire.FleetProto.TargetDeparture.Builder> 
+           getDeparturesBuilderList() {
+        return internalGetDeparturesFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.sequoiashunt.link.wire.FleetProto.TargetDeparture, org.sequoiashunt.link.wire.FleetProto.TargetDeparture.Builder, org.sequoiashunt.link.wire.FleetProto.TargetDepartureOrBuilder> 
+          internalGetDeparturesFieldBuilder() {
+        if (departuresBuilder_ == null) {
+          departuresBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.sequoiashunt.link.wire.FleetProto.TargetDeparture, org.sequoiashunt.link.wire.FleetProto.TargetDeparture.Builder, org.sequoiashunt.link.wire.FleetProto.TargetDepartureOrBuilder>(
+                  departures_,
+                  ((bitField0_ & 0x00000002) != 0),
+                  getParentForChildren(),
+                  isClean());
+          departures_ = null;
+        }
+        return departuresBuilder_;
+      }
+
+      private org.sequoiashunt.link.wire.EntryProto.NodeAddress replyTo_;
+      private com.google.protobuf.SingleFieldBuilder<
+          org.sequoiashunt.link.wire.EntryProto.NodeAddress, org.sequoiashunt.link.wire.EntryProto.NodeAddress.Builder, org.sequoiashunt.link.wire.EntryProto.NodeAddressOrBuilder> replyToBuilder_;
+      /**
+       * <pre>
+       * Absent if no receipt is needed.
+       * </pre>
+       *
+       * <code>optional .sequoiashunt.link.NodeAddress reply_to = 3;</code>
+       * @return Whether the replyTo field is set.
+       */
+      public boolean hasReplyTo() {
+        return ((bitField0_ & 0x00000004) != 0);
+      }
+      /**
+       * <pre>
+       * Absent if no receipt is needed.
+       * </pre>
+       *
+       * <code>optional .sequoiashunt.link.NodeAddress reply_to = 3;</code>
+       * @return The replyTo.
+       */
+      public org.sequoiashunt.link.wire.EntryProto.NodeAddress getReplyTo() {
+        if (replyToBuilder_ == null) {
+          return replyTo_ == null ? org.sequoiashunt.link.wire.EntryProto.NodeAddress.getDefaultInstance() : replyTo_;
+        } else {
+          return replyToBuilder_.getMessage();
+        }
+      }
+      /**
+       * <pre>
+       * Absent if no receipt is needed.
+       * </pre>
+       *
+       * <code>optional .sequoiashunt.link.NodeAddress reply_to = 3;</code>
+       */
+      public Builder setReplyTo(org.sequoiashunt.link.wire.EntryProto.NodeAddress value) {
+        if (replyToBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          replyTo_ = value;
+        } else {
+          replyToBuilder_.setMessage(value);
+        }
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Absent if no receipt is needed.
+       * </pre>
+       *
+       * <code>optional .sequoiashunt.link.NodeAddress reply_to = 3;</code>
+       */
+      public Builder setReplyTo(
+          org.sequoiashunt.link.wire.EntryProto.NodeAddress.Builder builderForValue) {
+        if (replyToBuilder_ == null) {
+          replyTo_ = builderForValue.build();
+        } else {
+          replyToBuilder_.setMessage(builderForValue.build());
+        }
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Absent if no receipt is needed.
+       * </pre>
+       *
+       * <code>optional .sequoiashunt.link.NodeAddress reply_to = 3;</code>
+       */
+      public Builder mergeReplyTo(org.sequoiashunt.link.wire.EntryProto.NodeAddress value) {
+        if (replyToBuilder_ == null) {
+          if (((bitField0_ & 0x00000004) != 0) &&
+            replyTo_ != null &&
+            replyTo_ != org.sequoiashunt.link.wire.EntryProto.NodeAddress.getDefaultInstance()) {
+            getReplyToBuilder().mergeFrom(value);
+          } else {
+            replyTo_ = value;
+          }
+        } else {
+          replyToBuilder_.mergeFrom(value);
+        }
+        if (replyTo_ != null) {
+          bitField0_ |= 0x00000004;
+          onChanged();
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Absent if no receipt is needed.
+       * </pre>
+       *
+       * <code>optional .sequoiashunt.link.NodeAddress reply_to = 3;</code>
+       */
+      public Builder clearReplyTo() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        replyTo_ = null;
+        if (replyToBuilder_ != null) {
+          replyToBuilder_.dispose();
+          replyToBuilder_ = null;
+        }
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Absent if no receipt is needed.
+       * </pre>
+       *
+       * <code>optional .sequoiashunt.link.NodeAddress reply_to = 3;</code>
+       */
+      public org.sequoiashunt.link.wire.EntryProto.NodeAddress.Builder getReplyToBuilder() {
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return internalGetReplyToFieldBuilder().getBuilder();
+      }
+      /**
+       * <pre>
+       * Absent if no receipt is needed.
+       * </pre>
+       *
+       * <code>optional .sequoiashunt.link.NodeAddress reply_to = 3;</code>
+       */
+      public org.sequoiashunt.link.wire.EntryProto.NodeAddressOrBuilder getReplyToOrBuilder() {
+        if (replyToBuilder_ != null) {
+          return replyToBuilder_.getMessageOrBuilder();
+        } else {
+          return replyTo_ == null ?
+              org.sequoiashunt.link.wire.EntryProto.NodeAddress.getDefaultInstance() : replyTo_;
+        }
+      }
+      /**
+       * <pre>
+       * Absent if no receipt is needed.
+       * </pre>
+       *
+       * <code>optional .sequoiashunt.link.NodeAddress reply_to = 3;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.sequoiashunt.link.wire.EntryProto.NodeAddress, org.sequoiashunt.link.wire.EntryProto.NodeAddress.Builder, org.sequoiashunt.link.wire.EntryProto.NodeAddressOrBuilder> 
+          internalGetReplyToFieldBuilder() {
+        if (replyToBuilder_ == null) {
+          replyToBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.sequoiashunt.link.wire.EntryProto.NodeAddress, org.sequoiashunt.link.wire.EntryProto.NodeAddress.Builder, org.sequoiashunt.link.wire.EntryProto.NodeAddressOrBuilder>(
+                  getReplyTo(),
+                  getParentForChildren(),
+                  isClean());
+          replyTo_ = null;
+        }
+        return replyToBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:sequoiashunt.link.DepartureNotice)
+    }
+
+    // @@protoc_insertion_point(class_scope:sequoiashunt.link.DepartureNotice)
+    private static final org.sequoiashunt.link.wire.FleetProto.DepartureNotice DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.sequoiashunt.link.wire.FleetProto.DepartureNotice();
+    }
+
+    public static org.sequoiashunt.link.wire.FleetProto.DepartureNotice getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<DepartureNotice>
+        PARSER = new com.google.protobuf.AbstractParser<DepartureNotice>() {
+      @java.lang.Override
+      public DepartureNotice parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<DepartureNotice> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<DepartureNotice> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.sequoiashunt.link.wire.FleetProto.DepartureNotice getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface DepartureReceiptOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:sequoiashunt.link.DepartureReceipt)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>repeated .sequoiashunt.link.TargetDeparture departures = 1;</code>
+     */
+    java.util.List<org.sequoiashunt.link.wire.FleetProto.TargetDeparture> 
+        getDeparturesList();
+    /**
+     * <code>repeated .sequoiashunt.link.TargetDeparture departures = 1;</code>
+     */
+    org.sequoiashunt.link.wire.FleetProto.TargetDeparture getDepartures(int index);
+    /**
+     * <code>repeated .sequoiashunt.link.TargetDeparture departures = 1;</code>
+     */
+    int getDeparturesCount();
+    /**
+     * <code>repeated .sequoiashunt.link.TargetDeparture departures = 1;</code>
+     */
+    java.util.List<? extends org.sequoiashunt.link.wire.FleetProto.TargetDepartureOrBuilder> 
+        getDeparturesOrBuilderList();
+    /**
+     * <code>repeated .sequoiashunt.link.TargetDeparture departures = 1;</code>
+     */
+    org.sequoiashunt.link.wire.FleetProto.TargetDepartureOrBuilder getDeparturesOrBuilder(
+        int index);
+  }
+  /**
+   * Protobuf type {@code sequoiashunt.link.DepartureReceipt}
+   */
+  public static final class DepartureReceipt extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:sequoiashunt.link.DepartureReceipt)
+      DepartureReceiptOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 1,
+        /* suffix= */ "",
+        "DepartureReceipt");
+    }
+    // Use DepartureReceipt.newBuilder() to construct.
+    private DepartureReceipt(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private DepartureReceipt() {
+      departures_ = java.util.Collections.emptyList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_DepartureReceipt_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_DepartureReceipt_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_DepartureReceipt_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.sequoiashunt.link.wire.FleetProto.DepartureReceipt.class, org.sequoiashunt.link.wire.FleetProto.DepartureReceipt.Builder.class);
+    }
+
+    public static final int DEPARTURES_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private java.util.List<org.sequoiashunt.link.wire.FleetProto.TargetDeparture> departures_;
+    /**
+     * <code>repeated .sequoiashunt.link.TargetDeparture departures = 1;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.sequoiashunt.link.wire.FleetProto.TargetDeparture> getDeparturesList() {
+      return departures_;
+    }
+    /**
+     * <code>repeated .sequoiashunt.link.TargetDeparture departures = 1;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.sequoiashunt.link.wire.FleetProto.TargetDepartureOrBuilder> 
+        getDeparturesOrBuilderList() {
+      return departures_;
+    }
+    /**
+     * <code>repeated .sequoiashunt.link.TargetDeparture departures = 1;</code>
+     */
+    @java.lang.Override
+    public int getDeparturesCount() {
+      return departures_.size();
+    }
+    /**
+     * <code>repeated .sequoiashunt.link.TargetDeparture departures = 1;</code>
+     */
+    @java.lang.Override
+    public org.sequoiashunt.link.wire.FleetProto.TargetDeparture getDepartures(int index) {
+      return departures_.get(index);
+    }
+    /**
+     * <code>repeated .sequoiashunt.link.TargetDeparture departures = 1;</code>
+     */
+    @java.lang.Override
+    public org.sequoiashunt.link.wire.FleetProto.TargetDepartureOrBuilder getDeparturesOrBuilder(
+        int index) {
+      return departures_.get(index);
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      for (int i = 0; i < departures_.size(); i++) {
+        output.writeMessage(1, departures_.get(i));
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+
+          {
+            final int count = departures_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(departures_.get(i));
+            }
+            size += 1 * count;
+          }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.sequoiashunt.link.wire.FleetProto.DepartureReceipt)) {
+        return super.equals(obj);
+      }
+      org.sequoiashunt.link.wire.FleetProto.DepartureReceipt other = (org.sequoiashunt.link.wire.FleetProto.DepartureReceipt) obj;
+
+      if (!getDeparturesList()
+          .equals(other.getDeparturesList())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      if (getDeparturesCount() > 0) {
+        hash = (37 * hash) + DEPARTURES_FIELD_NUMBER;
+        hash = (53 * hash) + getDeparturesList().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.sequoiashunt.link.wire.FleetProto.DepartureReceipt parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.DepartureReceipt parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.DepartureReceipt parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.DepartureReceipt parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.DepartureReceipt parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.DepartureReceipt parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.DepartureReceipt parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.DepartureReceipt parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.sequoiashunt.link.wire.FleetProto.DepartureReceipt parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.sequoiashunt.link.wire.FleetProto.DepartureReceipt parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.DepartureReceipt parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.DepartureReceipt parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.sequoiashunt.link.wire.FleetProto.DepartureReceipt prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code sequoiashunt.link.DepartureReceipt}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:sequoiashunt.link.DepartureReceipt)
+        org.sequoiashunt.link.wire.FleetProto.DepartureReceiptOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_DepartureReceipt_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_DepartureReceipt_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.sequoiashunt.link.wire.FleetProto.DepartureReceipt.class, org.sequoiashunt.link.wire.FleetProto.DepartureReceipt.Builder.class);
+      }
+
+      // Construct using org.sequoiashunt.link.wire.FleetProto.DepartureReceipt.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        if (departuresBuilder_ == null) {
+          departures_ = java.util.Collections.emptyList();
+        } else {
+          departures_ = null;
+          departuresBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000001);
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_DepartureReceipt_descriptor;
+      }
+
+      @java.lang.Override
+      public org.sequoiashunt.link.wire.FleetProto.DepartureReceipt getDefaultInstanceForType() {
+        return org.sequoiashunt.link.wire.FleetProto.DepartureReceipt.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.sequoiashunt.link.wire.FleetProto.DepartureReceipt build() {
+        org.sequoiashunt.link.wire.FleetProto.DepartureReceipt result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.sequoiashunt.link.wire.FleetProto.DepartureReceipt buildPartial() {
+        org.sequoiashunt.link.wire.FleetProto.DepartureReceipt result = new org.sequoiashunt.link.wire.FleetProto.DepartureReceipt(this);
+        buildPartialRepeatedFields(result);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartialRepeatedFields(org.sequoiashunt.link.wire.FleetProto.DepartureReceipt result) {
+        if (departuresBuilder_ == null) {
+          if (((bitField0_ & 0x00000001) != 0)) {
+            departures_ = java.util.Collections.unmodifiableList(departures_);
+            bitField0_ = (bitField0_ & ~0x00000001);
+          }
+          result.departures_ = departures_;
+        } else {
+          result.departures_ = departuresBuilder_.build();
+        }
+      }
+
+      private void buildPartial0(org.sequoiashunt.link.wire.FleetProto.DepartureReceipt result) {
+        int from_bitField0_ = bitField0_;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.sequoiashunt.link.wire.FleetProto.DepartureReceipt) {
+          return mergeFrom((org.sequoiashunt.link.wire.FleetProto.DepartureReceipt)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.sequoiashunt.link.wire.FleetProto.DepartureReceipt other) {
+        if (other == org.sequoiashunt.link.wire.FleetProto.DepartureReceipt.getDefaultInstance()) return this;
+        if (departuresBuilder_ == null) {
+          if (!other.departures_.isEmpty()) {
+            if (departures_.isEmpty()) {
+              departures_ = other.departures_;
+              bitField0_ = (bitField0_ & ~0x00000001);
+            } else {
+              ensureDeparturesIsMutable();
+              departures_.addAll(other.departures_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.departures_.isEmpty()) {
+            if (departuresBuilder_.isEmpty()) {
+              departuresBuilder_.dispose();
+              departuresBuilder_ = null;
+              departures_ = other.departures_;
+              bitField0_ = (bitField0_ & ~0x00000001);
+              departuresBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetDeparturesFieldBuilder() : null;
+            } else {
+              departuresBuilder_.addAllMessages(other.departures_);
+            }
+          }
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                org.sequoiashunt.link.wire.FleetProto.TargetDeparture m =
+                    input.readMessage(
+                        org.sequoiashunt.link.wire.FleetProto.TargetDeparture.parser(),
+                        extensionRegistry);
+                if (departuresBuilder_ == null) {
+                  ensureDeparturesIsMutable();
+                  departures_.add(m);
+                } else {
+                  departuresBuilder_.addMessage(m);
+                }
+                break;
+              } // case 10
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.util.List<org.sequoiashunt.link.wire.FleetProto.TargetDeparture> departures_ =
+        java.util.Collections.emptyList();
+      private void ensureDeparturesIsMutable() {
+        if (!((bitField0_ & 0x00000001) != 0)) {
+          departures_ = new java.util.ArrayList<org.sequoiashunt.link.wire.FleetProto.TargetDeparture>(departures_);
+          bitField0_ |= 0x00000001;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.sequoiashunt.link.wire.FleetProto.TargetDeparture, org.sequoiashunt.link.wire.FleetProto.TargetDeparture.Builder, org.sequoiashunt.link.wire.FleetProto.TargetDepartureOrBuilder> departuresBuilder_;
+
+      /**
+       * <code>repeated .sequoiashunt.link.TargetDeparture departures = 1;</code>
+       */
+      public java.util.List<org.sequoiashunt.link.wire.FleetProto.TargetDeparture> getDeparturesList() {
+        if (departuresBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(departures_);
+        } else {
+          return departuresBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.TargetDeparture departures = 1;</code>
+       */
+      public int getDeparturesCount() {
+        if (departuresBuilder_ == null) {
+          return departures_.size();
+        } else {
+          return departuresBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.TargetDeparture departures = 1;</code>
+       */
+      public org.sequoiashunt.link.wire.FleetProto.TargetDeparture getDepartures(int index) {
+        if (departuresBuilder_ == null) {
+          return departures_.get(index);
+        } else {
+          return departuresBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.TargetDeparture departures = 1;</code>
+       */
+      public Builder setDepartures(
+          int index, org.sequoiashunt.link.wire.FleetProto.TargetDeparture value) {
+        if (departuresBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureDeparturesIsMutable();
+          departures_.set(index, value);
+          onChanged();
+        } else {
+          departuresBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.TargetDeparture departures = 1;</code>
+       */
+      public Builder setDepartures(
+          int index, org.sequoiashunt.link.wire.FleetProto.TargetDeparture.Builder builderForValue) {
+        if (departuresBuilder_ == null) {
+          ensureDeparturesIsMutable();
+          departures_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          departuresBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.TargetDeparture departures = 1;</code>
+       */
+      public Builder addDepartures(org.sequoiashunt.link.wire.FleetProto.TargetDeparture value) {
+        if (departuresBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureDeparturesIsMutable();
+          departures_.add(value);
+          onChanged();
+        } else {
+          departuresBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.TargetDeparture departures = 1;</code>
+       */
+      public Builder addDepartures(
+          int index, org.sequoiashunt.link.wire.FleetProto.TargetDeparture value) {
+        if (departuresBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureDeparturesIsMutable();
+          departures_.add(index, value);
+          onChanged();
+        } else {
+          departuresBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.TargetDeparture departures = 1;</code>
+       */
+      public Builder addDepartures(
+          org.sequoiashunt.link.wire.FleetProto.TargetDeparture.Builder builderForValue) {
+        if (departuresBuilder_ == null) {
+          ensureDeparturesIsMutable();
+          departures_.add(builderForValue.build());
+          onChanged();
+        } else {
+          departuresBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.TargetDeparture departures = 1;</code>
+       */
+      public Builder addDepartures(
+          int index, org.sequoiashunt.link.wire.FleetProto.TargetDeparture.Builder builderForValue) {
+        if (departuresBuilder_ == null) {
+          ensureDeparturesIsMutable();
+          departures_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          departuresBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.TargetDeparture departures = 1;</code>
+       */
+      public Builder addAllDepartures(
+          java.lang.Iterable<? extends org.sequoiashunt.link.wire.FleetProto.TargetDeparture> values) {
+        if (departuresBuilder_ == null) {
+          ensureDeparturesIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, departures_);
+          onChanged();
+        } else {
+          departuresBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.TargetDeparture departures = 1;</code>
+       */
+      public Builder clearDepartures() {
+        if (departuresBuilder_ == null) {
+          departures_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000001);
+          onChanged();
+        } else {
+          departuresBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.TargetDeparture departures = 1;</code>
+       */
+      public Builder removeDepartures(int index) {
+        if (departuresBuilder_ == null) {
+          ensureDeparturesIsMutable();
+          departures_.remove(index);
+          onChanged();
+        } else {
+          departuresBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.TargetDeparture departures = 1;</code>
+       */
+      public org.sequoiashunt.link.wire.FleetProto.TargetDeparture.Builder getDeparturesBuilder(
+          int index) {
+        return internalGetDeparturesFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.TargetDeparture departures = 1;</code>
+       */
+      public org.sequoiashunt.link.wire.FleetProto.TargetDepartureOrBuilder getDeparturesOrBuilder(
+          int index) {
+        if (departuresBuilder_ == null) {
+          return departures_.get(index);  } else {
+          return departuresBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.TargetDeparture departures = 1;</code>
+       */
+      public java.util.List<? extends org.sequoiashunt.link.wire.FleetProto.TargetDepartureOrBuilder> 
+           getDeparturesOrBuilderList() {
+        if (departuresBuilder_ != null) {
+          return departuresBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(departures_);
+        }
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.TargetDeparture departures = 1;</code>
+       */
+      public org.sequoiashunt.link.wire.FleetProto.TargetDeparture.Builder addDeparturesBuilder() {
+        return internalGetDeparturesFieldBuilder().addBuilder(
+            org.sequoiashunt.link.wire.FleetProto.TargetDeparture.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.TargetDeparture departures = 1;</code>
+       */
+      public org.sequoiashunt.link.wire.FleetProto.TargetDeparture.Builder addDeparturesBuilder(
+          int index) {
+        return internalGetDeparturesFieldBuilder().addBuilder(
+            index, org.sequoiashunt.link.wire.FleetProto.TargetDeparture.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.TargetDeparture departures = 1;</code>
+       */
+      public java.util.List<org.sequoiashunt.link.wire.FleetProto.TargetDeparture.Builder> 
+           getDeparturesBuilderList() {
+        return internalGetDeparturesFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.sequoiashunt.link.wire.FleetProto.TargetDeparture, org.sequoiashunt.link.wire.FleetProto.TargetDeparture.Builder, org.sequoiashunt.link.wire.FleetProto.TargetDepartureOrBuilder> 
+          internalGetDeparturesFieldBuilder() {
+        if (departuresBuilder_ == null) {
+          departuresBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.sequoiashunt.link.wire.FleetProto.TargetDeparture, org.sequoiashunt.link.wire.FleetProto.TargetDeparture.Builder, org.sequoiashunt.link.wire.FleetProto.TargetDepartureOrBuilder>(
+                  departures_,
+                  ((bitField0_ & 0x00000001) != 0),
+                  getParentForChildren(),
+                  isClean());
+          departures_ = null;
+        }
+        return departuresBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:sequoiashunt.link.DepartureReceipt)
+    }
+
+    // @@protoc_insertion_point(class_scope:sequoiashunt.link.DepartureReceipt)
+    private static final org.sequoiashunt.link.wire.FleetProto.DepartureReceipt DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.sequoiashunt.link.wire.FleetProto.DepartureReceipt();
+    }
+
+    public static org.sequoiashunt.link.wire.FleetProto.DepartureReceipt getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<DepartureReceipt>
+        PARSER = new com.google.protobuf.AbstractParser<DepartureReceipt>() {
+      @java.lang.Override
+      public DepartureReceipt parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<DepartureReceipt> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<DepartureReceipt> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.sequoiashunt.link.wire.FleetProto.DepartureReceipt getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface ConfigurationRequestOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:sequoiashunt.link.ConfigurationRequest)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>.sequoiashunt.link.NodeAddress reply_to = 1;</code>
+     * @return Whether the replyTo field is set.
+     */
+    boolean hasReplyTo();
+    /**
+     * <code>.sequoiashunt.link.NodeAddress reply_to = 1;</code>
+     * @return The replyTo.
+     */
+    org.sequoiashunt.link.wire.EntryProto.NodeAddress getReplyTo();
+    /**
+     * <code>.sequoiashunt.link.NodeAddress reply_to = 1;</code>
+     */
+    org.sequoiashunt.link.wire.EntryProto.NodeAddressOrBuilder getReplyToOrBuilder();
+
+    /**
+     * <code>uint64 known_version = 2;</code>
+     * @return The knownVersion.
+     */
+    long getKnownVersion();
+  }
+  /**
+   * Protobuf type {@code sequoiashunt.link.ConfigurationRequest}
    */
   public static final class ConfigurationRequest extends
       com.google.protobuf.GeneratedMessage implements
@@ -14679,6 +17696,21 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_sequoiashunt_link_ReportRequest_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_sequoiashunt_link_TargetDeparture_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_sequoiashunt_link_TargetDeparture_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_sequoiashunt_link_DepartureNotice_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_sequoiashunt_link_DepartureNotice_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_sequoiashunt_link_DepartureReceipt_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_sequoiashunt_link_DepartureReceipt_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_sequoiashunt_link_ConfigurationRequest_descriptor;
   private static final 
@@ -14699,7 +17731,7 @@
   static {
     java.lang.String[] descriptorData = {
       "\n\013fleet.proto\022\021sequoiashunt.link\032\013entry." +
-      "proto\"\312\002\n\005Fleet\0224\n\013node_report\030\001 \001(\0132\035.s" +
+      "proto\"\314\003\n\005Fleet\0224\n\013node_report\030\001 \001(\0132\035.s" +
       "equoiashunt.link.NodeReportH\000\022H\n\025configu" +
       "ration_request\030\002 \001(\0132\'.sequoiashunt.link" +
       ".ConfigurationRequestH\000\022B\n\022configuration" +
@@ -14707,50 +17739,61 @@
       "ationCopyH\000\0226\n\014report_batch\030\004 \001(\0132\036.sequ" +
       "oiashunt.link.ReportBatchH\000\022:\n\016report_re" +
       "quest\030\005 \001(\0132 .sequoiashunt.link.ReportRe" +
-      "questH\000B\t\n\007content\"+\n\tRouteTime\022\r\n\005route" +
-      "\030\001 \001(\t\022\017\n\007mean_ms\030\002 \001(\r\"\372\001\n\014TargetReport" +
-      "\022\016\n\006target\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\017\n\007ver" +
-      "sion\030\003 \001(\t\022\r\n\005slots\030\004 \001(\r\022\021\n\taccepting\030\005" +
-      " \001(\010\022\017\n\007running\030\006 \001(\r\022\017\n\007waiting\030\007 \001(\r\022\017" +
-      "\n\007mean_ms\030\010 \001(\r\022\030\n\020failure_permille\030\t \001(" +
-      "\r\022\026\n\016warmup_left_ms\030\n \001(\004\0221\n\013route_times" +
-      "\030\013 \003(\0132\034.sequoiashunt.link.RouteTime\"t\n\014" +
-      "VersionTally\022\017\n\007service\030\001 \001(\t\022\017\n\007version" +
-      "\030\002 \001(\t\022\r\n\005route\030\003 \001(\t\022\017\n\007answers\030\004 \001(\004\022\020" +
-      "\n\010failures\030\005 \001(\004\022\020\n\010total_ms\030\006 \001(\004\"\325\001\n\013V" +
-      "ersionMove\022\017\n\007service\030\001 \001(\t\022\017\n\007version\030\002" +
-      " \001(\t\022\r\n\005state\030\003 \001(\r\022\026\n\016share_permille\030\004 " +
-      "\001(\r\022\r\n\005order\030\005 \001(\003\022\023\n\013duration_ms\030\006 \001(\004\022" +
-      "\022\n\nelapsed_ms\030\007 \001(\004\022\020\n\010recorded\030\010 \001(\010\0223\n" +
-      "\010verdicts\030\t \003(\0132!.sequoiashunt.link.Vers" +
-      "ionVerdict\"E\n\016VersionVerdict\022\017\n\007version\030" +
-      "\001 \001(\t\022\r\n\005order\030\002 \001(\003\022\023\n\013rolled_back\030\003 \001(" +
-      "\010\"b\n\tKnownNode\022\014\n\004node\030\001 \001(\t\022/\n\007address\030" +
-      "\002 \001(\0132\036.sequoiashunt.link.NodeAddress\022\026\n" +
-      "\016failure_domain\030\003 \001(\t\"\320\003\n\nNodeReport\022\014\n\004" +
-      "node\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\020\n\010seque" +
-      "nce\030\003 \001(\004\022/\n\007address\030\004 \001(\0132\036.sequoiashun" +
-      "t.link.NodeAddress\022\026\n\016failure_domain\030\005 \001" +
-      "(\t\022\016\n\006region\030\006 \001(\t\022\017\n\007leaving\030\007 \001(\010\022\035\n\025c" +
-      "onfiguration_version\030\010 \001(\004\0220\n\007targets\030\t " +
-      "\003(\0132\037.sequoiashunt.link.TargetReport\0220\n\007" +
-      "tallies\030\n \003(\0132\037.sequoiashunt.link.Versio" +
-      "nTally\022-\n\005moves\030\013 \003(\0132\036.sequoiashunt.lin" +
-      "k.VersionMove\022+\n\005known\030\014 \003(\0132\034.sequoiash" +
-      "unt.link.KnownNode\022\035\n\020confirmed_age_ms\030\r" +
-      " \001(\004H\000\210\001\001\022\020\n\010capacity\030\016 \001(\rB\023\n\021_confirme" +
-      "d_age_ms\"N\n\rRelayedReport\022-\n\006report\030\001 \001(" +
-      "\0132\035.sequoiashunt.link.NodeReport\022\016\n\006age_" +
-      "ms\030\002 \001(\004\"C\n\016RelayedReports\0221\n\007reports\030\001 " +
-      "\003(\0132 .sequoiashunt.link.RelayedReport\"\036\n" +
-      "\013ReportBatch\022\017\n\007reports\030\001 \001(\014\"A\n\rReportR" +
-      "equest\0220\n\010reply_to\030\001 \001(\0132\036.sequoiashunt." +
-      "link.NodeAddress\"_\n\024ConfigurationRequest" +
-      "\0220\n\010reply_to\030\001 \001(\0132\036.sequoiashunt.link.N" +
-      "odeAddress\022\025\n\rknown_version\030\002 \001(\004\"6\n\021Con" +
-      "figurationCopy\022\017\n\007version\030\001 \001(\004\022\020\n\010docum" +
-      "ent\030\002 \001(\014B(\n\032org.sequoiashunt.link.wireB" +
-      "\nFleetProtob\006proto3"
+      "questH\000\022>\n\020departure_notice\030\006 \001(\0132\".sequ" +
+      "oiashunt.link.DepartureNoticeH\000\022@\n\021depar" +
+      "ture_receipt\030\007 \001(\0132#.sequoiashunt.link.D" +
+      "epartureReceiptH\000B\t\n\007content\"+\n\tRouteTim" +
+      "e\022\r\n\005route\030\001 \001(\t\022\017\n\007mean_ms\030\002 \001(\r\"\372\001\n\014Ta" +
+      "rgetReport\022\016\n\006target\030\001 \001(\t\022\017\n\007service\030\002 " +
+      "\001(\t\022\017\n\007version\030\003 \001(\t\022\r\n\005slots\030\004 \001(\r\022\021\n\ta" +
+      "ccepting\030\005 \001(\010\022\017\n\007running\030\006 \001(\r\022\017\n\007waiti" +
+      "ng\030\007 \001(\r\022\017\n\007mean_ms\030\010 \001(\r\022\030\n\020failure_per" +
+      "mille\030\t \001(\r\022\026\n\016warmup_left_ms\030\n \001(\004\0221\n\013r" +
+      "oute_times\030\013 \003(\0132\034.sequoiashunt.link.Rou" +
+      "teTime\"t\n\014VersionTally\022\017\n\007service\030\001 \001(\t\022" +
+      "\017\n\007version\030\002 \001(\t\022\r\n\005route\030\003 \001(\t\022\017\n\007answe" +
+      "rs\030\004 \001(\004\022\020\n\010failures\030\005 \001(\004\022\020\n\010total_ms\030\006" +
+      " \001(\004\"\325\001\n\013VersionMove\022\017\n\007service\030\001 \001(\t\022\017\n" +
+      "\007version\030\002 \001(\t\022\r\n\005state\030\003 \001(\r\022\026\n\016share_p" +
+      "ermille\030\004 \001(\r\022\r\n\005order\030\005 \001(\003\022\023\n\013duration" +
+      "_ms\030\006 \001(\004\022\022\n\nelapsed_ms\030\007 \001(\004\022\020\n\010recorde" +
+      "d\030\010 \001(\010\0223\n\010verdicts\030\t \003(\0132!.sequoiashunt" +
+      ".link.VersionVerdict\"E\n\016VersionVerdict\022\017" +
+      "\n\007version\030\001 \001(\t\022\r\n\005order\030\002 \001(\003\022\023\n\013rolled" +
+      "_back\030\003 \001(\010\"b\n\tKnownNode\022\014\n\004node\030\001 \001(\t\022/" +
+      "\n\007address\030\002 \001(\0132\036.sequoiashunt.link.Node" +
+      "Address\022\026\n\016failure_domain\030\003 \001(\t\"\320\003\n\nNode" +
+      "Report\022\014\n\004node\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(" +
+      "\004\022\020\n\010sequence\030\003 \001(\004\022/\n\007address\030\004 \001(\0132\036.s" +
+      "equoiashunt.link.NodeAddress\022\026\n\016failure_" +
+      "domain\030\005 \001(\t\022\016\n\006region\030\006 \001(\t\022\017\n\007leaving\030" +
+      "\007 \001(\010\022\035\n\025configuration_version\030\010 \001(\004\0220\n\007" +
+      "targets\030\t \003(\0132\037.sequoiashunt.link.Target" +
+      "Report\0220\n\007tallies\030\n \003(\0132\037.sequoiashunt.l" +
+      "ink.VersionTally\022-\n\005moves\030\013 \003(\0132\036.sequoi" +
+      "ashunt.link.VersionMove\022+\n\005known\030\014 \003(\0132\034" +
+      ".sequoiashunt.link.KnownNode\022\035\n\020confirme" +
+      "d_age_ms\030\r \001(\004H\000\210\001\001\022\020\n\010capacity\030\016 \001(\rB\023\n" +
+      "\021_confirmed_age_ms\"N\n\rRelayedReport\022-\n\006r" +
+      "eport\030\001 \001(\0132\035.sequoiashunt.link.NodeRepo" +
+      "rt\022\016\n\006age_ms\030\002 \001(\004\"C\n\016RelayedReports\0221\n\007" +
+      "reports\030\001 \003(\0132 .sequoiashunt.link.Relaye" +
+      "dReport\"\036\n\013ReportBatch\022\017\n\007reports\030\001 \001(\014\"" +
+      "A\n\rReportRequest\0220\n\010reply_to\030\001 \001(\0132\036.seq" +
+      "uoiashunt.link.NodeAddress\"O\n\017TargetDepa" +
+      "rture\022\016\n\006target\030\001 \001(\t\022\032\n\rstarted_at_ms\030\002" +
+      " \001(\003H\000\210\001\001B\020\n\016_started_at_ms\"\233\001\n\017Departur" +
+      "eNotice\022\014\n\004node\030\001 \001(\t\0226\n\ndepartures\030\002 \003(" +
+      "\0132\".sequoiashunt.link.TargetDeparture\0225\n" +
+      "\010reply_to\030\003 \001(\0132\036.sequoiashunt.link.Node" +
+      "AddressH\000\210\001\001B\013\n\t_reply_to\"J\n\020DepartureRe" +
+      "ceipt\0226\n\ndepartures\030\001 \003(\0132\".sequoiashunt" +
+      ".link.TargetDeparture\"_\n\024ConfigurationRe" +
+      "quest\0220\n\010reply_to\030\001 \001(\0132\036.sequoiashunt.l" +
+      "ink.NodeAddress\022\025\n\rknown_version\030\002 \001(\004\"6" +
+      "\n\021ConfigurationCopy\022\017\n\007version\030\001 \001(\004\022\020\n\010" +
+      "document\030\002 \001(\014B(\n\032org.sequoiashunt.link." +
+      "wireB\nFleetProtob\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -14762,7 +17805,7 @@
     internal_static_sequoiashunt_link_Fleet_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_sequoiashunt_link_Fleet_descriptor,
-        new java.lang.String[] { "NodeReport", "ConfigurationRequest", "ConfigurationCopy", "ReportBatch", "ReportRequest", "Content", });
+        new java.lang.String[] { "NodeReport", "ConfigurationRequest", "ConfigurationCopy", "ReportBatch", "ReportRequest", "DepartureNotice", "DepartureReceipt", "Content", });
     internal_static_sequoiashunt_link_RouteTime_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_sequoiashunt_link_RouteTime_fieldAccessorTable = new
@@ -14829,14 +17872,32 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_sequoiashunt_link_ReportRequest_descriptor,
         new java.lang.String[] { "ReplyTo", });
-    internal_static_sequoiashunt_link_ConfigurationRequest_descriptor =
+    internal_static_sequoiashunt_link_TargetDeparture_descriptor =
       getDescriptor().getMessageType(12);
+    internal_static_sequoiashunt_link_TargetDeparture_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_sequoiashunt_link_TargetDeparture_descriptor,
+        new java.lang.String[] { "Target", "StartedAtMs", });
+    internal_static_sequoiashunt_link_DepartureNotice_descriptor =
+      getDescriptor().getMessageType(13);
+    internal_static_sequoiashunt_link_DepartureNotice_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_sequoiashunt_link_DepartureNotice_descriptor,
+        new java.lang.String[] { "Node", "Departures", "ReplyTo", });
+    internal_static_sequoiashunt_link_DepartureReceipt_descriptor =
+      getDescriptor().getMessageType(14);
+    internal_static_sequoiashunt_link_DepartureReceipt_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_sequoiashunt_link_DepartureReceipt_descriptor,
+        new java.lang.String[] { "Departures", });
+    internal_static_sequoiashunt_link_ConfigurationRequest_descriptor =
+      getDescriptor().getMessageType(15);
     internal_static_sequoiashunt_link_ConfigurationRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_sequoiashunt_link_ConfigurationRequest_descriptor,
         new java.lang.String[] { "ReplyTo", "KnownVersion", });
     internal_static_sequoiashunt_link_ConfigurationCopy_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(16);
     internal_static_sequoiashunt_link_ConfigurationCopy_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_sequoiashunt_link_ConfigurationCopy_descriptor,
--- a/sequoiashunt-link/src/test/java/org/sequoiashunt/link/FleetCodecTest.java
+++ b/sequoiashunt-link/src/test/java/org/sequoiashunt/link/FleetCodecTest.java
@@ -8,12 +8,15 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 import org.sequoiashunt.call.Body;
 import org.sequoiashunt.fleet.ConfigurationCopy;
 import org.sequoiashunt.fleet.ConfigurationRequest;
+import org.sequoiashunt.fleet.DepartureNotice;
+import org.sequoiashunt.fleet.DepartureReceipt;
 import org.sequoiashunt.fleet.KnownNode;
 import org.sequoiashunt.fleet.MoveState;
 import org.sequoiashunt.fleet.NodeReport;
@@ -26,10 +29,14 @@
 import org.sequoiashunt.fleet.VersionVerdict;
 import org.sequoiashunt.peer.ControlMessage;
 import org.sequoiashunt.peer.NodeAddress;
+import org.sequoiashunt.target.TargetDeparture;
 
 /** Encoding, size and validation of node reports and configuration copies. */
 class FleetCodecTest {
 
+    private static final List<TargetDeparture> DEPARTURES = List.of(
+            new TargetDeparture("t-1", OptionalLong.of(7)), new TargetDeparture("t-2", OptionalLong.empty()));
+
     /** Two reports a second of this size to nine peers are 5.4 kB/s for each node. */
     private static final int MAXIMUM_REPORT_BYTES = 300;
 
@@ -78,7 +85,10 @@
                 new ReportBatch(List.of()),
                 new ReportRequest(new NodeAddress("10.1.0.11", 7_560)),
                 new ConfigurationRequest(new NodeAddress("10.1.0.11", 7_560), 3),
-                new ConfigurationCopy(4, Body.of(document)))) {
+                new ConfigurationCopy(4, Body.of(document)),
+                new DepartureNotice("n-1", DEPARTURES, Optional.of(new NodeAddress("10.1.0.11", 7_560))),
+                new DepartureNotice("n-1", List.of(), Optional.empty()),
+                new DepartureReceipt(DEPARTURES))) {
             assertTrue(codec.handles(message));
             assertEquals(message, codec.decode(codec.encode(message)));
         }
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/AnnouncementHandler.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/AnnouncementHandler.java
@@ -4,16 +4,20 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 import io.undertow.util.Methods;
+import io.undertow.util.SameThreadExecutor;
 import io.undertow.util.StatusCodes;
 import java.util.Objects;
+import java.util.Optional;
 import org.sequoiashunt.slot.SlotGates;
 import org.sequoiashunt.target.TargetAnnouncement;
+import org.sequoiashunt.target.TargetDeparture;
 import org.sequoiashunt.target.TargetRegistry;
 
 /**
  * Handles the HTTP requests by which the targets of this VM announce their state or their departure.
  *
- * <p>Thread-safe. Invariant: once a target's departure has been acknowledged, its gate sends it no more requests.
+ * <p>Thread-safe. Invariant: once a target's departure has been acknowledged, its gate sends it no more requests, and
+ * neither do later processes of this node.
  */
 final class AnnouncementHandler implements HttpHandler {
 
@@ -22,6 +26,7 @@
     private final AnnouncementDecoder decoder;
     private final TargetRegistry registry;
     private final SlotGates gates;
+    private final DepartureRecorder departures;
     private final Runnable onChange;
     private final DecisionLog log;
 
@@ -29,11 +34,13 @@
             final AnnouncementDecoder decoder,
             final TargetRegistry registry,
             final SlotGates gates,
+            final DepartureRecorder departures,
             final Runnable onChange,
             final DecisionLog log) {
         this.decoder = Objects.requireNonNull(decoder, "decoder");
         this.registry = Objects.requireNonNull(registry, "registry");
         this.gates = Objects.requireNonNull(gates, "gates");
+        this.departures = Objects.requireNonNull(departures, "departures");
         this.onChange = Objects.requireNonNull(onChange, "onChange");
         this.log = Objects.requireNonNull(log, "log");
     }
@@ -73,7 +80,7 @@
                 logAnnouncement(announcement, change);
                 onChange.run();
             }
-            respond(exchange, StatusCodes.OK, "{}");
+            acknowledge(exchange, target);
         } catch (AnnouncementRefusedException exception) {
             log.log(LogKind.ANNOUNCEMENT_IGNORED, "target", target, "reason", exception.getMessage());
             respond(exchange, StatusCodes.BAD_REQUEST, "{}");
@@ -112,7 +119,30 @@
             onChange.run();
         }
         log.log(LogKind.TARGET, "target", target, "change", wasRegistered ? "LEFT" : "LEFT_UNKNOWN");
-        respond(exchange, StatusCodes.OK, "{}");
+        acknowledge(exchange, target);
+    }
+
+    /** Acknowledges an announcement; if the target departs, only once its departure is known outside this process. */
+    private void acknowledge(final HttpServerExchange exchange, final String target) {
+        Optional<TargetDeparture> departure = registry.departureOf(target);
+        if (departure.isEmpty()) {
+            respond(exchange, StatusCodes.OK, "{}");
+            return;
+        }
+        exchange.dispatch(
+                SameThreadExecutor.INSTANCE,
+                () -> departures
+                        .record(departure.get())
+                        .thenAccept(mayAcknowledge -> exchange.getIoThread()
+                                .execute(() -> respondToDeparture(exchange, target, mayAcknowledge))));
+    }
+
+    private void respondToDeparture(
+            final HttpServerExchange exchange, final String target, final boolean mayAcknowledge) {
+        if (!mayAcknowledge) {
+            log.log(LogKind.ANNOUNCEMENT_IGNORED, "target", target, "reason", "its departure could not be recorded");
+        }
+        respond(exchange, mayAcknowledge ? StatusCodes.OK : StatusCodes.SERVICE_UNAVAILABLE, "{}");
     }
 
     private static void respond(final HttpServerExchange exchange, final int status, final String body) {
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/FleetController.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/FleetController.java
@@ -5,6 +5,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.sequoiashunt.blackboard.Controller;
 import org.sequoiashunt.call.Body;
@@ -226,6 +227,7 @@
             requestReport();
         }
         if (change == FleetView.Change.REGAINED) {
+            dependencies.onPeerFound().accept(report);
             dependencies.log().log(
                     LogKind.PEER,
                     "peer",
@@ -252,6 +254,7 @@
      * @param answerCounters the counts of the answers of this node's targets.
      * @param sender sends messages to other nodes.
      * @param draining true once this node is shutting down.
+     * @param onPeerFound called with the report of a node that is new, has restarted or was silent.
      * @param log the log of decisions.
      */
     record Dependencies(
@@ -265,5 +268,6 @@
             AnswerCounters answerCounters,
             PeerSender sender,
             BooleanSupplier draining,
+            Consumer<NodeReport> onPeerFound,
             DecisionLog log) {}
 }
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
@@ -94,6 +94,9 @@
     private SlotGates gates;
     private FleetController fleetController;
     private MoveController moveController;
+    private DepartureRecorder departureRecorder;
+    private Timers timers;
+    private StoreHealth storeHealth;
     private LinkClient linkClient;
     private MeshCallerHandler callerHandler;
     private MeshDispatcher dispatcher;
@@ -143,6 +146,19 @@
         GateReporter reporter =
                 new GateReporter(platformComponents.headerNames().requestId(), answerCounters, log, metrics);
         gates = new SlotGates(registry, new SlotGate.Dependencies(clock, targets, reporter));
+        timers = closer.register(new Timers());
+        storeHealth = new StoreHealth(clock, log);
+        departureRecorder = new DepartureRecorder(new DepartureRecorder.Dependencies(
+                settings.location(),
+                fleet,
+                linkClient,
+                platformComponents.platform(),
+                registry,
+                gates,
+                clock,
+                timers,
+                storeHealth,
+                () -> fleetController.requestReport()));
         fleetController =
                 new FleetController(settings.location(), settings.capacity(), incarnation, fleetDependencies());
         moveController = new MoveController(
@@ -155,6 +171,7 @@
                 fleetController::requestReport);
         callerHandler = new MeshCallerHandler(callerHandlerDependencies());
         controlLoop.add(fleetController);
+        controlLoop.add(departureRecorder);
         controlLoop.add(moveController);
         openListeners(registry);
         linkServer = closer.register(LinkServer.open(
@@ -206,6 +223,7 @@
                 answerCounters,
                 linkClient,
                 () -> draining,
+                departureRecorder::peerFound,
                 log);
     }
 
@@ -216,7 +234,7 @@
                 clock, settings.retryBudget(), () -> fleet.liveReports().size() + 1);
         dispatcher = new MeshDispatcher(new MeshDispatcher.Dependencies(
                 clock,
-                closer.register(new Timers()),
+                timers,
                 configuration::current,
                 new WeightedServiceSelector(random),
                 new MeshVersionSelector(moveTable, random),
@@ -254,6 +272,7 @@
                         platformComponents.announcementDecoder(),
                         registry,
                         gates,
+                        departureRecorder,
                         fleetController::requestReport,
                         log));
         settings.metricsAddress()
@@ -263,7 +282,6 @@
     }
 
     private void startStoreTasks() {
-        StoreHealth health = new StoreHealth(clock, log);
         KnownNode self = settings.location().asKnownNode();
         startTask(
                 "operator",
@@ -273,11 +291,12 @@
                         clock,
                         random,
                         this::applyDesiredState,
-                        health));
-        startTask("entry", new NodeEntryTask(platformComponents.platform(), self, fleet, random, health));
+                        storeHealth));
+        startTask("entry", new NodeEntryTask(platformComponents.platform(), self, fleet, random, storeHealth));
+        startTask("departures", departureRecorder);
         startTask(
                 "moves",
-                new MoveRecorder(platformComponents.platform(), moveTable, moveController::rank, health, clock));
+                new MoveRecorder(platformComponents.platform(), moveTable, moveController::rank, storeHealth, clock));
     }
 
     private void startTask(final String name, final BlockingTask task) {
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/FakePlatform.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/FakePlatform.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
 import org.sequoiashunt.call.Body;
 import org.sequoiashunt.fleet.KnownNode;
 import org.sequoiashunt.fleet.VersionMove;
@@ -17,6 +18,7 @@
 import org.sequoiashunt.mesh.ReadFreshness;
 import org.sequoiashunt.mesh.WeightedService;
 import org.sequoiashunt.store.StoreException;
+import org.sequoiashunt.target.TargetDeparture;
 
 /**
  * In-memory platform client of one node; all clients of a test share the same state. The document of a configuration
@@ -26,19 +28,24 @@
 
     private final Map<String, KnownNode> nodes;
     private final AtomicInteger version;
+    private final Map<String, List<TargetDeparture>> departures;
     private volatile boolean down;
 
     FakePlatform() {
-        this(new ConcurrentHashMap<>(), new AtomicInteger(1));
+        this(new ConcurrentHashMap<>(), new AtomicInteger(1), new ConcurrentHashMap<>());
     }
 
-    private FakePlatform(final Map<String, KnownNode> nodes, final AtomicInteger version) {
+    private FakePlatform(
+            final Map<String, KnownNode> nodes,
+            final AtomicInteger version,
+            final Map<String, List<TargetDeparture>> departures) {
         this.nodes = nodes;
         this.version = version;
+        this.departures = departures;
     }
 
     FakePlatform newClient() {
-        return new FakePlatform(nodes, version);
+        return new FakePlatform(nodes, version, departures);
     }
 
     void commit(final int nextVersion) {
@@ -120,6 +127,29 @@
         return true;
     }
 
+    @Override
+    public List<TargetDeparture> readDepartures(final String node) throws StoreException {
+        requireUp();
+        return departures.getOrDefault(node, List.of());
+    }
+
+    @Override
+    public long grantLease(final long durationMs) throws StoreException {
+        requireUp();
+        return 1;
+    }
+
+    @Override
+    public boolean recordDepartures(final String node, final List<TargetDeparture> recorded, final long lease)
+            throws StoreException {
+        requireUp();
+        departures.merge(
+                node,
+                List.copyOf(recorded),
+                (known, added) -> Stream.concat(known.stream(), added.stream()).toList());
+        return true;
+    }
+
     @Override
     public VersionMove record(final VersionMove move) throws StoreException {
         requireUp();
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/FleetControllerTest.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/FleetControllerTest.java
@@ -81,6 +81,7 @@
                         (receiver, message) -> sent.computeIfAbsent(receiver, unused -> new ArrayList<>())
                                 .add(message),
                         () -> false,
+                        report -> {},
                         log));
     }
 
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/MeshNodeTest.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/MeshNodeTest.java
@@ -83,13 +83,18 @@
             MeshSettings nodeSettings = settings(region);
             settings.add(nodeSettings);
             FakePlatform platformClient = region.equals("north") ? platform : otherPlatformClient;
-            nodes.add(MeshNode.open(
-                    nodeSettings,
-                    new MeshNode.PlatformComponents(
-                            platformClient, HEADER_NAMES, new PlainTextAnnouncementDecoder(), new MeshMetrics())));
+            nodes.add(open(nodeSettings, platformClient));
         }
     }
 
+    private static MeshNode open(final MeshSettings nodeSettings, final FakePlatform platformClient)
+            throws IOException {
+        return MeshNode.open(
+                nodeSettings,
+                new MeshNode.PlatformComponents(
+                        platformClient, HEADER_NAMES, new PlainTextAnnouncementDecoder(), new MeshMetrics()));
+    }
+
     @AfterEach
     void close() throws Exception {
         for (MeshNode node : nodes) {
@@ -300,6 +305,23 @@
         assertEquals(400, announce(1, "garbage"));
     }
 
+    /** Guards against requests to a target that left, after its node has restarted and a late announcement arrives. */
+    @Test
+    void acknowledgedDepartureBindsTheRestartedNode() throws Exception {
+        startTarget(COMPLETE_RESPONSE, COMPLETE_RESPONSE, COMPLETE_RESPONSE, COMPLETE_RESPONSE);
+        awaitTargetReachable();
+        assertEquals(200, announce(1, target.address() + " 6 leaving"));
+        nodes.remove(1).close();
+        nodes.add(open(settings.get(1), otherPlatformClient));
+        await(() -> call(1, "/none/", "id").statusCode() == 404);
+        int before = target.requests().size();
+        announce(1, target.address() + " 5 ready");
+        announce(1, target.address() + " 6 ready");
+        Thread.sleep(300);
+        assertEquals(503, call(1, "/look/2", "id-2").statusCode());
+        assertEquals(before, target.requests().size());
+    }
+
     @Test
     void callerDisconnectCancelsItsRequest() throws Exception {
         startTarget(COMPLETE_RESPONSE, "SILENT", COMPLETE_RESPONSE);
