--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/fleet/NodeReport.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/fleet/NodeReport.java
@@ -25,6 +25,7 @@
  * @param targets the targets that announce themselves to the node.
  * @param tallies the answer counts of the node's targets, for services with a move.
  * @param moves the moves that the node knows.
+ * @param crashes what the node knows of requests that were at work at targets that crashed.
  * @param knownNodes the nodes that the node knows.
  */
 public record NodeReport(
@@ -41,6 +42,7 @@
         List<TargetReport> targets,
         List<VersionTally> tallies,
         List<VersionMove> moves,
+        List<CrashRecord> crashes,
         List<KnownNode> knownNodes)
         implements ControlMessage {
 
@@ -58,6 +60,7 @@
         targets = List.copyOf(targets);
         tallies = List.copyOf(tallies);
         moves = List.copyOf(moves);
+        crashes = List.copyOf(crashes);
         knownNodes = List.copyOf(knownNodes);
     }
 
@@ -81,6 +84,7 @@
                 targets,
                 tallies,
                 moves,
+                crashes,
                 List.of());
     }
 
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/fleet/VersionMove.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/fleet/VersionMove.java
@@ -10,8 +10,8 @@
  * A move of a service's traffic to another version: the operator's order, its state and share, and the outcomes of
  * earlier moves. Every node passes moves on with its reports, so that any node can carry a move on from what it has.
  *
- * <p>{@link #merge} is commutative, associative and idempotent except for the elapsed time, which only grows: nodes that
- * have received the same values in any order hold the same value.
+ * <p>{@link #merge} is commutative, associative and idempotent except for the elapsed time, which only grows: nodes
+ * that have received the same values in any order hold the same value.
  *
  * <p>Immutable and thread-safe. Invariant: the share is from 0 to 1,000.
  *
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshAttempts.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshAttempts.java
@@ -55,6 +55,8 @@
 
     private String runningCallId;
     private boolean withdrawn;
+    /** Whether a gate knows that the request crashes targets. */
+    private boolean quarantined;
     /** When this node stops, in milliseconds of the local clock. */
     private long stopMs;
 
@@ -102,7 +104,7 @@
         }
         Optional<PlacementCandidate> choice = chooseTarget();
         if (choice.isEmpty()) {
-            endWithoutNewAttempt(hasGateRefusal() ? Reason.QUEUE_FULL : Reason.NO_TARGET);
+            endWithoutNewAttempt(reasonWithoutTarget());
             return;
         }
         if (outlastsStop(choice.get())) {
@@ -116,12 +118,15 @@
         send(choice.get());
     }
 
-    private synchronized boolean hasGateRefusal() {
-        return gateRefusals > 0;
+    private synchronized Reason reasonWithoutTarget() {
+        if (quarantined) {
+            return Reason.QUARANTINED;
+        }
+        return gateRefusals > 0 ? Reason.QUEUE_FULL : Reason.NO_TARGET;
     }
 
     private synchronized Optional<PlacementCandidate> chooseTarget() {
-        if (gateRefusals >= MAXIMUM_GATE_REFUSALS) {
+        if (quarantined || gateRefusals >= MAXIMUM_GATE_REFUSALS) {
             return Optional.empty();
         }
         PlacementNeed need = new PlacementNeed(
@@ -250,6 +255,7 @@
         } else {
             gateRefusals++;
         }
+        quarantined |= attemptResult.reason() == Reason.QUARANTINED;
         if (attemptResult.reason() == Reason.QUEUE_FULL) {
             shortestWaitMs = Math.min(shortestWaitMs, attemptResult.expectedWaitMs());
         }
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshDispatcher.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshDispatcher.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
 import java.util.function.ToDoubleFunction;
+import java.util.function.ToLongBiFunction;
 import org.sequoiashunt.call.CallResult;
 import org.sequoiashunt.call.GateCaller;
 import org.sequoiashunt.call.Reason;
@@ -72,6 +73,11 @@
      */
     public CompletableFuture<CallResult> dispatch(final MeshCall call, final MeshRoute route) {
         String service = dependencies.serviceSelector().choose(route);
+        long quarantineMs = dependencies.quarantine().applyAsLong(service, call);
+        if (quarantineMs > 0) {
+            return CompletableFuture.completedFuture(
+                    CallResult.notRun(Reason.QUARANTINED).withExpectedWait(quarantineMs));
+        }
         dependencies.retryBudget().recordRequest(service);
         dependencies
                 .retryBudget()
@@ -133,6 +139,8 @@
      * @param gates sends calls to the gates of targets.
      * @param callIds generates the identities of attempts.
      * @param repeatedRunShare returns the probability that a request for a service is made by a repeated run.
+     * @param quarantine returns how long a request for a service is still refused because it crashes targets, in
+     *     milliseconds, zero if it may run.
      * @param observer receives each decision.
      */
     public record Dependencies(
@@ -147,5 +155,6 @@
             GateCaller gateCaller,
             CallIdGenerator callIdGenerator,
             ToDoubleFunction<String> repeatedRunShare,
+            ToLongBiFunction<String, MeshCall> quarantine,
             DispatchObserver observer) {}
 }
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshVersionSelector.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshVersionSelector.java
@@ -60,7 +60,8 @@
      * @param service the service, not null.
      * @param candidates the targets of the service, not null.
      * @param useNewVersion whether the request goes to the new version.
-     * @return all targets if the service has no move; otherwise none of a version that was rolled back. While a move is running, the targets of the chosen version; if
+     * @return all targets if the service has no move; otherwise none of a version that was rolled back. While a move is
+     *     running, the targets of the chosen version; if
      *     the new version has none, those of other versions. After completion, the targets of the new version or, if it
      *     has none, those of other versions. After a rollback, the targets of other versions. Never null.
      */
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MoveTable.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MoveTable.java
@@ -12,8 +12,8 @@
 /**
  * Holds the latest move of each service's traffic between versions.
  *
- * <p>Thread-safe. Invariant: a value never regresses, since {@link VersionMove#merge} only advances it. Tables that have
- * received the same values hold the same states, in whatever order they arrived.
+ * <p>Thread-safe. Invariant: a value never regresses, since {@link VersionMove#merge} only advances it. Tables that
+ * have received the same values hold the same states, in whatever order they arrived.
  */
 public final class MoveTable {
 
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/target/TargetRegistry.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/target/TargetRegistry.java
@@ -18,9 +18,9 @@
  * number orders the announcements of one incarnation. A late announcement never restores an earlier incarnation or a
  * target that has left.
  *
- * <p>A process that has just started does not know which targets have left. Until the departures that the process before
- * it acknowledged are restored, a target that may have left is held until its second announcement, which shows that it
- * still runs.
+ * <p>A process that has just started does not know which targets have left. Until the departures that the process
+ * before it acknowledged are restored, a target that may have left is held until its second announcement, which shows
+ * that it still runs.
  *
  * <p>Thread-safe: guarded by its own monitor. Invariants: at most one target per address; a target that has left stays
  * removed until a later incarnation announces itself; departures are kept for a bounded time and in bounded number.
--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/fleet/FleetViewTest.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/fleet/FleetViewTest.java
@@ -109,6 +109,7 @@
                 List.of(),
                 List.of(),
                 List.of(),
+                List.of(),
                 List.of(other));
         view.accept(report);
         assertTrue(view.knownNodes().contains(other));
--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/fleet/NodeReports.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/fleet/NodeReports.java
@@ -44,6 +44,7 @@
                 List.of(),
                 List.of(),
                 List.of(),
+                List.of(),
                 List.of());
     }
 }
--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/mesh/MeshDispatcherTest.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/mesh/MeshDispatcherTest.java
@@ -48,6 +48,7 @@
     private int load;
     private int failurePermille;
     private double repeatedRunShare;
+    private long quarantineMs;
     private MeshDispatcher dispatcher;
     private Optional<MeshConfiguration> configuration = Optional.of(configuration());
 
@@ -90,6 +91,7 @@
                     List.of(target),
                     List.of(),
                     List.of(),
+                    List.of(),
                     List.of()));
         }
         NodeLocation location = new NodeLocation("self", new NodeAddress("10.0.0.9", 7), "d", "r");
@@ -108,6 +110,7 @@
                 new RecordingGateCaller(),
                 new CallIdGenerator("self", 1),
                 service -> repeatedRunShare,
+                (service, call) -> quarantineMs,
                 new NoOpObserver()));
     }
 
@@ -344,6 +347,27 @@
         assertEquals(2, sentRequests.size());
     }
 
+    /** Guards against a request that crashes targets and is sent on each time it comes. */
+    @Test
+    void quarantinedRequestIsRefusedWithoutSending() {
+        quarantineMs = 7_000;
+        CompletableFuture<CallResult> result = dispatch("/l/1");
+        assertEquals(CallResult.notRun(Reason.QUARANTINED).withExpectedWait(7_000), result.getNow(null));
+        assertEquals(0, sentRequests.size());
+    }
+
+    @Test
+    void requestThatAGateQuarantinesIsNotSentToAnotherOne() {
+        CompletableFuture<CallResult> refused = dispatch("/l/1");
+        endAttempt(0, CallResult.notRun(Reason.QUARANTINED));
+        assertEquals(Reason.QUARANTINED, refused.getNow(null).reason());
+        CompletableFuture<CallResult> ran = dispatch("/l/1");
+        endAttempt(1, CallResult.unknown(Reason.CONNECTION_FAILED));
+        endAttempt(2, CallResult.notRun(Reason.QUARANTINED));
+        assertEquals(Outcome.UNKNOWN, ran.getNow(null).outcome(), "the first attempt may have run");
+        assertEquals(3, sentRequests.size());
+    }
+
     @Test
     void missingConfigurationIsReportedAsNotReady() {
         configuration = Optional.empty();
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/FleetCodec.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/FleetCodec.java
@@ -8,6 +8,7 @@
 import org.sequoiashunt.call.Body;
 import org.sequoiashunt.fleet.ConfigurationCopy;
 import org.sequoiashunt.fleet.ConfigurationRequest;
+import org.sequoiashunt.fleet.CrashRecord;
 import org.sequoiashunt.fleet.DepartureNotice;
 import org.sequoiashunt.fleet.DepartureReceipt;
 import org.sequoiashunt.fleet.KnownNode;
@@ -164,6 +165,11 @@
         report.targets().forEach(target -> builder.addTargets(encode(target)));
         report.tallies().forEach(tally -> builder.addTallies(encode(tally)));
         report.moves().forEach(move -> builder.addMoves(encode(move)));
+        report.crashes()
+                .forEach(crash -> builder.addCrashes(FleetProto.CrashRecord.newBuilder()
+                        .setFingerprint(crash.fingerprint())
+                        .setIncident(crash.incident())
+                        .setAgeMs(crash.ageMs())));
         report.knownNodes()
                 .forEach(node -> builder.addKnown(FleetProto.KnownNode.newBuilder()
                         .setNode(node.node())
@@ -187,6 +193,9 @@
                 report.getTargetsList().stream().map(FleetCodec::decode).toList(),
                 report.getTalliesList().stream().map(FleetCodec::decode).toList(),
                 report.getMovesList().stream().map(FleetCodec::decode).toList(),
+                report.getCrashesList().stream()
+                        .map(crash -> new CrashRecord(crash.getFingerprint(), crash.getIncident(), crash.getAgeMs()))
+                        .toList(),
                 report.getKnownList().stream()
                         .map(node -> new KnownNode(
                                 node.getNode(), MemberCodec.decode(node.getAddress()), node.getFailureDomain()))
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/ServedCalls.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/ServedCalls.java
@@ -67,8 +67,8 @@
     }
 
     /**
-     * Answers a query for a call. A call that was not received is revoked; a running call is withdrawn if the query asks
-     * for that.
+     * Answers a query for a call. A call that was not received is revoked; a running call is withdrawn if the query
+     * asks for that.
      *
      * @param query the query.
      * @param receiver receives the result at once if the call has ended, otherwise when it ends.
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/wire/FleetProto.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/wire/FleetProto.java
@@ -8615,6 +8615,30 @@
      * @return The capacity.
      */
     int getCapacity();
+
+    /**
+     * <code>repeated .sequoiashunt.link.CrashRecord crashes = 15;</code>
+     */
+    java.util.List<org.sequoiashunt.link.wire.FleetProto.CrashRecord> 
+        getCrashesList();
+    /**
+     * <code>repeated .sequoiashunt.link.CrashRecord crashes = 15;</code>
+     */
+    org.sequoiashunt.link.wire.FleetProto.CrashRecord getCrashes(int index);
+    /**
+     * <code>repeated .sequoiashunt.link.CrashRecord crashes = 15;</code>
+     */
+    int getCrashesCount();
+    /**
+     * <code>repeated .sequoiashunt.link.CrashRecord crashes = 15;</code>
+     */
+    java.util.List<? extends org.sequoiashunt.link.wire.FleetProto.CrashRecordOrBuilder> 
+        getCrashesOrBuilderList();
+    /**
+     * <code>repeated .sequoiashunt.link.CrashRecord crashes = 15;</code>
+     */
+    org.sequoiashunt.link.wire.FleetProto.CrashRecordOrBuilder getCrashesOrBuilder(
+        int index);
   }
   /**
    * Protobuf type {@code sequoiashunt.link.NodeReport}
@@ -8645,6 +8669,7 @@
       tallies_ = java.util.Collections.emptyList();
       moves_ = java.util.Collections.emptyList();
       known_ = java.util.Collections.emptyList();
+      crashes_ = java.util.Collections.emptyList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -9059,6 +9084,47 @@
       return capacity_;
     }
 
+    public static final int CRASHES_FIELD_NUMBER = 15;
+    @SuppressWarnings("serial")
+    private java.util.List<org.sequoiashunt.link.wire.FleetProto.CrashRecord> crashes_;
+    /**
+     * <code>repeated .sequoiashunt.link.CrashRecord crashes = 15;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.sequoiashunt.link.wire.FleetProto.CrashRecord> getCrashesList() {
+      return crashes_;
+    }
+    /**
+     * <code>repeated .sequoiashunt.link.CrashRecord crashes = 15;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.sequoiashunt.link.wire.FleetProto.CrashRecordOrBuilder> 
+        getCrashesOrBuilderList() {
+      return crashes_;
+    }
+    /**
+     * <code>repeated .sequoiashunt.link.CrashRecord crashes = 15;</code>
+     */
+    @java.lang.Override
+    public int getCrashesCount() {
+      return crashes_.size();
+    }
+    /**
+     * <code>repeated .sequoiashunt.link.CrashRecord crashes = 15;</code>
+     */
+    @java.lang.Override
+    public org.sequoiashunt.link.wire.FleetProto.CrashRecord getCrashes(int index) {
+      return crashes_.get(index);
+    }
+    /**
+     * <code>repeated .sequoiashunt.link.CrashRecord crashes = 15;</code>
+     */
+    @java.lang.Override
+    public org.sequoiashunt.link.wire.FleetProto.CrashRecordOrBuilder getCrashesOrBuilder(
+        int index) {
+      return crashes_.get(index);
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -9115,6 +9181,9 @@
       if (capacity_ != 0) {
         output.writeUInt32(14, capacity_);
       }
+      for (int i = 0; i < crashes_.size(); i++) {
+        output.writeMessage(15, crashes_.get(i));
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -9192,6 +9261,15 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt32Size(14, capacity_);
       }
+
+          {
+            final int count = crashes_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(crashes_.get(i));
+            }
+            size += 1 * count;
+          }
       return size;
     }
     @java.lang.Override
@@ -9250,6 +9328,8 @@
       }
       if (getCapacity()
           != other.getCapacity()) return false;
+      if (!getCrashesList()
+          .equals(other.getCrashesList())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -9306,6 +9386,10 @@
       }
       hash = (37 * hash) + CAPACITY_FIELD_NUMBER;
       hash = (53 * hash) + getCapacity();
+      if (getCrashesCount() > 0) {
+        hash = (37 * hash) + CRASHES_FIELD_NUMBER;
+        hash = (53 * hash) + getCrashesList().hashCode();
+      }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -9441,6 +9525,7 @@
           internalGetTalliesFieldBuilder();
           internalGetMovesFieldBuilder();
           internalGetKnownFieldBuilder();
+          internalGetCrashesFieldBuilder();
         }
       }
       @java.lang.Override
@@ -9489,6 +9574,13 @@
         bitField0_ = (bitField0_ & ~0x00000800);
         confirmedAgeMs_ = 0L;
         capacity_ = 0;
+        if (crashesBuilder_ == null) {
+          crashes_ = java.util.Collections.emptyList();
+        } else {
+          crashes_ = null;
+          crashesBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00004000);
         return this;
       }
 
@@ -9558,6 +9650,15 @@
         } else {
           result.known_ = knownBuilder_.build();
         }
+        if (crashesBuilder_ == null) {
+          if (((bitField0_ & 0x00004000) != 0)) {
+            crashes_ = java.util.Collections.unmodifiableList(crashes_);
+            bitField0_ = (bitField0_ & ~0x00004000);
+          }
+          result.crashes_ = crashes_;
+        } else {
+          result.crashes_ = crashesBuilder_.build();
+        }
       }
 
       private void buildPartial0(org.sequoiashunt.link.wire.FleetProto.NodeReport result) {
@@ -9752,6 +9853,32 @@
         if (other.getCapacity() != 0) {
           setCapacity(other.getCapacity());
         }
+        if (crashesBuilder_ == null) {
+          if (!other.crashes_.isEmpty()) {
+            if (crashes_.isEmpty()) {
+              crashes_ = other.crashes_;
+              bitField0_ = (bitField0_ & ~0x00004000);
+            } else {
+              ensureCrashesIsMutable();
+              crashes_.addAll(other.crashes_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.crashes_.isEmpty()) {
+            if (crashesBuilder_.isEmpty()) {
+              crashesBuilder_.dispose();
+              crashesBuilder_ = null;
+              crashes_ = other.crashes_;
+              bitField0_ = (bitField0_ & ~0x00004000);
+              crashesBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetCrashesFieldBuilder() : null;
+            } else {
+              crashesBuilder_.addAllMessages(other.crashes_);
+            }
+          }
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -9880,6 +10007,19 @@
                 bitField0_ |= 0x00002000;
                 break;
               } // case 112
+              case 122: {
+                org.sequoiashunt.link.wire.FleetProto.CrashRecord m =
+                    input.readMessage(
+                        org.sequoiashunt.link.wire.FleetProto.CrashRecord.parser(),
+                        extensionRegistry);
+                if (crashesBuilder_ == null) {
+                  ensureCrashesIsMutable();
+                  crashes_.add(m);
+                } else {
+                  crashesBuilder_.addMessage(m);
+                }
+                break;
+              } // case 122
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -11171,248 +11311,1264 @@
           ensureKnownIsMutable();
           known_.add(builderForValue.build());
           onChanged();
-        } else {
-          knownBuilder_.addMessage(builderForValue.build());
-        }
+        } else {
+          knownBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.KnownNode known = 12;</code>
+       */
+      public Builder addKnown(
+          int index, org.sequoiashunt.link.wire.FleetProto.KnownNode.Builder builderForValue) {
+        if (knownBuilder_ == null) {
+          ensureKnownIsMutable();
+          known_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          knownBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.KnownNode known = 12;</code>
+       */
+      public Builder addAllKnown(
+          java.lang.Iterable<? extends org.sequoiashunt.link.wire.FleetProto.KnownNode> values) {
+        if (knownBuilder_ == null) {
+          ensureKnownIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, known_);
+          onChanged();
+        } else {
+          knownBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.KnownNode known = 12;</code>
+       */
+      public Builder clearKnown() {
+        if (knownBuilder_ == null) {
+          known_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000800);
+          onChanged();
+        } else {
+          knownBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.KnownNode known = 12;</code>
+       */
+      public Builder removeKnown(int index) {
+        if (knownBuilder_ == null) {
+          ensureKnownIsMutable();
+          known_.remove(index);
+          onChanged();
+        } else {
+          knownBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.KnownNode known = 12;</code>
+       */
+      public org.sequoiashunt.link.wire.FleetProto.KnownNode.Builder getKnownBuilder(
+          int index) {
+        return internalGetKnownFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.KnownNode known = 12;</code>
+       */
+      public org.sequoiashunt.link.wire.FleetProto.KnownNodeOrBuilder getKnownOrBuilder(
+          int index) {
+        if (knownBuilder_ == null) {
+          return known_.get(index);  } else {
+          return knownBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.KnownNode known = 12;</code>
+       */
+      public java.util.List<? extends org.sequoiashunt.link.wire.FleetProto.KnownNodeOrBuilder> 
+           getKnownOrBuilderList() {
+        if (knownBuilder_ != null) {
+          return knownBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(known_);
+        }
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.KnownNode known = 12;</code>
+       */
+      public org.sequoiashunt.link.wire.FleetProto.KnownNode.Builder addKnownBuilder() {
+        return internalGetKnownFieldBuilder().addBuilder(
+            org.sequoiashunt.link.wire.FleetProto.KnownNode.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.KnownNode known = 12;</code>
+       */
+      public org.sequoiashunt.link.wire.FleetProto.KnownNode.Builder addKnownBuilder(
+          int index) {
+        return internalGetKnownFieldBuilder().addBuilder(
+            index, org.sequoiashunt.link.wire.FleetProto.KnownNode.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.KnownNode known = 12;</code>
+       */
+      public java.util.List<org.sequoiashunt.link.wire.FleetProto.KnownNode.Builder> 
+           getKnownBuilderList() {
+        return internalGetKnownFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.sequoiashunt.link.wire.FleetProto.KnownNode, org.sequoiashunt.link.wire.FleetProto.KnownNode.Builder, org.sequoiashunt.link.wire.FleetProto.KnownNodeOrBuilder> 
+          internalGetKnownFieldBuilder() {
+        if (knownBuilder_ == null) {
+          knownBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.sequoiashunt.link.wire.FleetProto.KnownNode, org.sequoiashunt.link.wire.FleetProto.KnownNode.Builder, org.sequoiashunt.link.wire.FleetProto.KnownNodeOrBuilder>(
+                  known_,
+                  ((bitField0_ & 0x00000800) != 0),
+                  getParentForChildren(),
+                  isClean());
+          known_ = null;
+        }
+        return knownBuilder_;
+      }
+
+      private long confirmedAgeMs_ ;
+      /**
+       * <pre>
+       * Time since the node confirmed that its configuration is the latest; absent if it never did.
+       * </pre>
+       *
+       * <code>optional uint64 confirmed_age_ms = 13;</code>
+       * @return Whether the confirmedAgeMs field is set.
+       */
+      @java.lang.Override
+      public boolean hasConfirmedAgeMs() {
+        return ((bitField0_ & 0x00001000) != 0);
+      }
+      /**
+       * <pre>
+       * Time since the node confirmed that its configuration is the latest; absent if it never did.
+       * </pre>
+       *
+       * <code>optional uint64 confirmed_age_ms = 13;</code>
+       * @return The confirmedAgeMs.
+       */
+      @java.lang.Override
+      public long getConfirmedAgeMs() {
+        return confirmedAgeMs_;
+      }
+      /**
+       * <pre>
+       * Time since the node confirmed that its configuration is the latest; absent if it never did.
+       * </pre>
+       *
+       * <code>optional uint64 confirmed_age_ms = 13;</code>
+       * @param value The confirmedAgeMs to set.
+       * @return This builder for chaining.
+       */
+      public Builder setConfirmedAgeMs(long value) {
+
+        confirmedAgeMs_ = value;
+        bitField0_ |= 0x00001000;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Time since the node confirmed that its configuration is the latest; absent if it never did.
+       * </pre>
+       *
+       * <code>optional uint64 confirmed_age_ms = 13;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearConfirmedAgeMs() {
+        bitField0_ = (bitField0_ & ~0x00001000);
+        confirmedAgeMs_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private int capacity_ ;
+      /**
+       * <pre>
+       * Processor capacity in thousandths of a core.
+       * </pre>
+       *
+       * <code>uint32 capacity = 14;</code>
+       * @return The capacity.
+       */
+      @java.lang.Override
+      public int getCapacity() {
+        return capacity_;
+      }
+      /**
+       * <pre>
+       * Processor capacity in thousandths of a core.
+       * </pre>
+       *
+       * <code>uint32 capacity = 14;</code>
+       * @param value The capacity to set.
+       * @return This builder for chaining.
+       */
+      public Builder setCapacity(int value) {
+
+        capacity_ = value;
+        bitField0_ |= 0x00002000;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Processor capacity in thousandths of a core.
+       * </pre>
+       *
+       * <code>uint32 capacity = 14;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearCapacity() {
+        bitField0_ = (bitField0_ & ~0x00002000);
+        capacity_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private java.util.List<org.sequoiashunt.link.wire.FleetProto.CrashRecord> crashes_ =
+        java.util.Collections.emptyList();
+      private void ensureCrashesIsMutable() {
+        if (!((bitField0_ & 0x00004000) != 0)) {
+          crashes_ = new java.util.ArrayList<org.sequoiashunt.link.wire.FleetProto.CrashRecord>(crashes_);
+          bitField0_ |= 0x00004000;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.sequoiashunt.link.wire.FleetProto.CrashRecord, org.sequoiashunt.link.wire.FleetProto.CrashRecord.Builder, org.sequoiashunt.link.wire.FleetProto.CrashRecordOrBuilder> crashesBuilder_;
+
+      /**
+       * <code>repeated .sequoiashunt.link.CrashRecord crashes = 15;</code>
+       */
+      public java.util.List<org.sequoiashunt.link.wire.FleetProto.CrashRecord> getCrashesList() {
+        if (crashesBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(crashes_);
+        } else {
+          return crashesBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.CrashRecord crashes = 15;</code>
+       */
+      public int getCrashesCount() {
+        if (crashesBuilder_ == null) {
+          return crashes_.size();
+        } else {
+          return crashesBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.CrashRecord crashes = 15;</code>
+       */
+      public org.sequoiashunt.link.wire.FleetProto.CrashRecord getCrashes(int index) {
+        if (crashesBuilder_ == null) {
+          return crashes_.get(index);
+        } else {
+          return crashesBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.CrashRecord crashes = 15;</code>
+       */
+      public Builder setCrashes(
+          int index, org.sequoiashunt.link.wire.FleetProto.CrashRecord value) {
+        if (crashesBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureCrashesIsMutable();
+          crashes_.set(index, value);
+          onChanged();
+        } else {
+          crashesBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.CrashRecord crashes = 15;</code>
+       */
+      public Builder setCrashes(
+          int index, org.sequoiashunt.link.wire.FleetProto.CrashRecord.Builder builderForValue) {
+        if (crashesBuilder_ == null) {
+          ensureCrashesIsMutable();
+          crashes_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          crashesBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.CrashRecord crashes = 15;</code>
+       */
+      public Builder addCrashes(org.sequoiashunt.link.wire.FleetProto.CrashRecord value) {
+        if (crashesBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureCrashesIsMutable();
+          crashes_.add(value);
+          onChanged();
+        } else {
+          crashesBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.CrashRecord crashes = 15;</code>
+       */
+      public Builder addCrashes(
+          int index, org.sequoiashunt.link.wire.FleetProto.CrashRecord value) {
+        if (crashesBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureCrashesIsMutable();
+          crashes_.add(index, value);
+          onChanged();
+        } else {
+          crashesBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.CrashRecord crashes = 15;</code>
+       */
+      public Builder addCrashes(
+          org.sequoiashunt.link.wire.FleetProto.CrashRecord.Builder builderForValue) {
+        if (crashesBuilder_ == null) {
+          ensureCrashesIsMutable();
+          crashes_.add(builderForValue.build());
+          onChanged();
+        } else {
+          crashesBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.CrashRecord crashes = 15;</code>
+       */
+      public Builder addCrashes(
+          int index, org.sequoiashunt.link.wire.FleetProto.CrashRecord.Builder builderForValue) {
+        if (crashesBuilder_ == null) {
+          ensureCrashesIsMutable();
+          crashes_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          crashesBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.CrashRecord crashes = 15;</code>
+       */
+      public Builder addAllCrashes(
+          java.lang.Iterable<? extends org.sequoiashunt.link.wire.FleetProto.CrashRecord> values) {
+        if (crashesBuilder_ == null) {
+          ensureCrashesIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, crashes_);
+          onChanged();
+        } else {
+          crashesBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.CrashRecord crashes = 15;</code>
+       */
+      public Builder clearCrashes() {
+        if (crashesBuilder_ == null) {
+          crashes_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00004000);
+          onChanged();
+        } else {
+          crashesBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.CrashRecord crashes = 15;</code>
+       */
+      public Builder removeCrashes(int index) {
+        if (crashesBuilder_ == null) {
+          ensureCrashesIsMutable();
+          crashes_.remove(index);
+          onChanged();
+        } else {
+          crashesBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.CrashRecord crashes = 15;</code>
+       */
+      public org.sequoiashunt.link.wire.FleetProto.CrashRecord.Builder getCrashesBuilder(
+          int index) {
+        return internalGetCrashesFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.CrashRecord crashes = 15;</code>
+       */
+      public org.sequoiashunt.link.wire.FleetProto.CrashRecordOrBuilder getCrashesOrBuilder(
+          int index) {
+        if (crashesBuilder_ == null) {
+          return crashes_.get(index);  } else {
+          return crashesBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.CrashRecord crashes = 15;</code>
+       */
+      public java.util.List<? extends org.sequoiashunt.link.wire.FleetProto.CrashRecordOrBuilder> 
+           getCrashesOrBuilderList() {
+        if (crashesBuilder_ != null) {
+          return crashesBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(crashes_);
+        }
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.CrashRecord crashes = 15;</code>
+       */
+      public org.sequoiashunt.link.wire.FleetProto.CrashRecord.Builder addCrashesBuilder() {
+        return internalGetCrashesFieldBuilder().addBuilder(
+            org.sequoiashunt.link.wire.FleetProto.CrashRecord.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.CrashRecord crashes = 15;</code>
+       */
+      public org.sequoiashunt.link.wire.FleetProto.CrashRecord.Builder addCrashesBuilder(
+          int index) {
+        return internalGetCrashesFieldBuilder().addBuilder(
+            index, org.sequoiashunt.link.wire.FleetProto.CrashRecord.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.CrashRecord crashes = 15;</code>
+       */
+      public java.util.List<org.sequoiashunt.link.wire.FleetProto.CrashRecord.Builder> 
+           getCrashesBuilderList() {
+        return internalGetCrashesFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.sequoiashunt.link.wire.FleetProto.CrashRecord, org.sequoiashunt.link.wire.FleetProto.CrashRecord.Builder, org.sequoiashunt.link.wire.FleetProto.CrashRecordOrBuilder> 
+          internalGetCrashesFieldBuilder() {
+        if (crashesBuilder_ == null) {
+          crashesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.sequoiashunt.link.wire.FleetProto.CrashRecord, org.sequoiashunt.link.wire.FleetProto.CrashRecord.Builder, org.sequoiashunt.link.wire.FleetProto.CrashRecordOrBuilder>(
+                  crashes_,
+                  ((bitField0_ & 0x00004000) != 0),
+                  getParentForChildren(),
+                  isClean());
+          crashes_ = null;
+        }
+        return crashesBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:sequoiashunt.link.NodeReport)
+    }
+
+    // @@protoc_insertion_point(class_scope:sequoiashunt.link.NodeReport)
+    private static final org.sequoiashunt.link.wire.FleetProto.NodeReport DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.sequoiashunt.link.wire.FleetProto.NodeReport();
+    }
+
+    public static org.sequoiashunt.link.wire.FleetProto.NodeReport getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<NodeReport>
+        PARSER = new com.google.protobuf.AbstractParser<NodeReport>() {
+      @java.lang.Override
+      public NodeReport parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<NodeReport> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<NodeReport> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.sequoiashunt.link.wire.FleetProto.NodeReport getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface CrashRecordOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:sequoiashunt.link.CrashRecord)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string fingerprint = 1;</code>
+     * @return The fingerprint.
+     */
+    java.lang.String getFingerprint();
+    /**
+     * <code>string fingerprint = 1;</code>
+     * @return The bytes for fingerprint.
+     */
+    com.google.protobuf.ByteString
+        getFingerprintBytes();
+
+    /**
+     * <pre>
+     * Empty if the request was answered.
+     * </pre>
+     *
+     * <code>string incident = 2;</code>
+     * @return The incident.
+     */
+    java.lang.String getIncident();
+    /**
+     * <pre>
+     * Empty if the request was answered.
+     * </pre>
+     *
+     * <code>string incident = 2;</code>
+     * @return The bytes for incident.
+     */
+    com.google.protobuf.ByteString
+        getIncidentBytes();
+
+    /**
+     * <code>uint64 age_ms = 3;</code>
+     * @return The ageMs.
+     */
+    long getAgeMs();
+  }
+  /**
+   * <pre>
+   * A request was at work at a target that crashed, or a target answered it.
+   * </pre>
+   *
+   * Protobuf type {@code sequoiashunt.link.CrashRecord}
+   */
+  public static final class CrashRecord extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:sequoiashunt.link.CrashRecord)
+      CrashRecordOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 1,
+        /* suffix= */ "",
+        "CrashRecord");
+    }
+    // Use CrashRecord.newBuilder() to construct.
+    private CrashRecord(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private CrashRecord() {
+      fingerprint_ = "";
+      incident_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_CrashRecord_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_CrashRecord_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_CrashRecord_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.sequoiashunt.link.wire.FleetProto.CrashRecord.class, org.sequoiashunt.link.wire.FleetProto.CrashRecord.Builder.class);
+    }
+
+    public static final int FINGERPRINT_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object fingerprint_ = "";
+    /**
+     * <code>string fingerprint = 1;</code>
+     * @return The fingerprint.
+     */
+    @java.lang.Override
+    public java.lang.String getFingerprint() {
+      java.lang.Object ref = fingerprint_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        fingerprint_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string fingerprint = 1;</code>
+     * @return The bytes for fingerprint.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getFingerprintBytes() {
+      java.lang.Object ref = fingerprint_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        fingerprint_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int INCIDENT_FIELD_NUMBER = 2;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object incident_ = "";
+    /**
+     * <pre>
+     * Empty if the request was answered.
+     * </pre>
+     *
+     * <code>string incident = 2;</code>
+     * @return The incident.
+     */
+    @java.lang.Override
+    public java.lang.String getIncident() {
+      java.lang.Object ref = incident_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        incident_ = s;
+        return s;
+      }
+    }
+    /**
+     * <pre>
+     * Empty if the request was answered.
+     * </pre>
+     *
+     * <code>string incident = 2;</code>
+     * @return The bytes for incident.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getIncidentBytes() {
+      java.lang.Object ref = incident_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        incident_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int AGE_MS_FIELD_NUMBER = 3;
+    private long ageMs_ = 0L;
+    /**
+     * <code>uint64 age_ms = 3;</code>
+     * @return The ageMs.
+     */
+    @java.lang.Override
+    public long getAgeMs() {
+      return ageMs_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(fingerprint_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, fingerprint_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(incident_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 2, incident_);
+      }
+      if (ageMs_ != 0L) {
+        output.writeUInt64(3, ageMs_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(fingerprint_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, fingerprint_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(incident_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(2, incident_);
+      }
+      if (ageMs_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(3, ageMs_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.sequoiashunt.link.wire.FleetProto.CrashRecord)) {
+        return super.equals(obj);
+      }
+      org.sequoiashunt.link.wire.FleetProto.CrashRecord other = (org.sequoiashunt.link.wire.FleetProto.CrashRecord) obj;
+
+      if (!getFingerprint()
+          .equals(other.getFingerprint())) return false;
+      if (!getIncident()
+          .equals(other.getIncident())) return false;
+      if (getAgeMs()
+          != other.getAgeMs()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + FINGERPRINT_FIELD_NUMBER;
+      hash = (53 * hash) + getFingerprint().hashCode();
+      hash = (37 * hash) + INCIDENT_FIELD_NUMBER;
+      hash = (53 * hash) + getIncident().hashCode();
+      hash = (37 * hash) + AGE_MS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getAgeMs());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.sequoiashunt.link.wire.FleetProto.CrashRecord parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.CrashRecord parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.CrashRecord parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.CrashRecord parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.CrashRecord parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.CrashRecord parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.CrashRecord parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.CrashRecord parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.sequoiashunt.link.wire.FleetProto.CrashRecord parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.sequoiashunt.link.wire.FleetProto.CrashRecord parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.CrashRecord parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.CrashRecord parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.sequoiashunt.link.wire.FleetProto.CrashRecord prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * A request was at work at a target that crashed, or a target answered it.
+     * </pre>
+     *
+     * Protobuf type {@code sequoiashunt.link.CrashRecord}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:sequoiashunt.link.CrashRecord)
+        org.sequoiashunt.link.wire.FleetProto.CrashRecordOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_CrashRecord_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_CrashRecord_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.sequoiashunt.link.wire.FleetProto.CrashRecord.class, org.sequoiashunt.link.wire.FleetProto.CrashRecord.Builder.class);
+      }
+
+      // Construct using org.sequoiashunt.link.wire.FleetProto.CrashRecord.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        fingerprint_ = "";
+        incident_ = "";
+        ageMs_ = 0L;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_CrashRecord_descriptor;
+      }
+
+      @java.lang.Override
+      public org.sequoiashunt.link.wire.FleetProto.CrashRecord getDefaultInstanceForType() {
+        return org.sequoiashunt.link.wire.FleetProto.CrashRecord.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.sequoiashunt.link.wire.FleetProto.CrashRecord build() {
+        org.sequoiashunt.link.wire.FleetProto.CrashRecord result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.sequoiashunt.link.wire.FleetProto.CrashRecord buildPartial() {
+        org.sequoiashunt.link.wire.FleetProto.CrashRecord result = new org.sequoiashunt.link.wire.FleetProto.CrashRecord(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.sequoiashunt.link.wire.FleetProto.CrashRecord result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.fingerprint_ = fingerprint_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.incident_ = incident_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.ageMs_ = ageMs_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.sequoiashunt.link.wire.FleetProto.CrashRecord) {
+          return mergeFrom((org.sequoiashunt.link.wire.FleetProto.CrashRecord)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.sequoiashunt.link.wire.FleetProto.CrashRecord other) {
+        if (other == org.sequoiashunt.link.wire.FleetProto.CrashRecord.getDefaultInstance()) return this;
+        if (!other.getFingerprint().isEmpty()) {
+          fingerprint_ = other.fingerprint_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (!other.getIncident().isEmpty()) {
+          incident_ = other.incident_;
+          bitField0_ |= 0x00000002;
+          onChanged();
+        }
+        if (other.getAgeMs() != 0L) {
+          setAgeMs(other.getAgeMs());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                fingerprint_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 18: {
+                incident_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 18
+              case 24: {
+                ageMs_ = input.readUInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
         return this;
       }
+      private int bitField0_;
+
+      private java.lang.Object fingerprint_ = "";
       /**
-       * <code>repeated .sequoiashunt.link.KnownNode known = 12;</code>
+       * <code>string fingerprint = 1;</code>
+       * @return The fingerprint.
        */
-      public Builder addKnown(
-          int index, org.sequoiashunt.link.wire.FleetProto.KnownNode.Builder builderForValue) {
-        if (knownBuilder_ == null) {
-          ensureKnownIsMutable();
-          known_.add(index, builderForValue.build());
-          onChanged();
+      public java.lang.String getFingerprint() {
+        java.lang.Object ref = fingerprint_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          fingerprint_ = s;
+          return s;
         } else {
-          knownBuilder_.addMessage(index, builderForValue.build());
+          return (java.lang.String) ref;
         }
-        return this;
       }
       /**
-       * <code>repeated .sequoiashunt.link.KnownNode known = 12;</code>
+       * <code>string fingerprint = 1;</code>
+       * @return The bytes for fingerprint.
        */
-      public Builder addAllKnown(
-          java.lang.Iterable<? extends org.sequoiashunt.link.wire.FleetProto.KnownNode> values) {
-        if (knownBuilder_ == null) {
-          ensureKnownIsMutable();
-          com.google.protobuf.AbstractMessageLite.Builder.addAll(
-              values, known_);
-          onChanged();
+      public com.google.protobuf.ByteString
+          getFingerprintBytes() {
+        java.lang.Object ref = fingerprint_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          fingerprint_ = b;
+          return b;
         } else {
-          knownBuilder_.addAllMessages(values);
+          return (com.google.protobuf.ByteString) ref;
         }
-        return this;
       }
       /**
-       * <code>repeated .sequoiashunt.link.KnownNode known = 12;</code>
+       * <code>string fingerprint = 1;</code>
+       * @param value The fingerprint to set.
+       * @return This builder for chaining.
        */
-      public Builder clearKnown() {
-        if (knownBuilder_ == null) {
-          known_ = java.util.Collections.emptyList();
-          bitField0_ = (bitField0_ & ~0x00000800);
-          onChanged();
-        } else {
-          knownBuilder_.clear();
-        }
+      public Builder setFingerprint(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        fingerprint_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
         return this;
       }
       /**
-       * <code>repeated .sequoiashunt.link.KnownNode known = 12;</code>
+       * <code>string fingerprint = 1;</code>
+       * @return This builder for chaining.
        */
-      public Builder removeKnown(int index) {
-        if (knownBuilder_ == null) {
-          ensureKnownIsMutable();
-          known_.remove(index);
-          onChanged();
-        } else {
-          knownBuilder_.remove(index);
-        }
+      public Builder clearFingerprint() {
+        fingerprint_ = getDefaultInstance().getFingerprint();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
         return this;
       }
       /**
-       * <code>repeated .sequoiashunt.link.KnownNode known = 12;</code>
-       */
-      public org.sequoiashunt.link.wire.FleetProto.KnownNode.Builder getKnownBuilder(
-          int index) {
-        return internalGetKnownFieldBuilder().getBuilder(index);
-      }
-      /**
-       * <code>repeated .sequoiashunt.link.KnownNode known = 12;</code>
+       * <code>string fingerprint = 1;</code>
+       * @param value The bytes for fingerprint to set.
+       * @return This builder for chaining.
        */
-      public org.sequoiashunt.link.wire.FleetProto.KnownNodeOrBuilder getKnownOrBuilder(
-          int index) {
-        if (knownBuilder_ == null) {
-          return known_.get(index);  } else {
-          return knownBuilder_.getMessageOrBuilder(index);
-        }
+      public Builder setFingerprintBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        fingerprint_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
       }
+
+      private java.lang.Object incident_ = "";
       /**
-       * <code>repeated .sequoiashunt.link.KnownNode known = 12;</code>
+       * <pre>
+       * Empty if the request was answered.
+       * </pre>
+       *
+       * <code>string incident = 2;</code>
+       * @return The incident.
        */
-      public java.util.List<? extends org.sequoiashunt.link.wire.FleetProto.KnownNodeOrBuilder> 
-           getKnownOrBuilderList() {
-        if (knownBuilder_ != null) {
-          return knownBuilder_.getMessageOrBuilderList();
+      public java.lang.String getIncident() {
+        java.lang.Object ref = incident_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          incident_ = s;
+          return s;
         } else {
-          return java.util.Collections.unmodifiableList(known_);
-        }
-      }
-      /**
-       * <code>repeated .sequoiashunt.link.KnownNode known = 12;</code>
-       */
-      public org.sequoiashunt.link.wire.FleetProto.KnownNode.Builder addKnownBuilder() {
-        return internalGetKnownFieldBuilder().addBuilder(
-            org.sequoiashunt.link.wire.FleetProto.KnownNode.getDefaultInstance());
-      }
-      /**
-       * <code>repeated .sequoiashunt.link.KnownNode known = 12;</code>
-       */
-      public org.sequoiashunt.link.wire.FleetProto.KnownNode.Builder addKnownBuilder(
-          int index) {
-        return internalGetKnownFieldBuilder().addBuilder(
-            index, org.sequoiashunt.link.wire.FleetProto.KnownNode.getDefaultInstance());
-      }
-      /**
-       * <code>repeated .sequoiashunt.link.KnownNode known = 12;</code>
-       */
-      public java.util.List<org.sequoiashunt.link.wire.FleetProto.KnownNode.Builder> 
-           getKnownBuilderList() {
-        return internalGetKnownFieldBuilder().getBuilderList();
-      }
-      private com.google.protobuf.RepeatedFieldBuilder<
-          org.sequoiashunt.link.wire.FleetProto.KnownNode, org.sequoiashunt.link.wire.FleetProto.KnownNode.Builder, org.sequoiashunt.link.wire.FleetProto.KnownNodeOrBuilder> 
-          internalGetKnownFieldBuilder() {
-        if (knownBuilder_ == null) {
-          knownBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-              org.sequoiashunt.link.wire.FleetProto.KnownNode, org.sequoiashunt.link.wire.FleetProto.KnownNode.Builder, org.sequoiashunt.link.wire.FleetProto.KnownNodeOrBuilder>(
-                  known_,
-                  ((bitField0_ & 0x00000800) != 0),
-                  getParentForChildren(),
-                  isClean());
-          known_ = null;
+          return (java.lang.String) ref;
         }
-        return knownBuilder_;
       }
-
-      private long confirmedAgeMs_ ;
       /**
        * <pre>
-       * Time since the node confirmed that its configuration is the latest; absent if it never did.
+       * Empty if the request was answered.
        * </pre>
        *
-       * <code>optional uint64 confirmed_age_ms = 13;</code>
-       * @return Whether the confirmedAgeMs field is set.
+       * <code>string incident = 2;</code>
+       * @return The bytes for incident.
        */
-      @java.lang.Override
-      public boolean hasConfirmedAgeMs() {
-        return ((bitField0_ & 0x00001000) != 0);
+      public com.google.protobuf.ByteString
+          getIncidentBytes() {
+        java.lang.Object ref = incident_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          incident_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
       }
       /**
        * <pre>
-       * Time since the node confirmed that its configuration is the latest; absent if it never did.
+       * Empty if the request was answered.
        * </pre>
        *
-       * <code>optional uint64 confirmed_age_ms = 13;</code>
-       * @return The confirmedAgeMs.
+       * <code>string incident = 2;</code>
+       * @param value The incident to set.
+       * @return This builder for chaining.
        */
-      @java.lang.Override
-      public long getConfirmedAgeMs() {
-        return confirmedAgeMs_;
+      public Builder setIncident(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        incident_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
       }
       /**
        * <pre>
-       * Time since the node confirmed that its configuration is the latest; absent if it never did.
+       * Empty if the request was answered.
        * </pre>
        *
-       * <code>optional uint64 confirmed_age_ms = 13;</code>
-       * @param value The confirmedAgeMs to set.
+       * <code>string incident = 2;</code>
        * @return This builder for chaining.
        */
-      public Builder setConfirmedAgeMs(long value) {
-
-        confirmedAgeMs_ = value;
-        bitField0_ |= 0x00001000;
+      public Builder clearIncident() {
+        incident_ = getDefaultInstance().getIncident();
+        bitField0_ = (bitField0_ & ~0x00000002);
         onChanged();
         return this;
       }
       /**
        * <pre>
-       * Time since the node confirmed that its configuration is the latest; absent if it never did.
+       * Empty if the request was answered.
        * </pre>
        *
-       * <code>optional uint64 confirmed_age_ms = 13;</code>
+       * <code>string incident = 2;</code>
+       * @param value The bytes for incident to set.
        * @return This builder for chaining.
        */
-      public Builder clearConfirmedAgeMs() {
-        bitField0_ = (bitField0_ & ~0x00001000);
-        confirmedAgeMs_ = 0L;
+      public Builder setIncidentBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        incident_ = value;
+        bitField0_ |= 0x00000002;
         onChanged();
         return this;
       }
 
-      private int capacity_ ;
+      private long ageMs_ ;
       /**
-       * <pre>
-       * Processor capacity in thousandths of a core.
-       * </pre>
-       *
-       * <code>uint32 capacity = 14;</code>
-       * @return The capacity.
+       * <code>uint64 age_ms = 3;</code>
+       * @return The ageMs.
        */
       @java.lang.Override
-      public int getCapacity() {
-        return capacity_;
+      public long getAgeMs() {
+        return ageMs_;
       }
       /**
-       * <pre>
-       * Processor capacity in thousandths of a core.
-       * </pre>
-       *
-       * <code>uint32 capacity = 14;</code>
-       * @param value The capacity to set.
+       * <code>uint64 age_ms = 3;</code>
+       * @param value The ageMs to set.
        * @return This builder for chaining.
        */
-      public Builder setCapacity(int value) {
+      public Builder setAgeMs(long value) {
 
-        capacity_ = value;
-        bitField0_ |= 0x00002000;
+        ageMs_ = value;
+        bitField0_ |= 0x00000004;
         onChanged();
         return this;
       }
       /**
-       * <pre>
-       * Processor capacity in thousandths of a core.
-       * </pre>
-       *
-       * <code>uint32 capacity = 14;</code>
+       * <code>uint64 age_ms = 3;</code>
        * @return This builder for chaining.
        */
-      public Builder clearCapacity() {
-        bitField0_ = (bitField0_ & ~0x00002000);
-        capacity_ = 0;
+      public Builder clearAgeMs() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        ageMs_ = 0L;
         onChanged();
         return this;
       }
 
-      // @@protoc_insertion_point(builder_scope:sequoiashunt.link.NodeReport)
+      // @@protoc_insertion_point(builder_scope:sequoiashunt.link.CrashRecord)
     }
 
-    // @@protoc_insertion_point(class_scope:sequoiashunt.link.NodeReport)
-    private static final org.sequoiashunt.link.wire.FleetProto.NodeReport DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:sequoiashunt.link.CrashRecord)
+    private static final org.sequoiashunt.link.wire.FleetProto.CrashRecord DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new org.sequoiashunt.link.wire.FleetProto.NodeReport();
+      DEFAULT_INSTANCE = new org.sequoiashunt.link.wire.FleetProto.CrashRecord();
     }
 
-    public static org.sequoiashunt.link.wire.FleetProto.NodeReport getDefaultInstance() {
+    public static org.sequoiashunt.link.wire.FleetProto.CrashRecord getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<NodeReport>
-        PARSER = new com.google.protobuf.AbstractParser<NodeReport>() {
+    private static final com.google.protobuf.Parser<CrashRecord>
+        PARSER = new com.google.protobuf.AbstractParser<CrashRecord>() {
       @java.lang.Override
-      public NodeReport parsePartialFrom(
+      public CrashRecord parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -11431,17 +12587,17 @@
       }
     };
 
-    public static com.google.protobuf.Parser<NodeReport> parser() {
+    public static com.google.protobuf.Parser<CrashRecord> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<NodeReport> getParserForType() {
+    public com.google.protobuf.Parser<CrashRecord> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public org.sequoiashunt.link.wire.FleetProto.NodeReport getDefaultInstanceForType() {
+    public org.sequoiashunt.link.wire.FleetProto.CrashRecord getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
@@ -17676,6 +18832,11 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_sequoiashunt_link_NodeReport_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_sequoiashunt_link_CrashRecord_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_sequoiashunt_link_CrashRecord_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_sequoiashunt_link_RelayedReport_descriptor;
   private static final 
@@ -17762,7 +18923,7 @@
       "\n\007version\030\001 \001(\t\022\r\n\005order\030\002 \001(\003\022\023\n\013rolled" +
       "_back\030\003 \001(\010\"b\n\tKnownNode\022\014\n\004node\030\001 \001(\t\022/" +
       "\n\007address\030\002 \001(\0132\036.sequoiashunt.link.Node" +
-      "Address\022\026\n\016failure_domain\030\003 \001(\t\"\320\003\n\nNode" +
+      "Address\022\026\n\016failure_domain\030\003 \001(\t\"\201\004\n\nNode" +
       "Report\022\014\n\004node\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(" +
       "\004\022\020\n\010sequence\030\003 \001(\004\022/\n\007address\030\004 \001(\0132\036.s" +
       "equoiashunt.link.NodeAddress\022\026\n\016failure_" +
@@ -17773,27 +18934,30 @@
       "ink.VersionTally\022-\n\005moves\030\013 \003(\0132\036.sequoi" +
       "ashunt.link.VersionMove\022+\n\005known\030\014 \003(\0132\034" +
       ".sequoiashunt.link.KnownNode\022\035\n\020confirme" +
-      "d_age_ms\030\r \001(\004H\000\210\001\001\022\020\n\010capacity\030\016 \001(\rB\023\n" +
-      "\021_confirmed_age_ms\"N\n\rRelayedReport\022-\n\006r" +
-      "eport\030\001 \001(\0132\035.sequoiashunt.link.NodeRepo" +
-      "rt\022\016\n\006age_ms\030\002 \001(\004\"C\n\016RelayedReports\0221\n\007" +
-      "reports\030\001 \003(\0132 .sequoiashunt.link.Relaye" +
-      "dReport\"\036\n\013ReportBatch\022\017\n\007reports\030\001 \001(\014\"" +
-      "A\n\rReportRequest\0220\n\010reply_to\030\001 \001(\0132\036.seq" +
-      "uoiashunt.link.NodeAddress\"O\n\017TargetDepa" +
-      "rture\022\016\n\006target\030\001 \001(\t\022\032\n\rstarted_at_ms\030\002" +
-      " \001(\003H\000\210\001\001B\020\n\016_started_at_ms\"\233\001\n\017Departur" +
-      "eNotice\022\014\n\004node\030\001 \001(\t\0226\n\ndepartures\030\002 \003(" +
-      "\0132\".sequoiashunt.link.TargetDeparture\0225\n" +
-      "\010reply_to\030\003 \001(\0132\036.sequoiashunt.link.Node" +
-      "AddressH\000\210\001\001B\013\n\t_reply_to\"J\n\020DepartureRe" +
-      "ceipt\0226\n\ndepartures\030\001 \003(\0132\".sequoiashunt" +
-      ".link.TargetDeparture\"_\n\024ConfigurationRe" +
-      "quest\0220\n\010reply_to\030\001 \001(\0132\036.sequoiashunt.l" +
-      "ink.NodeAddress\022\025\n\rknown_version\030\002 \001(\004\"6" +
-      "\n\021ConfigurationCopy\022\017\n\007version\030\001 \001(\004\022\020\n\010" +
-      "document\030\002 \001(\014B(\n\032org.sequoiashunt.link." +
-      "wireB\nFleetProtob\006proto3"
+      "d_age_ms\030\r \001(\004H\000\210\001\001\022\020\n\010capacity\030\016 \001(\r\022/\n" +
+      "\007crashes\030\017 \003(\0132\036.sequoiashunt.link.Crash" +
+      "RecordB\023\n\021_confirmed_age_ms\"D\n\013CrashReco" +
+      "rd\022\023\n\013fingerprint\030\001 \001(\t\022\020\n\010incident\030\002 \001(" +
+      "\t\022\016\n\006age_ms\030\003 \001(\004\"N\n\rRelayedReport\022-\n\006re" +
+      "port\030\001 \001(\0132\035.sequoiashunt.link.NodeRepor" +
+      "t\022\016\n\006age_ms\030\002 \001(\004\"C\n\016RelayedReports\0221\n\007r" +
+      "eports\030\001 \003(\0132 .sequoiashunt.link.Relayed" +
+      "Report\"\036\n\013ReportBatch\022\017\n\007reports\030\001 \001(\014\"A" +
+      "\n\rReportRequest\0220\n\010reply_to\030\001 \001(\0132\036.sequ" +
+      "oiashunt.link.NodeAddress\"O\n\017TargetDepar" +
+      "ture\022\016\n\006target\030\001 \001(\t\022\032\n\rstarted_at_ms\030\002 " +
+      "\001(\003H\000\210\001\001B\020\n\016_started_at_ms\"\233\001\n\017Departure" +
+      "Notice\022\014\n\004node\030\001 \001(\t\0226\n\ndepartures\030\002 \003(\013" +
+      "2\".sequoiashunt.link.TargetDeparture\0225\n\010" +
+      "reply_to\030\003 \001(\0132\036.sequoiashunt.link.NodeA" +
+      "ddressH\000\210\001\001B\013\n\t_reply_to\"J\n\020DepartureRec" +
+      "eipt\0226\n\ndepartures\030\001 \003(\0132\".sequoiashunt." +
+      "link.TargetDeparture\"_\n\024ConfigurationReq" +
+      "uest\0220\n\010reply_to\030\001 \001(\0132\036.sequoiashunt.li" +
+      "nk.NodeAddress\022\025\n\rknown_version\030\002 \001(\004\"6\n" +
+      "\021ConfigurationCopy\022\017\n\007version\030\001 \001(\004\022\020\n\010d" +
+      "ocument\030\002 \001(\014B(\n\032org.sequoiashunt.link.w" +
+      "ireB\nFleetProtob\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -17847,57 +19011,63 @@
     internal_static_sequoiashunt_link_NodeReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_sequoiashunt_link_NodeReport_descriptor,
-        new java.lang.String[] { "Node", "Incarnation", "Sequence", "Address", "FailureDomain", "Region", "Leaving", "ConfigurationVersion", "Targets", "Tallies", "Moves", "Known", "ConfirmedAgeMs", "Capacity", });
-    internal_static_sequoiashunt_link_RelayedReport_descriptor =
+        new java.lang.String[] { "Node", "Incarnation", "Sequence", "Address", "FailureDomain", "Region", "Leaving", "ConfigurationVersion", "Targets", "Tallies", "Moves", "Known", "ConfirmedAgeMs", "Capacity", "Crashes", });
+    internal_static_sequoiashunt_link_CrashRecord_descriptor =
       getDescriptor().getMessageType(8);
+    internal_static_sequoiashunt_link_CrashRecord_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_sequoiashunt_link_CrashRecord_descriptor,
+        new java.lang.String[] { "Fingerprint", "Incident", "AgeMs", });
+    internal_static_sequoiashunt_link_RelayedReport_descriptor =
+      getDescriptor().getMessageType(9);
     internal_static_sequoiashunt_link_RelayedReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_sequoiashunt_link_RelayedReport_descriptor,
         new java.lang.String[] { "Report", "AgeMs", });
     internal_static_sequoiashunt_link_RelayedReports_descriptor =
-      getDescriptor().getMessageType(9);
+      getDescriptor().getMessageType(10);
     internal_static_sequoiashunt_link_RelayedReports_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_sequoiashunt_link_RelayedReports_descriptor,
         new java.lang.String[] { "Reports", });
     internal_static_sequoiashunt_link_ReportBatch_descriptor =
-      getDescriptor().getMessageType(10);
+      getDescriptor().getMessageType(11);
     internal_static_sequoiashunt_link_ReportBatch_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_sequoiashunt_link_ReportBatch_descriptor,
         new java.lang.String[] { "Reports", });
     internal_static_sequoiashunt_link_ReportRequest_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(12);
     internal_static_sequoiashunt_link_ReportRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_sequoiashunt_link_ReportRequest_descriptor,
         new java.lang.String[] { "ReplyTo", });
     internal_static_sequoiashunt_link_TargetDeparture_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(13);
     internal_static_sequoiashunt_link_TargetDeparture_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_sequoiashunt_link_TargetDeparture_descriptor,
         new java.lang.String[] { "Target", "StartedAtMs", });
     internal_static_sequoiashunt_link_DepartureNotice_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(14);
     internal_static_sequoiashunt_link_DepartureNotice_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_sequoiashunt_link_DepartureNotice_descriptor,
         new java.lang.String[] { "Node", "Departures", "ReplyTo", });
     internal_static_sequoiashunt_link_DepartureReceipt_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(15);
     internal_static_sequoiashunt_link_DepartureReceipt_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_sequoiashunt_link_DepartureReceipt_descriptor,
         new java.lang.String[] { "Departures", });
     internal_static_sequoiashunt_link_ConfigurationRequest_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(16);
     internal_static_sequoiashunt_link_ConfigurationRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_sequoiashunt_link_ConfigurationRequest_descriptor,
         new java.lang.String[] { "ReplyTo", "KnownVersion", });
     internal_static_sequoiashunt_link_ConfigurationCopy_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(17);
     internal_static_sequoiashunt_link_ConfigurationCopy_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_sequoiashunt_link_ConfigurationCopy_descriptor,
--- a/sequoiashunt-link/src/test/java/org/sequoiashunt/link/FleetCodecTest.java
+++ b/sequoiashunt-link/src/test/java/org/sequoiashunt/link/FleetCodecTest.java
@@ -15,6 +15,7 @@
 import org.sequoiashunt.call.Body;
 import org.sequoiashunt.fleet.ConfigurationCopy;
 import org.sequoiashunt.fleet.ConfigurationRequest;
+import org.sequoiashunt.fleet.CrashRecord;
 import org.sequoiashunt.fleet.DepartureNotice;
 import org.sequoiashunt.fleet.DepartureReceipt;
 import org.sequoiashunt.fleet.KnownNode;
@@ -34,8 +35,8 @@
 /** Encoding, size and validation of node reports and configuration copies. */
 class FleetCodecTest {
 
-    private static final List<TargetDeparture> DEPARTURES = List.of(
-            new TargetDeparture("t-1", OptionalLong.of(7)), new TargetDeparture("t-2", OptionalLong.empty()));
+    private static final List<TargetDeparture> DEPARTURES =
+            List.of(new TargetDeparture("t-1", OptionalLong.of(7)), new TargetDeparture("t-2", OptionalLong.empty()));
 
     /** Two reports a second of this size to nine peers are 5.4 kB/s for each node. */
     private static final int MAXIMUM_REPORT_BYTES = 300;
@@ -73,6 +74,7 @@
                         .withElapsed(7_000)
                         .withVerdicts(List.of(new VersionVerdict("v0", 70, true)))
                         .asRecorded()),
+                List.of(new CrashRecord("f00d", "i-1@7", 40), new CrashRecord("f00d", "", 0)),
                 List.of(new KnownNode("sidecar-can-tho-b-1", new NodeAddress("10.4.0.26", 7_560), "can-tho-b")));
     }
 
--- a/sequoiashunt-link/src/test/java/org/sequoiashunt/link/SimulatedFleet.java
+++ b/sequoiashunt-link/src/test/java/org/sequoiashunt/link/SimulatedFleet.java
@@ -245,6 +245,7 @@
                     List.of(target),
                     List.of(),
                     List.of(),
+                    List.of(),
                     knownNodes);
         }
 
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/AnnouncementHandler.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/AnnouncementHandler.java
@@ -27,6 +27,7 @@
     private final TargetRegistry registry;
     private final SlotGates gates;
     private final DepartureRecorder departures;
+    private final CrashGuard crashGuard;
     private final Runnable onChange;
     private final DecisionLog log;
 
@@ -35,12 +36,14 @@
             final TargetRegistry registry,
             final SlotGates gates,
             final DepartureRecorder departures,
+            final CrashGuard crashGuard,
             final Runnable onChange,
             final DecisionLog log) {
         this.decoder = Objects.requireNonNull(decoder, "decoder");
         this.registry = Objects.requireNonNull(registry, "registry");
         this.gates = Objects.requireNonNull(gates, "gates");
         this.departures = Objects.requireNonNull(departures, "departures");
+        this.crashGuard = Objects.requireNonNull(crashGuard, "crashGuard");
         this.onChange = Objects.requireNonNull(onChange, "onChange");
         this.log = Objects.requireNonNull(log, "log");
     }
@@ -78,6 +81,9 @@
             }
             if (change != TargetRegistry.Change.REFRESHED) {
                 logAnnouncement(announcement, change);
+                if (change == TargetRegistry.Change.JOINED) {
+                    crashGuard.recordJoined(announcement);
+                }
                 onChange.run();
             }
             acknowledge(exchange, target);
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/DepartureRecorder.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/DepartureRecorder.java
@@ -34,13 +34,13 @@
  * Makes departures of this node's targets known outside this process before they are acknowledged, and restores those
  * that an earlier process of this node has acknowledged.
  *
- * <p>A departure is recorded in the platform's store, and a few peers keep it as well: they suffice while the store does
- * not answer, and send it back when this node has restarted. If neither the store nor a peer holds it in time, it is not
- * acknowledged; the target announces its departure again.
+ * <p>A departure is recorded in the platform's store, and a few peers keep it as well: they suffice while the store
+ * does not answer, and send it back when this node has restarted. If neither the store nor a peer holds it in time, it
+ * is not acknowledged; the target announces its departure again.
  *
- * <p>Thread-safe: guarded by its own monitor; calls to the store, messages and completions happen outside it. The loop of
- * the blocking task and the control thread each call their methods alone. Invariants: an acknowledged departure was held
- * outside this process; the number of departures is bounded.
+ * <p>Thread-safe: guarded by its own monitor; calls to the store, messages and completions happen outside it. The loop
+ * of the blocking task and the control thread each call their methods alone. Invariants: an acknowledged departure was
+ * held outside this process; the number of departures is bounded.
  */
 final class DepartureRecorder implements BlockingTask, Controller {
 
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/FleetController.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/FleetController.java
@@ -9,6 +9,7 @@
 import java.util.random.RandomGenerator;
 import org.sequoiashunt.blackboard.Controller;
 import org.sequoiashunt.call.Body;
+import org.sequoiashunt.crash.CrashTable;
 import org.sequoiashunt.fleet.ConfigurationCopy;
 import org.sequoiashunt.fleet.ConfigurationRequest;
 import org.sequoiashunt.fleet.FleetView;
@@ -76,6 +77,7 @@
     public void tick() {
         dependencies.gates().update();
         dependencies.gates().tick();
+        dependencies.crashTable().expire();
         exchange.tick();
         requestConfigurationIfLagging(dependencies.clock().nowMs());
     }
@@ -95,6 +97,7 @@
                 dependencies.gates().reports(),
                 dependencies.answerCounters().tallies(this::isMoveRunning),
                 List.copyOf(dependencies.moveTable().all()),
+                dependencies.crashTable().records(),
                 knownNodes);
     }
 
@@ -219,6 +222,7 @@
     }
 
     private void handleReport(final NodeReport report, final FleetView.Change change) {
+        dependencies.crashTable().merge(report.crashes());
         boolean moveChanged = false;
         for (VersionMove move : report.moves()) {
             moveChanged |= dependencies.moveTable().merge(move);
@@ -251,6 +255,7 @@
      * @param configuration the active configuration.
      * @param watcherSelection the choice of the nodes that watch the store.
      * @param moveTable the moves of traffic between versions.
+     * @param crashTable the requests that were at work at targets that crashed.
      * @param answerCounters the counts of the answers of this node's targets.
      * @param sender sends messages to other nodes.
      * @param draining true once this node is shutting down.
@@ -265,6 +270,7 @@
             ActiveConfiguration configuration,
             WatcherSelection watcherSelection,
             MoveTable moveTable,
+            CrashTable crashTable,
             AnswerCounters answerCounters,
             PeerSender sender,
             BooleanSupplier draining,
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/GateReporter.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/GateReporter.java
@@ -14,16 +14,19 @@
 
     private final String requestIdHeader;
     private final AnswerCounters answerCounters;
+    private final CrashGuard crashGuard;
     private final DecisionLog log;
     private final MeshMetrics metrics;
 
     GateReporter(
             final String requestIdHeader,
             final AnswerCounters answerCounters,
+            final CrashGuard crashGuard,
             final DecisionLog log,
             final MeshMetrics metrics) {
         this.requestIdHeader = Objects.requireNonNull(requestIdHeader, "requestIdHeader");
         this.answerCounters = Objects.requireNonNull(answerCounters, "answerCounters");
+        this.crashGuard = Objects.requireNonNull(crashGuard, "crashGuard");
         this.log = Objects.requireNonNull(log, "log");
         this.metrics = Objects.requireNonNull(metrics, "metrics");
     }
@@ -62,6 +65,7 @@
             final CallResult result,
             final long durationMs) {
         answerCounters.record(request, result, durationMs);
+        crashGuard.recordEnd(target, request, result, durationMs);
         metrics.count("target_ended{service=\"" + target.service() + "\",outcome=\""
                 + result.outcome().headerValue() + "\"}");
         if (result.outcome() != Outcome.COMPLETE) {
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/LogKind.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/LogKind.java
@@ -16,6 +16,8 @@
     ANNOUNCEMENT_IGNORED("announcement-ignored", 5),
     /** A report arrived from a node that is new, has restarted or was silent. */
     PEER("peer", 20),
+    /** A target crashed, or a request that crashes targets was refused. */
+    CRASH("crash", 10),
     /** The platform's store became unavailable or available again. */
     STORE("store", 10),
     /** A move of traffic was ordered, advanced or ended. */
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
@@ -9,7 +9,9 @@
 import java.util.Objects;
 import java.util.Random;
 import org.sequoiashunt.blackboard.BlockingTask;
+import org.sequoiashunt.call.CallHandler;
 import org.sequoiashunt.commit.SystemClock;
+import org.sequoiashunt.crash.CrashTable;
 import org.sequoiashunt.dispatch.CallIdGenerator;
 import org.sequoiashunt.dispatch.LocalFirstGateCaller;
 import org.sequoiashunt.fleet.FleetView;
@@ -71,7 +73,7 @@
 
     private static final long DRAIN_POLL_MS = 20;
 
-    /** Longest time in which the last answers reach callers and nodes: a round trip between regions takes half of it. */
+    /** Longest time in which the last answers reach callers and nodes: twice the round trip between regions. */
     private static final long LAST_ANSWERS_MS = 150;
 
     private final Closer closer = new Closer();
@@ -81,6 +83,7 @@
     private final ControlLoop controlLoop = new ControlLoop();
     private final MoveTable moveTable = new MoveTable(clock);
     private final AnswerCounters answerCounters = new AnswerCounters();
+    private final CrashTable crashTable = new CrashTable(clock);
     private final MeshMetrics metrics;
     private final FleetView fleet = new FleetView(clock);
     private final MeshSettings settings;
@@ -95,6 +98,8 @@
     private FleetController fleetController;
     private MoveController moveController;
     private DepartureRecorder departureRecorder;
+    private CrashGuard crashGuard;
+    private CallHandler guardedGates;
     private Timers timers;
     private StoreHealth storeHealth;
     private LinkClient linkClient;
@@ -143,9 +148,17 @@
         TargetRegistry registry = new TargetRegistry(clock, settings.announcementPeriodMs());
         NettyTargetCaller targets = closer.register(
                 NettyTargetCaller.create(context.threads().callLoop(), platformComponents.headerNames(), clock));
-        GateReporter reporter =
-                new GateReporter(platformComponents.headerNames().requestId(), answerCounters, log, metrics);
+        crashGuard = new CrashGuard(new CrashGuard.Dependencies(
+                crashTable,
+                platformComponents.headerNames().callerService(),
+                clock,
+                () -> fleetController.requestReport(),
+                log,
+                metrics));
+        GateReporter reporter = new GateReporter(
+                platformComponents.headerNames().requestId(), answerCounters, crashGuard, log, metrics);
         gates = new SlotGates(registry, new SlotGate.Dependencies(clock, targets, reporter));
+        guardedGates = crashGuard.guard(gates);
         timers = closer.register(new Timers());
         storeHealth = new StoreHealth(clock, log);
         departureRecorder = new DepartureRecorder(new DepartureRecorder.Dependencies(
@@ -179,7 +192,7 @@
                 new InetSocketAddress(
                         settings.location().address().host(),
                         settings.location().address().port()),
-                gates,
+                guardedGates,
                 controlLoop));
         closer.register(controlLoop);
         controlLoop.start();
@@ -220,6 +233,7 @@
                 configuration,
                 watcherSelection,
                 moveTable,
+                crashTable,
                 answerCounters,
                 linkClient,
                 () -> draining,
@@ -241,10 +255,11 @@
                 candidates,
                 new Placement(random),
                 retries,
-                new LocalFirstGateCaller(settings.location().address(), gates, linkClient),
+                new LocalFirstGateCaller(settings.location().address(), guardedGates, linkClient),
                 new CallIdGenerator(settings.location().node(), incarnation),
                 // The targets of this VM call other services; requests for their own come from this VM's callers.
                 called -> called.equals(service) ? 0 : gates.repeatedShare(),
+                crashGuard::quarantineLeftMs,
                 new PlacementReporter(log, metrics)));
         return new MeshCallerHandler.Dependencies(
                 clock,
@@ -273,6 +288,7 @@
                         registry,
                         gates,
                         departureRecorder,
+                        crashGuard,
                         fleetController::requestReport,
                         log));
         settings.metricsAddress()
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MoveController.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MoveController.java
@@ -22,8 +22,8 @@
  *
  * <p>Every node has the orders, from the store or from the reports of others, and collects the evidence. Live nodes are
  * ranked by name. The first one decides about shares and outcomes, so that the next one takes over as soon as it is
- * gone. Until its loss is noticed, nobody would take a bad version back; therefore the next nodes roll a version back as
- * well, if its fault has persisted for a time that grows with their rank. Several nodes may decide at the same time
+ * gone. Until its loss is noticed, nobody would take a bad version back; therefore the next nodes roll a version back
+ * as well, if its fault has persisted for a time that grows with their rank. Several nodes may decide at the same time
  * without harm: {@link VersionMove#merge} only advances a move, and outcomes are recorded by compare-and-swap.
  *
  * <p>One thread calls {@link #tick}; {@link #acceptOrder} and {@link #rank} may be called from any thread.
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MoveRecorder.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MoveRecorder.java
@@ -74,7 +74,7 @@
         }
     }
 
-    /** Ignores changes of the share, since the operator reads the state of a move only, and orders not known in full. */
+    /** Ignores changes of the share, since the operator reads only states, and orders that are not known in full. */
     private boolean needsRecording(final VersionMove move) {
         return !move.recorded()
                 && rank.getAsInt() <= MAXIMUM_RECORDING_RANK
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/DepartureRecorderTest.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/DepartureRecorderTest.java
@@ -85,6 +85,7 @@
                 List.of(),
                 List.of(),
                 List.of(),
+                List.of(),
                 List.of());
     }
 
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/FleetControllerTest.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/FleetControllerTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.sequoiashunt.call.Body;
+import org.sequoiashunt.crash.CrashTable;
 import org.sequoiashunt.fleet.ConfigurationCopy;
 import org.sequoiashunt.fleet.ConfigurationRequest;
 import org.sequoiashunt.fleet.FleetView;
@@ -64,7 +65,12 @@
                         (target, request) -> {
                             throw new IllegalStateException("no call is expected");
                         },
-                        new GateReporter("Request-Id", new AnswerCounters(), log, new MeshMetrics())));
+                        new GateReporter(
+                                "Request-Id",
+                                new AnswerCounters(),
+                                CrashGuards.unused(clock, log),
+                                log,
+                                new MeshMetrics())));
         return new FleetController(
                 LOCATION,
                 CAPACITY,
@@ -77,6 +83,7 @@
                         configuration,
                         new WatcherSelection(LOCATION, CAPACITY, fleet, configuration::version, clock),
                         new MoveTable(clock),
+                        new CrashTable(clock),
                         new AnswerCounters(),
                         (receiver, message) -> sent.computeIfAbsent(receiver, unused -> new ArrayList<>())
                                 .add(message),
@@ -106,6 +113,7 @@
                 List.of(),
                 List.of(),
                 List.of(),
+                List.of(),
                 List.of());
     }
 
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/GateReporterTest.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/GateReporterTest.java
@@ -30,7 +30,12 @@
     private final ByteArrayOutputStream output = new ByteArrayOutputStream();
     private final DecisionLog log =
             DecisionLog.start("n", SteppedClock.of(1_000), new PrintStream(output, true, StandardCharsets.UTF_8));
-    private final GateReporter reporter = new GateReporter("Request-Id", new AnswerCounters(), log, new MeshMetrics());
+    private final GateReporter reporter = new GateReporter(
+            "Request-Id",
+            new AnswerCounters(),
+            CrashGuards.unused(SteppedClock.of(1_000), log),
+            log,
+            new MeshMetrics());
 
     private static CallRequest request(final List<HeaderField> headers) {
         return new CallRequest(
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/MeshNodeTest.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/MeshNodeTest.java
@@ -159,8 +159,12 @@
     }
 
     private int announce(final int node, final String body) throws Exception {
+        return announce(node, "t-1", body);
+    }
+
+    private int announce(final int node, final String name, final String body) throws Exception {
         InetSocketAddress address = settings.get(node).announcementAddress();
-        return send(address, request(address, "/t-1").PUT(HttpRequest.BodyPublishers.ofString(body)))
+        return send(address, request(address, "/" + name).PUT(HttpRequest.BodyPublishers.ofString(body)))
                 .statusCode();
     }
 
@@ -322,6 +326,28 @@
         assertEquals(before, target.requests().size());
     }
 
+    /** Guards against a request that crashes each target and is sent on whenever it comes again. */
+    @Test
+    void requestThatCrashedThreeTargetsReachesNoOther() throws Exception {
+        for (int crash = 1; crash <= 3; crash++) {
+            String name = "t-" + crash;
+            target = new ScriptedTarget(COMPLETE_RESPONSE, "RESET", "RESET");
+            assertEquals(200, announce(1, name, target.address() + " 1 ready"));
+            await(() -> call(0, "/look/probe-" + name, "probe").statusCode() == 200);
+            assertEquals(502, call(0, "/look/poison", "poison-" + crash).statusCode());
+            target.close();
+            await(() -> call(0, "/look/after-" + name, "after").statusCode() == 503);
+            assertEquals(200, announce(1, name, target.address() + " 2 leaving"));
+        }
+        target = new ScriptedTarget(COMPLETE_RESPONSE, COMPLETE_RESPONSE, COMPLETE_RESPONSE);
+        assertEquals(200, announce(1, "t-4", target.address() + " 1 ready"));
+        await(() -> call(0, "/look/1", "probe").statusCode() == 200);
+        assertEquals(503, call(0, "/look/poison", "poison-4").statusCode());
+        assertEquals(503, call(1, "/look/poison", "poison-5").statusCode());
+        assertEquals(200, call(0, "/look/2", "other").statusCode());
+        assertEquals(2, target.requests().size());
+    }
+
     @Test
     void callerDisconnectCancelsItsRequest() throws Exception {
         startTarget(COMPLETE_RESPONSE, "SILENT", COMPLETE_RESPONSE);
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/MoveControllerTest.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/MoveControllerTest.java
@@ -101,6 +101,7 @@
                 List.of(),
                 List.of(),
                 List.of(),
+                List.of(),
                 List.of()));
     }
 
--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/overload/SimulatedNode.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/overload/SimulatedNode.java
@@ -83,6 +83,7 @@
                 (gate, request) -> links.call(place, gate, request),
                 new CallIdGenerator(place.node(), 1),
                 called -> called.equals(target.service()) ? 0 : gates.repeatedShare(),
+                (called, call) -> 0,
                 new CountingPlacements(tally, scenario)));
     }
 
@@ -122,6 +123,7 @@
                 gates.reports(),
                 List.of(),
                 List.of(),
+                List.of(),
                 List.of());
     }
 
