Answers of targets: only one that echoes the request's identity belongs to it

What callers would see: "not run, try again" for a request that a target runs, after a faulty target has written an earlier refusal, without an identity, once more on a kept connection (reported by operators of other systems).

Cause: TargetExchange took any answer marked as not run, or with status 421, for the answer to the current request, though targets echo the identity in every answer.

--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/TargetExchange.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/TargetExchange.java
@@ -134,11 +134,13 @@
             return false;
         }
         String echoed = candidate.headers().get(headerNames.requestId());
-        boolean matches = echoed == null ? isMarkedNotRun(candidate) : echoed.equals(requestId);
+        if (echoed == null) { // It may be an earlier answer written once more, so that even a refusal says nothing.
+            fail(Reason.BAD_ANSWER);
+            return false;
+        }
+        boolean matches = echoed.equals(requestId);
         if (matches) {
             response = candidate;
-        } else if (echoed == null) {
-            fail(Reason.BAD_ANSWER);
         }
         return matches;
     }
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/NettyTargetCallerTest.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/NettyTargetCallerTest.java
@@ -152,14 +152,79 @@
     @Test
     void refusalByTargetHasOutcomeNotRun() throws Exception {
         target = new ScriptedTarget(
-                "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
-                "HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n",
+                "HTTP/1.1 503 Full\r\nRequest-Id: $ID\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+                "HTTP/1.1 421 Other\r\nRequest-Id: $ID\r\nContent-Length: 0\r\n\r\n",
                 "HTTP/1.1 500 Broken\r\nRequest-Id: $ID\r\nSignature: s\r\nContent-Length: 0\r\n\r\n");
         assertEquals(Outcome.NOT_RUN, call("a", "GET", "").outcome());
         assertEquals(Outcome.NOT_RUN, call("b", "GET", "").outcome());
         assertEquals(500, call("c", "GET", "").response().orElseThrow().status());
     }
 
+    /** Guards against "not run" for a request that runs: the target writes an earlier refusal once more. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 503 Busy\r\nNot-Run: full\r\nContent-Length: 0\r\n\r\n",
+                "HTTP/1.1 429 Busy\r\nNot-Run: full\r\nContent-Length: 0\r\n\r\n",
+                "HTTP/1.1 400 No id\r\nNot-Run: no id\r\nContent-Length: 0\r\n\r\n",
+                "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n"
+            })
+    void refusalWithoutRequestIdIsNoPromise(final String refusal) throws Exception {
+        target = new ScriptedTarget(COMPLETE_RESPONSE, refusal + COMPLETE_RESPONSE);
+        call("a", "GET", "");
+        CallResult second = call("b", "POST", "x");
+        assertEquals(Outcome.UNKNOWN, second.outcome(), "the target runs the request");
+        assertEquals(2, target.requests().size());
+    }
+
+    @Test
+    void refusalOfAnotherRequestIsSkipped() throws Exception {
+        String refusal = "HTTP/1.1 503 Busy\r\nRequest-Id: a\r\nNot-Run: full\r\nContent-Length: 0\r\n\r\n";
+        target = new ScriptedTarget(refusal, refusal + COMPLETE_RESPONSE, refusal + refusal, COMPLETE_RESPONSE);
+        assertEquals(Outcome.NOT_RUN, call("a", "POST", "x").outcome());
+        assertEquals("hello", bodyOf(call("b", "POST", "x")));
+        assertEquals(
+                Outcome.UNKNOWN,
+                start("c", "POST", "x", 300).get(10, TimeUnit.SECONDS).outcome());
+    }
+
+    /** Guards against an empty or short answer framed as whole, when a target stops in the middle of its answer. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {"Content-Length: 5\r\n\r\nhello", "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"})
+    void answerCutAnywhereIsNotComplete(final String framing) throws Exception {
+        String head = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nSignature: s\r\n";
+        for (String interim : List.of("", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n")) {
+            String whole = interim + head + framing;
+            List<String> steps = new ArrayList<>();
+            for (int length = 0; length < whole.length(); length++) {
+                steps.add(whole.substring(0, length) + (length % 9 == 0 ? "RESET" : "FIN"));
+            }
+            steps.add(whole + "FIN");
+            target = new ScriptedTarget(steps.toArray(String[]::new));
+            for (int length = 0; length < whole.length(); length++) {
+                assertEquals(Outcome.UNKNOWN, call("a", "GET", "").outcome(), "cut after " + length + " bytes");
+            }
+            assertEquals("hello", bodyOf(call("a", "GET", "")));
+            target.close();
+        }
+    }
+
+    /** An answer without a length ends with its connection, but only after a complete head and not by a reset. */
+    @Test
+    void answerWithoutLengthCutInItsHeadIsNotComplete() throws Exception {
+        String head = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nSignature: s\r\n\r\n";
+        List<String> steps = new ArrayList<>();
+        for (int length = 0; length < head.length(); length++) {
+            steps.add(head.substring(0, length) + "FIN");
+        }
+        steps.add(head + "helloRESET");
+        target = new ScriptedTarget(steps.toArray(String[]::new));
+        for (int length = 0; length <= head.length(); length++) {
+            assertEquals(Outcome.UNKNOWN, call("a", "GET", "").outcome(), "cut after " + length + " bytes");
+        }
+    }
+
     @Test
     void callToSilentTargetEndsAtDeadline() throws Exception {
         target = new ScriptedTarget("SILENT");
