--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
@@ -10,6 +10,7 @@
 import java.util.Random;
 import org.sequoiashunt.blackboard.BlockingTask;
 import org.sequoiashunt.call.CallHandler;
+import org.sequoiashunt.call.TargetCaller;
 import org.sequoiashunt.commit.SystemClock;
 import org.sequoiashunt.crash.CrashTable;
 import org.sequoiashunt.dispatch.CallIdGenerator;
@@ -84,11 +85,13 @@
     private final MoveTable moveTable = new MoveTable(clock);
     private final AnswerCounters answerCounters = new AnswerCounters();
     private final CrashTable crashTable = new CrashTable(clock);
+    private final Timers timers = closer.register(new Timers());
     private final MeshMetrics metrics;
     private final FleetView fleet = new FleetView(clock);
     private final MeshSettings settings;
     private final PlatformComponents platformComponents;
     private final DecisionLog log;
+    private final StoreHealth storeHealth;
     private final ActiveConfiguration configuration;
     private final WatcherSelection watcherSelection;
     private volatile boolean draining;
@@ -100,8 +103,6 @@
     private DepartureRecorder departureRecorder;
     private CrashGuard crashGuard;
     private CallHandler guardedGates;
-    private Timers timers;
-    private StoreHealth storeHealth;
     private LinkClient linkClient;
     private MeshCallerHandler callerHandler;
     private MeshDispatcher dispatcher;
@@ -113,6 +114,7 @@
         this.service = settings.service();
         this.metrics = platformComponents.metrics();
         this.log = closer.register(DecisionLog.start(settings.location().node(), clock, System.out));
+        this.storeHealth = new StoreHealth(clock, log);
         this.configuration = new ActiveConfiguration(platformComponents.platform(), log);
         this.watcherSelection =
                 new WatcherSelection(settings.location(), settings.capacity(), fleet, configuration::version, clock);
@@ -148,6 +150,35 @@
         TargetRegistry registry = new TargetRegistry(clock, settings.announcementPeriodMs());
         NettyTargetCaller targets = closer.register(
                 NettyTargetCaller.create(context.threads().callLoop(), platformComponents.headerNames(), clock));
+        createGates(registry, targets);
+        createControllers(registry);
+        callerHandler = new MeshCallerHandler(callerHandlerDependencies());
+        openListeners(registry);
+        linkServer = closer.register(LinkServer.open(
+                context,
+                new InetSocketAddress(
+                        settings.location().address().host(),
+                        settings.location().address().port()),
+                guardedGates,
+                controlLoop));
+        closer.register(controlLoop);
+        controlLoop.start();
+        startStoreTasks();
+        log.log(
+                LogKind.START,
+                "service",
+                service,
+                "failureDomain",
+                settings.location().failureDomain(),
+                "region",
+                settings.location().region(),
+                "incarnation",
+                incarnation,
+                "links",
+                settings.location().address().toString());
+    }
+
+    private void createGates(final TargetRegistry registry, final TargetCaller targets) {
         crashGuard = new CrashGuard(new CrashGuard.Dependencies(
                 crashTable,
                 platformComponents.headerNames().callerService(),
@@ -159,8 +190,9 @@
                 platformComponents.headerNames().requestId(), answerCounters, crashGuard, log, metrics);
         gates = new SlotGates(registry, new SlotGate.Dependencies(clock, targets, reporter));
         guardedGates = crashGuard.guard(gates);
-        timers = closer.register(new Timers());
-        storeHealth = new StoreHealth(clock, log);
+    }
+
+    private void createControllers(final TargetRegistry registry) {
         departureRecorder = new DepartureRecorder(new DepartureRecorder.Dependencies(
                 settings.location(),
                 fleet,
@@ -182,33 +214,9 @@
                 clock,
                 log,
                 fleetController::requestReport);
-        callerHandler = new MeshCallerHandler(callerHandlerDependencies());
         controlLoop.add(fleetController);
         controlLoop.add(departureRecorder);
         controlLoop.add(moveController);
-        openListeners(registry);
-        linkServer = closer.register(LinkServer.open(
-                context,
-                new InetSocketAddress(
-                        settings.location().address().host(),
-                        settings.location().address().port()),
-                guardedGates,
-                controlLoop));
-        closer.register(controlLoop);
-        controlLoop.start();
-        startStoreTasks();
-        log.log(
-                LogKind.START,
-                "service",
-                service,
-                "failureDomain",
-                settings.location().failureDomain(),
-                "region",
-                settings.location().region(),
-                "incarnation",
-                incarnation,
-                "links",
-                settings.location().address().toString());
     }
 
     private LinkContext createLinkContext() {
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/MeshNodeTest.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/MeshNodeTest.java
@@ -297,6 +297,35 @@
         }
     }
 
+    /** Guards against requests that come late in a planned stop, are passed on and are cut at its end. */
+    @Test
+    void requestWhoseBodyEndsLateInAPlannedStopIsRefused() throws Exception {
+        startTarget(COMPLETE_RESPONSE, "SILENT");
+        awaitTargetReachable();
+        try (Socket caller = new Socket(
+                LoopbackAddresses.host(), settings.get(0).callerAddress().getPort())) {
+            caller.setSoTimeout(10_000);
+            String head = "POST /slow/1 HTTP/1.1\r\nHost: desk\r\nRequest-Id: late\r\nLeft-Ms: 9000\r\n"
+                    + "Content-Length: 4\r\n\r\nab";
+            caller.getOutputStream().write(head.getBytes(StandardCharsets.ISO_8859_1));
+            Thread announcements = keepAnnouncing();
+            Thread drain = new Thread(() -> {
+                try {
+                    nodes.get(0).drain();
+                } catch (InterruptedException exception) {
+                    Thread.currentThread().interrupt();
+                }
+            });
+            drain.start();
+            Thread.sleep(3_000);
+            caller.getOutputStream().write("cd".getBytes(StandardCharsets.ISO_8859_1));
+            assertEquals(503, RawResponse.read(caller.getInputStream()).statusCode());
+            assertEquals(1, target.requests().size());
+            announcements.interrupt();
+            drain.join();
+        }
+    }
+
     @Test
     void targetGetsNoRequestsAfterAcknowledgedDraining() throws Exception {
         startTarget(COMPLETE_RESPONSE, COMPLETE_RESPONSE, COMPLETE_RESPONSE, COMPLETE_RESPONSE);
