Moves: small fault shares are found from the answers of the whole move

Cause: MovePolicy compared noise with one size of fault, 0.2, in the answers of 2.5 s; a smaller share speaks for noise on average. Evidence: "no fault in N answers" at each step. Ruled out: missing evidence, the schedule.

Change: EvidenceWindow adds what leaves the window to totals with the failures expected at the same times. MovePolicy tests them for a fault of 0.05; each step of the share needs lower odds of it than the one before.

Why it works: the share grows only as fast as the answers rule the fault out, so an unlucky start stays small.

--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/move/EvidenceWindow.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/move/EvidenceWindow.java
@@ -14,6 +14,7 @@
  *
  * <p>Nodes report counts that only grow while they run. The window holds the increments of these counts, so that many
  * earlier successes do not hide a late fault, and a restart or a repeated report of a node does not distort the sums.
+ * What leaves the window is added to totals, which show small faults that the few answers of the window cannot show.
  *
  * <p>Confined to one thread. Invariant: each answer is counted once.
  */
@@ -21,10 +22,14 @@
 
     private static final long BUCKET_LENGTH_MS = 250;
 
+    /** Share of a bucket's answers up to which failures count in the totals: a target that ends fails many at once. */
+    private static final double MAXIMUM_COUNTED_FAILURE_SHARE = 0.3;
+
     private final String service;
     private final long lengthMs;
     private final Map<TallySource, VersionTally> latestTallies = new HashMap<>();
     private final Deque<Bucket> buckets = new ArrayDeque<>();
+    private final Map<String, Total> totalsByVersion = new HashMap<>();
 
     /**
      * Creates an empty window.
@@ -82,6 +87,7 @@
 
     private Bucket advanceToBucket(final long nowMs) {
         while (!buckets.isEmpty() && buckets.peekFirst().startMs < nowMs - lengthMs) {
+            addToTotals(buckets.peekFirst());
             buckets.removeFirst();
         }
         if (buckets.isEmpty() || buckets.peekLast().startMs + BUCKET_LENGTH_MS <= nowMs) {
@@ -134,6 +140,35 @@
         return answers == 0 ? overallFailureShare : weightedFailures / answers;
     }
 
+    private void addToTotals(final Bucket bucket) {
+        bucket.versions().forEach(version -> totalsByVersion.merge(version, totalOf(bucket, version), Total::plus));
+    }
+
+    private Total totalOf(final Bucket bucket, final String version) {
+        Sum answers = bucket.sum(version, false, null);
+        double countedFailures = Math.min(answers.failures(), 1 + MAXIMUM_COUNTED_FAILURE_SHARE * answers.answers());
+        double expectedFailures = answers.answers() * sum(version, true, null).failureShare();
+        return new Total(
+                answers.answers(),
+                countedFailures,
+                expectedFailures,
+                bucket.sum(version, true, null).answers());
+    }
+
+    /**
+     * Sums the answers of one version on all routes since this object was created.
+     *
+     * @param version the version, not null.
+     * @return the totals, never null.
+     */
+    public Total total(final String version) {
+        Total total = totalsByVersion.getOrDefault(version, new Total(0, 0, 0, 0));
+        for (Bucket bucket : buckets) {
+            total = total.plus(totalOf(bucket, version));
+        }
+        return total;
+    }
+
     /**
      * Lists the routes on which any version has answered within the window.
      *
@@ -173,6 +208,25 @@
         }
     }
 
+    /**
+     * Answers of one version since the window was created. Immutable and thread-safe.
+     *
+     * @param answers the number of requests that ended.
+     * @param failures the number of these requests that failed, without most of those that failed together.
+     * @param expectedFailures the failures that the other versions would have had at the same times.
+     * @param otherAnswers the number of answers of the other versions in that time.
+     */
+    public record Total(long answers, double failures, double expectedFailures, long otherAnswers) {
+
+        private Total plus(final Total other) {
+            return new Total(
+                    answers + other.answers,
+                    failures + other.failures,
+                    expectedFailures + other.expectedFailures,
+                    otherAnswers + other.otherAnswers);
+        }
+    }
+
     /** Identifies one series of growing counts. Immutable and thread-safe. */
     private record TallySource(String node, long incarnation, String version, String route) {}
 
@@ -189,6 +243,12 @@
             this.startMs = startMs;
         }
 
+        private Set<String> versions() {
+            Set<String> versions = new TreeSet<>();
+            countsByKey.keySet().forEach(key -> versions.add(key.version()));
+            return versions;
+        }
+
         private Sum sum(final String version, final boolean otherVersions, final String route) {
             long answers = 0;
             long failures = 0;
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/move/MovePolicy.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/move/MovePolicy.java
@@ -8,9 +8,11 @@
  * Decides whether a move of traffic to another version continues with a larger share, completes or is rolled back.
  *
  * <p>It detects versions that fail or become slow at once, after a while, under load or on a single route. The new
- * version gets a small share of the traffic for about 40% of the duration, so that late faults affect few requests.
- * The share then grows in steps that are each long enough to detect a fault. The new version is compared with the
- * other versions over the same window, on all routes together and on each route.
+ * version gets a small share of the traffic for about 40% of the duration, so that late faults affect few requests. The
+ * share then grows in steps that are each long enough to detect a fault. The new version is compared with the other
+ * versions over the same window, on all routes together and on each route. Small fault shares show only in the answers
+ * of the whole move: the share grows only while they are unlikely, and a version that is in doubt near the
+ * end of the duration is rolled back.
  *
  * <p>Immutable and thread-safe.
  */
@@ -21,11 +23,11 @@
      * leaves the other versions enough answers to compare with.
      */
     private static final ShareStep[] SHARE_SCHEDULE = {
-        new ShareStep(0.00, 40),
-        new ShareStep(0.42, 150),
-        new ShareStep(0.52, 300),
-        new ShareStep(0.60, 550),
-        new ShareStep(0.68, 900),
+        new ShareStep(0.00, 40, Double.MAX_VALUE),
+        new ShareStep(0.42, 150, 0),
+        new ShareStep(0.52, 300, -1),
+        new ShareStep(0.60, 550, -2),
+        new ShareStep(0.68, 900, -3),
     };
 
     /**
@@ -63,6 +65,15 @@
      */
     private static final double FAULT_LOG_LIKELIHOOD_THRESHOLD = Math.log(1e4);
 
+    /** Share of failures that a small fault adds. */
+    private static final double SMALL_FAULT_FAILURE_SHARE = 0.05;
+
+    /** Logarithm of the likelihood ratio of small fault to noise from which the version is in doubt. */
+    private static final double DOUBT_LOG_LIKELIHOOD = 1;
+
+    /** Fraction of the move's duration after which a version in doubt is rolled back. */
+    private static final double DOUBT_END_ELAPSED_FRACTION = 0.95;
+
     /** Ratio of mean durations above which the new version is slow: targets of one version differ by up to 2.5. */
     private static final double SLOW_DURATION_RATIO = 3.2;
 
@@ -85,13 +96,23 @@
             return Optional.of(decision(current, MoveState.ROLLED_BACK, 0, fault.get()));
         }
         double elapsedFraction = current.elapsedMs() / (double) current.durationMs();
+        double smallFaultLogLikelihood = smallFaultLogLikelihoodRatio(evidence.total(current.version()));
+        if (smallFaultLogLikelihood >= FAULT_LOG_LIKELIHOOD_THRESHOLD) {
+            return Optional.of(decision(current, MoveState.ROLLED_BACK, 0, describe(evidence, current, "small fault")));
+        }
+        if (smallFaultLogLikelihood >= DOUBT_LOG_LIKELIHOOD) {
+            return elapsedFraction < DOUBT_END_ELAPSED_FRACTION
+                    ? Optional.empty()
+                    : Optional.of(
+                            decision(current, MoveState.ROLLED_BACK, 0, describe(evidence, current, "still in doubt")));
+        }
         long answers = evidence.sum(current.version(), false, null).answers();
         boolean atMaximumShare = current.sharePermille() >= SHARE_SCHEDULE[SHARE_SCHEDULE.length - 1].sharePermille();
         if (elapsedFraction >= ACCEPTANCE_ELAPSED_FRACTION && atMaximumShare && answers >= MINIMUM_ANSWERS_TO_ACCEPT) {
             return Optional.of(decision(
                     current, MoveState.COMPLETED, current.sharePermille(), "no fault in " + answers + " answers"));
         }
-        int share = nextShare(elapsedFraction, current.sharePermille(), answers);
+        int share = nextShare(elapsedFraction, current.sharePermille(), answers, smallFaultLogLikelihood);
         if (share == current.sharePermille()) {
             return Optional.empty();
         }
@@ -116,11 +137,17 @@
     }
 
     /** The share grows by one step at a time, after the first step only with enough answers to check the version. */
-    private static int nextShare(final double elapsedFraction, final int currentShare, final long answers) {
+    private static int nextShare(
+            final double elapsedFraction,
+            final int currentShare,
+            final long answers,
+            final double smallFaultLogLikelihood) {
         for (ShareStep step : SHARE_SCHEDULE) {
             if (step.sharePermille() > currentShare) {
                 boolean firstStep = currentShare == 0;
-                return elapsedFraction >= step.elapsedFraction() && (firstStep || answers >= MINIMUM_ANSWERS_TO_JUDGE)
+                return elapsedFraction >= step.elapsedFraction()
+                                && smallFaultLogLikelihood <= step.maximumFaultLogLikelihood()
+                                && (firstStep || answers >= MINIMUM_ANSWERS_TO_JUDGE)
                         ? step.sharePermille()
                         : currentShare;
             }
@@ -153,7 +180,9 @@
         String scope = route == null ? "all routes" : "route " + route;
         double baselineFailureShare =
                 evidence.matchedFailureShare(version, route) + UNOBSERVED_FAILURES / (otherVersionsSum.answers() + 1);
-        if (faultLogLikelihoodRatio(newVersionSum, baselineFailureShare) >= FAULT_LOG_LIKELIHOOD_THRESHOLD) {
+        if (faultLogLikelihoodRatio(
+                        newVersionSum.answers(), newVersionSum.failures(), baselineFailureShare, FAULT_FAILURE_SHARE)
+                >= FAULT_LOG_LIKELIHOOD_THRESHOLD) {
             return Optional.of(String.format(
                     "failures on %s: share %.3f of %d answers, baseline %.3f of %d answers",
                     scope,
@@ -171,18 +200,34 @@
         return Optional.empty();
     }
 
+    private static double smallFaultLogLikelihoodRatio(final EvidenceWindow.Total total) {
+        if (total.answers() < MINIMUM_ANSWERS_TO_JUDGE) {
+            return 0;
+        }
+        double baselineFailureShare =
+                total.expectedFailures() / total.answers() + UNOBSERVED_FAILURES / (total.otherAnswers() + 1);
+        return faultLogLikelihoodRatio(
+                total.answers(), total.failures(), baselineFailureShare, SMALL_FAULT_FAILURE_SHARE);
+    }
+
+    private static String describe(final EvidenceWindow evidence, final VersionMove current, final String conclusion) {
+        EvidenceWindow.Total total = evidence.total(current.version());
+        return String.format(
+                "%s: %.0f failures in %d answers of the move, %.1f expected from %d answers of other versions",
+                conclusion, total.failures(), total.answers(), total.expectedFailures(), total.otherAnswers());
+    }
+
     /**
-     * Returns the logarithm of the likelihood ratio of two explanations of the new version's failures: a fault, and the
-     * failures that the other versions have as well.
+     * Returns the logarithm of the likelihood ratio of two explanations of the new version's failures: a fault that
+     * adds a share of failures, and the failures that the other versions have as well.
      */
     private static double faultLogLikelihoodRatio(
-            final EvidenceWindow.Sum newVersionSum, final double baselineFailureShare) {
-        double noiseFailureShare = Math.min(
-                1 - 2 * FAULT_FAILURE_SHARE, baselineFailureShare * NOISE_FAILURE_FACTOR + NOISE_FAILURE_SHARE);
-        double faultyFailureShare = noiseFailureShare + FAULT_FAILURE_SHARE;
-        long successes = newVersionSum.answers() - newVersionSum.failures();
-        return newVersionSum.failures() * Math.log(faultyFailureShare / noiseFailureShare)
-                + successes * Math.log((1 - faultyFailureShare) / (1 - noiseFailureShare));
+            final long answers, final double failures, final double baselineFailureShare, final double faultShare) {
+        double noiseFailureShare =
+                Math.min(1 - 2 * faultShare, baselineFailureShare * NOISE_FAILURE_FACTOR + NOISE_FAILURE_SHARE);
+        double faultyFailureShare = noiseFailureShare + faultShare;
+        return failures * Math.log(faultyFailureShare / noiseFailureShare)
+                + (answers - failures) * Math.log((1 - faultyFailureShare) / (1 - noiseFailureShare));
     }
 
     /**
@@ -193,6 +238,14 @@
      */
     public record Decision(VersionMove move, String reason) {}
 
-    /** A share in thousandths and the elapsed fraction of the move from which it applies. Immutable and thread-safe. */
-    private record ShareStep(double elapsedFraction, int sharePermille) {}
+    /**
+     * A share and when it applies: the greater it is, the surer it must be that there is no small fault. Immutable and
+     * thread-safe.
+     *
+     * @param elapsedFraction the elapsed fraction of the move from which the share applies.
+     * @param sharePermille the share in thousandths.
+     * @param maximumFaultLogLikelihood the logarithm of the likelihood ratio of small fault to noise up to which the
+     *     share applies.
+     */
+    private record ShareStep(double elapsedFraction, int sharePermille, double maximumFaultLogLikelihood) {}
 }
--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/move/MovePolicyTest.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/move/MovePolicyTest.java
@@ -5,7 +5,10 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Random;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.sequoiashunt.fleet.MoveState;
 import org.sequoiashunt.fleet.VersionMove;
 import org.sequoiashunt.fleet.VersionTally;
@@ -157,6 +160,24 @@
         assertRolledBackWithinRequestLimit();
     }
 
+    /** Guards against a version that fails seldom, but far more often than the others, and is accepted. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20})
+    void versionThatFailsEightOfAHundredRequestsIsRolledBack(final int seed) {
+        Random random = new Random(seed);
+        simulateMove((nowMs, share, number) -> random.nextDouble() < 0.08);
+        assertRolledBackWithinRequestLimit();
+    }
+
+    /** Guards against rolling back good versions by the same check. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20})
+    void versionThatFailsAsOftenAsTheOthersIsAccepted(final int seed) {
+        Random random = new Random(seed);
+        simulateMove((nowMs, share, number) -> random.nextDouble() < 0.01);
+        assertEquals(MoveState.COMPLETED, move.state());
+    }
+
     @Test
     void slowVersionIsRolledBack() {
         simulateMove(new Behaviour() {
