Quarantine begins after the time in which a frequent request is answered elsewhere

What callers would see: a request that many callers send alike is at work at several targets that crash together, and is refused for two minutes though it caused nothing.

Cause: the third crash decided at once, before an answer of another node was known.

Change: the quarantine begins 2 s after the third crash unless an answer becomes known. The loop that records departures wakes every 10 s instead of 0.8 s while there are none.

--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/crash/CrashTable.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/crash/CrashTable.java
@@ -17,7 +17,9 @@
  * <p>Every request at work at a target that crashes becomes a suspect, as any of them may be the cause. A request that
  * causes crashes is never answered, so an answer clears a suspect. A request that was at work in
  * {@link #CRASHES_TO_QUARANTINE} crashes without an answer since is quarantined: it is refused for a time that doubles
- * with each further crash. After that time it may run again; an answer clears it.
+ * with each further crash. After that time it may run again; an answer clears it. The quarantine begins a little after
+ * the last of these crashes: many callers send the same frequent request, which is at work at several targets that crash
+ * together, and is answered elsewhere meanwhile.
  *
  * <p>Thread-safe: guarded by its own monitor. Invariants: the number of requests and of crashes of each is bounded;
  * entries expire.
@@ -27,6 +29,9 @@
     /** Crashes after which chance is no explanation: requests that are not the cause are answered in between. */
     static final int CRASHES_TO_QUARANTINE = 3;
 
+    /** Time after the last of these crashes in which answers of other nodes become known. */
+    static final long ANSWER_DELAY_MS = 2_000;
+
     /** First duration of a quarantine. */
     static final long QUARANTINE_MS = 120_000;
 
@@ -139,7 +144,7 @@
      */
     public synchronized long quarantineLeftMs(final String fingerprint) {
         Suspect suspect = suspects.get(fingerprint);
-        return suspect == null ? 0 : Math.max(0, suspect.quarantineEndMs() - clock.nowMs());
+        return suspect == null ? 0 : suspect.quarantineLeftMs(clock.nowMs());
     }
 
     /**
@@ -190,13 +195,25 @@
         }
 
         private List<Long> crashesSinceAnswerMs() {
-            return crashesMs.values().stream().filter(atMs -> atMs > answeredMs).toList();
+            return crashesMs.values().stream()
+                    .filter(atMs -> atMs > answeredMs)
+                    .sorted()
+                    .toList();
         }
 
         private long latestMs() {
             return crashesMs.values().stream().mapToLong(Long::longValue).max().orElse(NEVER);
         }
 
+        private long quarantineLeftMs(final long nowMs) {
+            List<Long> crashes = crashesSinceAnswerMs();
+            if (crashes.size() < CRASHES_TO_QUARANTINE
+                    || nowMs - crashes.get(CRASHES_TO_QUARANTINE - 1) < ANSWER_DELAY_MS) {
+                return 0;
+            }
+            return Math.max(0, quarantineEndMs() - nowMs);
+        }
+
         private long quarantineEndMs() {
             List<Long> crashes = crashesSinceAnswerMs();
             int furtherCrashes = crashes.size() - CRASHES_TO_QUARANTINE;
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/DepartureRecorder.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/DepartureRecorder.java
@@ -62,7 +62,9 @@
     /** Age from which a lease is replaced, so that each record lasts for minutes. */
     private static final long MAXIMUM_LEASE_AGE_MS = 420_000;
 
-    private static final long IDLE_PERIOD_MS = 800;
+    /** Longest wait for a departure; each end of a wait wakes the processor. */
+    private static final long MAXIMUM_WAIT_MS = 10_000;
+
     private static final long RETRY_MS = 400;
     private static final int MAXIMUM_DEPARTURES = 1_024;
 
@@ -250,7 +252,7 @@
     private synchronized boolean awaitPending() {
         try {
             if (pending.isEmpty()) {
-                wait(IDLE_PERIOD_MS);
+                wait(MAXIMUM_WAIT_MS);
             }
             return true;
         } catch (InterruptedException exception) {
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/MeshNodeTest.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/MeshNodeTest.java
@@ -371,6 +371,7 @@
         target = new ScriptedTarget(COMPLETE_RESPONSE, COMPLETE_RESPONSE, COMPLETE_RESPONSE);
         assertEquals(200, announce(1, "t-4", target.address() + " 1 ready"));
         await(() -> call(0, "/look/1", "probe").statusCode() == 200);
+        Thread.sleep(2_200);
         assertEquals(503, call(0, "/look/poison", "poison-4").statusCode());
         assertEquals(503, call(1, "/look/poison", "poison-5").statusCode());
         assertEquals(200, call(0, "/look/2", "other").statusCode());
