--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/crash/CrashTable.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/crash/CrashTable.java
@@ -18,8 +18,8 @@
  * causes crashes is never answered, so an answer clears a suspect. A request that was at work in
  * {@link #CRASHES_TO_QUARANTINE} crashes without an answer since is quarantined: it is refused for a time that doubles
  * with each further crash. After that time it may run again; an answer clears it. The quarantine begins a little after
- * the last of these crashes: many callers send the same frequent request, which is at work at several targets that crash
- * together, and is answered elsewhere meanwhile.
+ * the last of these crashes: many callers send the same frequent request, which is at work at several targets that
+ * crash together, and is answered elsewhere meanwhile.
  *
  * <p>Thread-safe: guarded by its own monitor. Invariants: the number of requests and of crashes of each is bounded;
  * entries expire.
