Tests: the relay refuses connections only once its listener is gone

The relay waits for the accepting thread now and keeps its port bound, as a client may connect to a free port of its own. The test's assertion is as it was; it is repeated 20 times.

--- a/sequoiashunt-link/src/test/java/org/sequoiashunt/link/LinkFaultTest.java
+++ b/sequoiashunt-link/src/test/java/org/sequoiashunt/link/LinkFaultTest.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.RepeatedTest;
 import org.junit.jupiter.api.Test;
 import org.sequoiashunt.call.Body;
 import org.sequoiashunt.call.CallResult;
@@ -92,10 +93,11 @@
         assertEquals(CallResult.unknown(Reason.CONNECTION_FAILED), LinkFixture.await(call));
     }
 
-    @Test
+    /** Repeated, since a listener that is being closed may accept one more connection. */
+    @RepeatedTest(20)
     void aCallThatCannotReachItsGateEndsAsNotRun() throws Exception {
         NodeAddress address = relay.address();
-        relay.close();
+        relay.refuseConnections();
         CallResult result = LinkFixture.await(fixture.client.call(address, LinkFixture.request("call", 20_000)));
         assertEquals(CallResult.notRun(Reason.CONNECTION_FAILED), result);
     }
--- a/sequoiashunt-link/src/test/java/org/sequoiashunt/link/Relay.java
+++ b/sequoiashunt-link/src/test/java/org/sequoiashunt/link/Relay.java
@@ -5,6 +5,7 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.List;
@@ -20,11 +21,13 @@
 
     private final ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
     private final NodeAddress upstream;
+    private final Thread acceptor;
+    private final Socket portHolder = new Socket();
     private final List<RelayedConnection> connections = new CopyOnWriteArrayList<>();
 
     Relay(final NodeAddress upstream) throws IOException {
         this.upstream = upstream;
-        start(this::accept);
+        acceptor = start(this::accept);
     }
 
     NodeAddress address() {
@@ -48,15 +51,41 @@
         connections.forEach(connection -> connection.remainingBytes = bytes);
     }
 
+    /**
+     * Closes the open connections and refuses new ones. The port stays bound without a listener: a client to which the
+     * system assigns a free port may connect to itself.
+     */
+    void refuseConnections() throws IOException {
+        closeListener();
+        portHolder.setReuseAddress(true);
+        portHolder.bind(new InetSocketAddress(listener.getInetAddress(), listener.getLocalPort()));
+    }
+
     @Override
     public void close() throws IOException {
+        closeListener();
+        portHolder.close();
+    }
+
+    private void closeListener() throws IOException {
         listener.close();
+        awaitLastAccept();
         for (RelayedConnection connection : connections) {
             connection.released.countDown();
             connection.close();
         }
     }
 
+    /** Waits for the accepting thread: until it has left the system call, the system accepts one more connection. */
+    private void awaitLastAccept() throws IOException {
+        try {
+            acceptor.join();
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted while the listener closes", exception);
+        }
+    }
+
     private void accept() throws IOException {
         while (true) {
             Socket clientSocket = listener.accept();
@@ -70,7 +99,7 @@
         }
     }
 
-    private static void start(final IoTask task) {
+    private static Thread start(final IoTask task) {
         Thread thread = new Thread(() -> {
             try {
                 task.run();
@@ -80,6 +109,7 @@
         });
         thread.setDaemon(true);
         thread.start();
+        return thread;
     }
 
     /** Connection of a client and its connection to the upstream server. */
