Planned stop: an attempt can be withdrawn only once it is sent

What callers would see: 502 in place of 503 for a request that waits at a gate, if the withdrawal came in the moment in which the request was being sent: the gate caller did not know it yet, and it was not withdrawn again. Found by reading.

Change: the attempt counts as running once the gate caller has it. The factor for likely service times exists once.

Result: MeshDispatcherTest.requestIsWithdrawnOnlyOnceItIsSent fails with the order before (the attempt is withdrawn before it is sent, and then no more) and passes now.

--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshAttempts.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshAttempts.java
@@ -34,9 +34,6 @@
     /** Fraction of the objective available here; the rest is for the network between the caller and this node. */
     private static final double OBJECTIVE_FRACTION = 0.95;
 
-    /** Factor on the mean service time that leaves room for slower calls: about four of five calls take less. */
-    private static final double LIKELY_SERVICE_FACTOR = 1.25;
-
     /** Time before the stop at which attempts are withdrawn at the latest: gates in other regions reply within it. */
     private static final long MINIMUM_WITHDRAWAL_MS = 300;
 
@@ -192,13 +189,15 @@
             attemptCount++;
             attempt = attemptCount;
             triedTargets.add(candidate.report().target());
-            runningTarget = candidate;
-            runningCallId = request.callId();
-            withdrawn = false;
         }
         dependencies.observer().targetChosen(call, route, candidate, attempt);
         dependencies.candidateSource().recordSent(candidate);
         CompletableFuture<CallResult> running = dependencies.gateCaller().call(candidate.address(), request);
+        synchronized (this) { // Only now the gate caller knows the call, so that it can be withdrawn.
+            runningTarget = candidate;
+            runningCallId = request.callId();
+            withdrawn = false;
+        }
         result.whenComplete((ended, failure) -> running.cancel(true));
         running.whenComplete((ended, failure) -> {
             CallResult attemptResult = failure == null ? ended : CallResult.unknown(Reason.CANCELLED);
@@ -296,7 +295,8 @@
             stopMs = newStopMs;
             long likelyMs = runningTarget == null
                     ? 0
-                    : Math.round(LIKELY_SERVICE_FACTOR * runningTarget.report().meanRouteMs(route.name()));
+                    : Math.round(SlotGate.LIKELY_SERVICE_FACTOR
+                            * runningTarget.report().meanRouteMs(route.name()));
             long latestStartMs = stopMs - Math.max(MINIMUM_WITHDRAWAL_MS, likelyMs);
             if (runningTarget == null || withdrawn || dependencies.clock().nowMs() < latestStartMs) {
                 return;
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/SlotGate.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/SlotGate.java
@@ -28,7 +28,7 @@
     private static final int LOWEST_FAILURE_STATUS = 500;
 
     /** Factor on the mean service time that leaves room for slower calls: about four of five calls take less. */
-    private static final double SERVICE_TIME_FACTOR = 1.25;
+    public static final double LIKELY_SERVICE_FACTOR = 1.25;
 
     private final Dependencies dependencies;
     private final SlotQueue queue;
@@ -104,7 +104,7 @@
     }
 
     private long likelyServiceMs(final CallRequest request) {
-        return Math.round(SERVICE_TIME_FACTOR * movingAverages.meanMs(request.route(), queue.meanMs()));
+        return Math.round(LIKELY_SERVICE_FACTOR * movingAverages.meanMs(request.route(), queue.meanMs()));
     }
 
     /** Returns whether a call that starts at a given time probably does not end before this node stops. */
--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/mesh/MeshDispatcherTest.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/mesh/MeshDispatcherTest.java
@@ -48,6 +48,7 @@
     private int load;
     private int failurePermille;
     private double repeatedRunShare;
+    private Runnable duringCall = () -> {};
     private long quarantineMs;
     private MeshDispatcher dispatcher;
     private Optional<MeshConfiguration> configuration = Optional.of(configuration());
@@ -347,6 +348,17 @@
         assertEquals(2, sentRequests.size());
     }
 
+    /** Guards against a request that misses its withdrawal, since it came while the request was being sent. */
+    @Test
+    void requestIsWithdrawnOnlyOnceItIsSent() {
+        long stopMs = clock.nowMs() + 200;
+        duringCall = () -> dispatcher().drain(stopMs);
+        dispatch("/r/1");
+        assertEquals(List.of(), withdrawnCallIds);
+        dispatcher().drain(stopMs);
+        assertEquals(List.of(sentRequests.get(0).callId()), withdrawnCallIds);
+    }
+
     /** Guards against a request that crashes targets and is sent on each time it comes. */
     @Test
     void quarantinedRequestIsRefusedWithoutSending() {
@@ -382,6 +394,7 @@
 
         @Override
         public CompletableFuture<CallResult> call(final NodeAddress gateAddress, final CallRequest request) {
+            duringCall.run();
             sentRequests.add(request);
             CompletableFuture<CallResult> call = new CompletableFuture<>();
             attemptResults.add(call);
