Departures are read from the store only once a target is held

Each node read its departures as it started.

Cause: targets announce their first sequence number to a node that starts with them, and are then not held, so that nothing is decided by what was read.

Change: the read waits until a target is held, which ends the wait of the loop at once.

Result: DepartureRecorderTest.storeIsReadOnlyOnceATargetIsHeld passes; the code before reads at the first step.

--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/target/TargetRegistry.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/target/TargetRegistry.java
@@ -149,6 +149,15 @@
         }
     }
 
+    /**
+     * Returns whether a target is held because departures are not known.
+     *
+     * @return true if restored departures would decide about a target.
+     */
+    public synchronized boolean holdsTargets() {
+        return !heldTargets.isEmpty();
+    }
+
     /** Records that all departures of earlier processes have been restored; the held targets join unless they left. */
     public synchronized void completeDepartures() {
         departuresKnown = true;
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/AnnouncementHandler.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/AnnouncementHandler.java
@@ -83,6 +83,8 @@
                 logAnnouncement(announcement, change);
                 if (change == TargetRegistry.Change.JOINED) {
                     crashGuard.recordJoined(announcement);
+                } else if (change == TargetRegistry.Change.HELD) {
+                    departures.targetHeld();
                 }
                 onChange.run();
             }
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/DepartureRecorder.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/DepartureRecorder.java
@@ -184,11 +184,14 @@
         return report.region().equals(location.region()) ? 1 : 2;
     }
 
-    /** Restores the departures of earlier processes, then records those that are pending. */
+    /**
+     * Restores the departures of earlier processes once a target is held, then records those that are pending. Most
+     * processes start together with their targets and need not read.
+     */
     @Override
     public long step() {
         try {
-            if (!restored) {
+            if (mustRestore()) {
                 restore(platform.readDepartures(location.node()));
                 registry.completeDepartures();
                 gates.update();
@@ -197,7 +200,7 @@
                 health.recordSuccess();
             }
             boolean allRecorded = recordPending();
-            return allRecorded && awaitPending() ? 0 : RETRY_MS;
+            return allRecorded && awaitWork() ? 0 : RETRY_MS;
         } catch (StoreException exception) {
             health.recordFailure("departures", exception.getMessage());
             return RETRY_MS;
@@ -248,10 +251,19 @@
         answers.forEach(answer -> answer.complete(true));
     }
 
-    /** Waits for a pending departure; returns false if the thread was interrupted, since its loop then ends. */
-    private synchronized boolean awaitPending() {
+    private boolean mustRestore() {
+        return !restored && registry.holdsTargets();
+    }
+
+    /** Ends the wait of the loop, since a target is held. */
+    synchronized void targetHeld() {
+        notifyAll();
+    }
+
+    /** Waits for work; returns false if the thread was interrupted, since its loop then ends. */
+    private synchronized boolean awaitWork() {
         try {
-            if (pending.isEmpty()) {
+            if (pending.isEmpty() && !mustRestore()) {
                 wait(MAXIMUM_WAIT_MS);
             }
             return true;
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/DepartureRecorderTest.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/DepartureRecorderTest.java
@@ -128,6 +128,20 @@
         assertEquals(List.of(), restarted.acceptingTargets());
     }
 
+    /** Guards against one read of the store for each start when many nodes and their targets start together. */
+    @Test
+    void storeIsReadOnlyOnceATargetIsHeld() throws Exception {
+        registry.announce(
+                new TargetAnnouncement("t-2", new NodeAddress("127.0.0.1", 6), "desk", "v1", 4, false, 5, 1, 0));
+        step();
+        assertEquals(0, platform.departureReads());
+        registry.announce(lateAnnouncement());
+        step();
+        step();
+        assertEquals(1, platform.departureReads());
+        assertEquals(2, registry.acceptingTargets().size(), "nothing shows that the held target left");
+    }
+
     @Test
     void peersSufficeWhileTheStoreIsDown() throws Exception {
         platform.setDown(true);
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/FakePlatform.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/FakePlatform.java
@@ -29,6 +29,7 @@
     private final Map<String, KnownNode> nodes;
     private final AtomicInteger version;
     private final Map<String, List<TargetDeparture>> departures;
+    private final AtomicInteger departureReads = new AtomicInteger();
     private volatile boolean down;
 
     FakePlatform() {
@@ -48,6 +49,11 @@
         return new FakePlatform(nodes, version, departures);
     }
 
+    /** Returns how often this client has read departures, whether the store was up or not. */
+    int departureReads() {
+        return departureReads.get();
+    }
+
     void commit(final int nextVersion) {
         version.set(nextVersion);
     }
@@ -129,6 +135,7 @@
 
     @Override
     public List<TargetDeparture> readDepartures(final String node) throws StoreException {
+        departureReads.incrementAndGet();
         requireUp();
         return departures.getOrDefault(node, List.of());
     }
