--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/TargetAnswer.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/TargetAnswer.java
@@ -239,4 +239,8 @@
     static byte[] encode(final String text) {
         return text.getBytes(StandardCharsets.ISO_8859_1);
     }
+
+    static String decode(final byte[] bytes) {
+        return new String(bytes, StandardCharsets.ISO_8859_1);
+    }
 }
