--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/AnswerViolation.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/AnswerViolation.java
@@ -4,6 +4,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.sequoiashunt.call.CallResponse;
 import org.sequoiashunt.call.HeaderField;
 
@@ -39,8 +40,13 @@
     static final int LOWEST_REDIRECT_STATUS = 300;
     private static final int LOWEST_FAILURE_STATUS = 400;
 
-    /** Returns what is wrong with an answer that is delivered for a run. */
-    static Optional<AnswerViolation> ofAnswer(final CallResponse response, final StutteringTarget.Run run) {
+    /**
+     * Returns what is wrong with an answer that is delivered for a run.
+     *
+     * @param addedFields the names of the fields that a node sets anew on the way to the caller.
+     */
+    static Optional<AnswerViolation> ofAnswer(
+            final CallResponse response, final StutteringTarget.Run run, final Set<String> addedFields) {
         TargetAnswer answer = run.answer();
         MeshHeaders names = StutteringTarget.HEADER_NAMES;
         if (!valuesOf(response, names.signature()).contains(answer.signature())
@@ -61,25 +67,15 @@
         }
         List<String> lines = new ArrayList<>(answer.head().lines().toList());
         for (HeaderField field : response.headers()) {
-            if (!lines.remove(field.name() + ": " + field.value()) && !mayBeAdded(field.name())) {
+            boolean written = lines.remove(field.name() + ": " + field.value());
+            boolean unfolded = field.name().equals(TargetAnswer.NOTE_FIELD);
+            if (!written && !unfolded && !addedFields.contains(field.name())) {
                 return Optional.of(FIELDS_OF_ANOTHER_ANSWER);
             }
         }
         return Optional.empty();
     }
 
-    /** A folded line is unfolded, and a node frames the answer anew. */
-    private static boolean mayBeAdded(final String name) {
-        return List.of(
-                        TargetAnswer.NOTE_FIELD,
-                        "Connection",
-                        "Keep-Alive",
-                        "Content-Length",
-                        "Transfer-Encoding",
-                        "Date")
-                .contains(name);
-    }
-
     /** Returns what is wrong with the promise that a request has not run, of which the target has read an attempt. */
     static Optional<AnswerViolation> ofPromise(final StutteringTarget.Run run) {
         if (!run.answer().isRefusal()) {
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/StutteringTargetNodeTest.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/StutteringTargetNodeTest.java
@@ -49,6 +49,8 @@
     private static final int START_TIMEOUT_MS = 10_000;
     private static final int PRINTED_VIOLATIONS = 3;
     private static final int MOST_RUNS = 4;
+    private static final Set<String> FIELDS_OF_NODES =
+            Set.of("Connection", "Keep-Alive", "Content-Length", "Transfer-Encoding", "Date");
     private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
 
     private final FakePlatform platform = new FakePlatform();
@@ -268,7 +270,7 @@
             final CallResponse response, final List<StutteringTarget.Run> runs) {
         Optional<AnswerViolation> kind = Optional.of(AnswerViolation.ANSWER_WITHOUT_RUN);
         for (StutteringTarget.Run run : runs) {
-            kind = AnswerViolation.ofAnswer(response, run);
+            kind = AnswerViolation.ofAnswer(response, run, FIELDS_OF_NODES);
             if (kind.isEmpty()) {
                 return kind;
             }
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/StutteringTargetTest.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/StutteringTargetTest.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
@@ -27,6 +28,7 @@
 import org.sequoiashunt.call.CallResult;
 import org.sequoiashunt.call.HeaderField;
 import org.sequoiashunt.call.Outcome;
+import org.sequoiashunt.call.Reason;
 import org.sequoiashunt.commit.SystemClock;
 import org.sequoiashunt.link.LinkThreads;
 import org.sequoiashunt.peer.NodeAddress;
@@ -217,7 +219,7 @@
             return runs.isEmpty()
                     ? Optional.of(AnswerViolation.ANSWER_WITHOUT_RUN)
                     : AnswerViolation.ofAnswer(
-                            call.result().orElseThrow().response().orElseThrow(), runs.get(0));
+                            call.result().orElseThrow().response().orElseThrow(), runs.get(0), Set.of());
         }
         if (outcome == Outcome.NOT_RUN && !runs.isEmpty()) {
             return AnswerViolation.ofPromise(runs.get(0));
@@ -242,6 +244,7 @@
             final List<Violation> violations) {
         int clean = 0;
         int lost = 0;
+        int lostAtDeadline = 0;
         Map<Outcome, Integer> outcomes = new EnumMap<>(Outcome.class);
         for (EndedCall call : calls) {
             call.result().ifPresent(result -> outcomes.merge(result.outcome(), 1, Integer::sum));
@@ -250,11 +253,14 @@
                     && !ownRuns.isEmpty()
                     && ownRuns.get(0).undisturbed()) {
                 clean++;
-                lost += call.result().orElseThrow().outcome() == Outcome.UNKNOWN ? 1 : 0;
+                CallResult result = call.result().orElseThrow();
+                lost += result.outcome() == Outcome.UNKNOWN ? 1 : 0;
+                lostAtDeadline += result.reason() == Reason.DEADLINE ? 1 : 0;
             }
         }
         return "seed " + seed + ": " + calls.size() + " calls " + outcomes + ", " + connections + " connections, "
-                + lost + " of " + clean + " clean answers lost, violations " + countByLabel(violations);
+                + lost + " of " + clean + " clean answers lost (" + lostAtDeadline + " at the deadline), violations "
+                + countByLabel(violations);
     }
 
     private static Map<String, Integer> countByLabel(final List<Violation> violations) {
