Connections to targets: number, order of requests, skipped answers and ends are logged and counted

Change: a line target-connection for each abnormal end of a connection, with its number, its latest requests in their order, the request that waits, and status, identity and bytes of what was received; a line answer-skipped for each answer that is passed over; a line for a connection that is used for an identity it has carried before; a counter for each of them and for every end. Good requests write no line. No decision changes.

--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/LogKind.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/LogKind.java
@@ -28,6 +28,10 @@
     ATTEMPT("attempt", 30),
     /** An attempt was withdrawn from the gate of its target because this node stops. */
     WITHDRAWN("withdrawn", 20),
+    /** A connection to a target was closed for a fault, or is used in an unusual way. */
+    TARGET_CONNECTION("target-connection", 20),
+    /** A target's answer to an earlier request was passed over. */
+    ANSWER_SKIPPED("answer-skipped", 20),
     /** A gate refused a call. */
     GATE_REFUSED("gate-refused", 20),
     /** A request was answered by its target. */
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
@@ -148,8 +148,11 @@
         LinkContext context = createLinkContext();
         linkClient = closer.register(LinkClient.open(context, random));
         TargetRegistry registry = new TargetRegistry(clock, settings.announcementPeriodMs());
-        NettyTargetCaller targets = closer.register(
-                NettyTargetCaller.create(context.threads().callLoop(), platformComponents.headerNames(), clock));
+        NettyTargetCaller targets = closer.register(NettyTargetCaller.create(
+                context.threads().callLoop(),
+                platformComponents.headerNames(),
+                clock,
+                new TargetConnectionReporter(log, metrics)));
         createGates(registry, targets);
         createControllers(registry);
         callerHandler = new MeshCallerHandler(callerHandlerDependencies());
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/NettyTargetCaller.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/NettyTargetCaller.java
@@ -9,7 +9,6 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -54,12 +53,19 @@
     private final ByteBudget answerMemory = new ByteBudget(MAXIMUM_ANSWER_MEMORY_BYTES);
     private final MeshHeaders headerNames;
     private final Clock clock;
+    private final TargetConnectionObserver observer;
     private final Map<NodeAddress, Deque<TargetConnection>> idleConnections = new HashMap<>();
+    private long openedConnections;
 
-    private NettyTargetCaller(final EventLoop loop, final MeshHeaders headerNames, final Clock clock) {
+    private NettyTargetCaller(
+            final EventLoop loop,
+            final MeshHeaders headerNames,
+            final Clock clock,
+            final TargetConnectionObserver observer) {
         this.loop = Objects.requireNonNull(loop, "loop");
         this.headerNames = Objects.requireNonNull(headerNames, "headerNames");
         this.clock = Objects.requireNonNull(clock, "clock");
+        this.observer = Objects.requireNonNull(observer, "observer");
     }
 
     /**
@@ -68,10 +74,15 @@
      * @param loop the event loop of the connections, not null; must outlive this object, which does not shut it down.
      * @param headerNames the names of the headers that are exchanged with targets, not null.
      * @param clock the time source of the deadlines, not null.
+     * @param observer receives the events of the connections, not null.
      * @return a caller without connections, never null.
      */
-    public static NettyTargetCaller create(final EventLoop loop, final MeshHeaders headerNames, final Clock clock) {
-        return new NettyTargetCaller(loop, headerNames, clock);
+    static NettyTargetCaller create(
+            final EventLoop loop,
+            final MeshHeaders headerNames,
+            final Clock clock,
+            final TargetConnectionObserver observer) {
+        return new NettyTargetCaller(loop, headerNames, clock, observer);
     }
 
     @Override
@@ -95,11 +106,12 @@
             result.complete(CallResult.notRun(Reason.DEADLINE));
             return;
         }
-        TargetConnection idleConnection = takeIdle(target, nowMs);
+        TargetExchange exchange = new TargetExchange(headerNames, request, result, answerMemory);
+        TargetConnection idleConnection = takeIdle(target, exchange.requestId(), nowMs);
         if (idleConnection != null) {
-            send(target, idleConnection, request, result);
+            send(idleConnection, exchange, request, result);
         } else {
-            connect(target, request, result);
+            connect(target, exchange, request, result);
         }
     }
 
@@ -108,20 +120,26 @@
         return answerMemory.reservedBytes();
     }
 
-    private TargetConnection takeIdle(final NodeAddress target, final long nowMs) {
+    private TargetConnection takeIdle(final NodeAddress target, final String requestId, final long nowMs) {
         Deque<TargetConnection> connections = idleConnections.get(target);
         while (connections != null && !connections.isEmpty()) {
             TargetConnection candidate = connections.pop();
             if (candidate.isUsable(nowMs)) {
+                if (candidate.hasCarried(requestId)) {
+                    observer.identityRepeated(candidate, requestId);
+                }
                 return candidate;
             }
-            candidate.channel().close();
+            candidate.closeUnused();
         }
         return null;
     }
 
     private void connect(
-            final NodeAddress target, final CallRequest request, final CompletableFuture<CallResult> result) {
+            final NodeAddress target,
+            final TargetExchange exchange,
+            final CallRequest request,
+            final CompletableFuture<CallResult> result) {
         Bootstrap bootstrap = new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
@@ -130,9 +148,18 @@
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(final SocketChannel channel) {
-                        TargetConnection connection = new TargetConnection(channel, () -> removeIdle(target, channel));
+                        TargetResponseDecoder decoder = new TargetResponseDecoder();
+                        openedConnections++;
+                        TargetConnection connection = new TargetConnection(
+                                openedConnections,
+                                target,
+                                headerNames.requestId(),
+                                channel,
+                                decoder,
+                                observer,
+                                () -> removeIdle(target, channel));
                         channel.pipeline()
-                                .addLast(new HttpRequestEncoder(), new HttpResponseDecoder())
+                                .addLast(new HttpRequestEncoder(), decoder)
                                 .addLast("connection", connection);
                     }
                 });
@@ -143,59 +170,56 @@
                 return;
             }
             Channel channel = connecting.channel();
-            send(target, (TargetConnection) channel.pipeline().get("connection"), request, result);
+            send((TargetConnection) channel.pipeline().get("connection"), exchange, request, result);
         });
     }
 
     private void send(
-            final NodeAddress target,
             final TargetConnection connection,
+            final TargetExchange exchange,
             final CallRequest request,
             final CompletableFuture<CallResult> result) {
         long remainingMs = request.deadlineMs() - clock.nowMs();
         if (result.isDone() || remainingMs <= 0) {
-            keepIfReusable(target, connection);
+            keepIfReusable(connection);
             result.complete(CallResult.notRun(Reason.DEADLINE));
             return;
         }
-        TargetExchange exchange = new TargetExchange(headerNames, request, result, answerMemory);
         ScheduledFuture<?> timeout = loop.schedule(
-                () -> handleTimeout(target, connection, exchange),
-                remainingMs + DEADLINE_GRACE_MS,
-                TimeUnit.MILLISECONDS);
+                () -> handleTimeout(connection, exchange), remainingMs + DEADLINE_GRACE_MS, TimeUnit.MILLISECONDS);
         result.whenComplete((ended, failure) -> loop.execute(() -> {
             timeout.cancel(false);
             exchange.releaseMemory();
             if (result.isCancelled()) {
-                exchange.fail(Reason.CANCELLED);
+                exchange.cancel();
             } else {
-                keepIfReusable(target, connection);
+                keepIfReusable(connection);
             }
         }));
         exchange.start(connection, remainingMs);
     }
 
     /** After a timeout on a reused connection, also closes the target's idle ones: all may have broken unnoticed. */
-    private void handleTimeout(
-            final NodeAddress target, final TargetConnection connection, final TargetExchange exchange) {
+    private void handleTimeout(final TargetConnection connection, final TargetExchange exchange) {
         if (connection.hasCarriedRequest()) {
-            Deque<TargetConnection> connections = idleConnections.remove(target);
+            Deque<TargetConnection> connections = idleConnections.remove(connection.target());
             if (connections != null) {
-                connections.forEach(each -> each.channel().close());
+                connections.forEach(TargetConnection::closeUnused);
             }
         }
-        exchange.fail(Reason.DEADLINE);
+        exchange.expire();
     }
 
-    private void keepIfReusable(final NodeAddress target, final TargetConnection connection) {
+    private void keepIfReusable(final TargetConnection connection) {
         if (connection.isReusable()) {
             connection.markIdleSince(clock.nowMs());
-            Deque<TargetConnection> connections = idleConnections.computeIfAbsent(target, unused -> new ArrayDeque<>());
+            Deque<TargetConnection> connections =
+                    idleConnections.computeIfAbsent(connection.target(), unused -> new ArrayDeque<>());
             if (!connections.contains(connection)) {
                 connections.push(connection);
             }
         } else {
-            connection.channel().close();
+            connection.closeUnused();
         }
     }
 
@@ -216,7 +240,7 @@
             List<TargetConnection> all = new ArrayList<>();
             idleConnections.values().forEach(all::addAll);
             idleConnections.clear();
-            all.forEach(connection -> connection.channel().close());
+            all.forEach(TargetConnection::closeUnused);
         });
     }
 }
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/TargetExchange.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/TargetExchange.java
@@ -85,6 +85,14 @@
         return "";
     }
 
+    String requestId() {
+        return requestId;
+    }
+
+    String callId() {
+        return request.callId();
+    }
+
     /** Returns the memory of the answer's body to the budget; called once, when the exchange has ended. */
     void releaseMemory() {
         answerMemory.release(reservedBytes);
@@ -125,17 +133,17 @@
 
     /** Returns whether an answer belongs to this request; fails the exchange if the answer is invalid. */
     boolean accepts(final HttpResponse candidate) {
+        int status = candidate.status().code();
         if (candidate.decoderResult().isFailure()) {
-            fail(Reason.BAD_ANSWER);
+            reject(candidate, String.valueOf(candidate.decoderResult().cause().getMessage()));
             return false;
         }
-        int status = candidate.status().code();
         if (status / STATUS_CLASS_SIZE == INFORMATIONAL_STATUS_CLASS) {
             return false;
         }
         String echoed = candidate.headers().get(headerNames.requestId());
         if (echoed == null) { // It may be an earlier answer written once more, so that even a refusal says nothing.
-            fail(Reason.BAD_ANSWER);
+            reject(candidate, "no request identity");
             return false;
         }
         boolean matches = echoed.equals(requestId);
@@ -145,6 +153,11 @@
         return matches;
     }
 
+    private void reject(final HttpResponse candidate, final String detail) {
+        rejectAnswer(
+                TargetConnection.traceOf(candidate, headerNames.requestId()).withDetail(detail));
+    }
+
     private boolean isMarkedNotRun(final HttpResponse candidate) {
         return candidate.headers().contains(headerNames.notExecuted())
                 || candidate.status().code() == MISDIRECTED_REQUEST_STATUS;
@@ -155,17 +168,19 @@
             return;
         }
         int length = content.content().readableBytes();
-        if (content.decoderResult().isFailure()
-                || body.size() + length > MAXIMUM_ANSWER_BYTES
-                || !answerMemory.tryReserve(length)) {
-            fail(Reason.BAD_ANSWER);
+        if (content.decoderResult().isFailure()) {
+            reject(response, "the body is malformed");
+            return;
+        }
+        if (body.size() + length > MAXIMUM_ANSWER_BYTES || !answerMemory.tryReserve(length)) {
+            reject(response, "the body is too large");
             return;
         }
         reservedBytes += length;
         try {
             content.content().getBytes(content.content().readerIndex(), body, length);
         } catch (IOException exception) {
-            fail(Reason.BAD_ANSWER);
+            reject(response, String.valueOf(exception.getMessage()));
             return;
         }
         if (content instanceof LastHttpContent) {
@@ -176,7 +191,7 @@
     private void complete() {
         CallResult ended = resultOf(response);
         if (ended.reason() == Reason.BAD_ANSWER) {
-            fail(Reason.BAD_ANSWER);
+            reject(response, "no signature, or an encoded body");
             return;
         }
         release();
@@ -208,12 +223,7 @@
                 && HttpUtil.isKeepAlive(response)
                 && response.status().code() != MISDIRECTED_REQUEST_STATUS
                 && (HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response));
-        if (reusable) {
-            connection.detach(reusableIdleMs(response));
-        } else {
-            connection.detach(0);
-            connection.channel().close();
-        }
+        connection.detach(reusable ? reusableIdleMs(response) : 0);
     }
 
     private static long reusableIdleMs(final HttpResponse answer) {
@@ -230,15 +240,36 @@
     }
 
     /** Fails the exchange because its connection was lost: it is unknown whether the target ran the request. */
-    void connectionLost(final String cause) {
-        fail(Reason.CONNECTION_FAILED);
+    void connectionLost(final String detail) {
+        fail(Reason.CONNECTION_FAILED, ConnectionEnd.LOST, AnswerTrace.NONE.withDetail(detail));
+    }
+
+    /** Fails the exchange because of bytes that are no answer to its request. */
+    void rejectAnswer(final AnswerTrace trace) {
+        fail(Reason.BAD_ANSWER, ConnectionEnd.INVALID_ANSWER, trace);
+    }
+
+    /** Fails the exchange at its deadline. */
+    void expire() {
+        fail(Reason.DEADLINE, ConnectionEnd.DEADLINE, receivedPart());
+    }
+
+    /** Ends the exchange because its request was cancelled. */
+    void cancel() {
+        fail(Reason.CANCELLED, ConnectionEnd.CANCELLED, receivedPart());
+    }
+
+    private AnswerTrace receivedPart() {
+        return response == null
+                ? AnswerTrace.NONE
+                : TargetConnection.traceOf(response, headerNames.requestId()).plusBytes(body.size());
     }
 
-    /** Closes the connection and ends the exchange with an unknown outcome. */
-    void fail(final Reason reason) {
-        if (connection != null) {
+    /** Closes the connection, unless the exchange has released it, and ends the exchange with an unknown outcome. */
+    private void fail(final Reason reason, final ConnectionEnd end, final AnswerTrace trace) {
+        if (connection != null && connection.isAttachedTo(this)) {
+            connection.close(end, trace);
             connection.detach(0);
-            connection.channel().close();
         }
         result.complete(CallResult.unknown(reason));
     }
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/NettyTargetCallerTest.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/NettyTargetCallerTest.java
@@ -37,7 +37,8 @@
 
     private final Clock clock = SystemClock.start();
     private final LinkThreads threads = LinkThreads.startSingle();
-    private final NettyTargetCaller caller = NettyTargetCaller.create(threads.callLoop(), HEADER_NAMES, clock);
+    private final NettyTargetCaller caller =
+            NettyTargetCaller.create(threads.callLoop(), HEADER_NAMES, clock, TargetConnectionObserver.NONE);
     private ScriptedTarget target;
 
     @AfterEach
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/ScriptedTarget.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/ScriptedTarget.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 import org.sequoiashunt.peer.NodeAddress;
 
 /**
@@ -32,6 +33,7 @@
     private final BlockingQueue<String> script = new LinkedBlockingQueue<>();
     private final List<String> requests = new CopyOnWriteArrayList<>();
     private final List<Socket> connections = new CopyOnWriteArrayList<>();
+    private final AtomicReference<String> bytesBeforeNextStep = new AtomicReference<>("");
     private final AtomicLong endlessBytes = new AtomicLong();
     private final AtomicInteger endlessStreams = new AtomicInteger();
 
@@ -61,6 +63,11 @@
         return endlessStreams.get();
     }
 
+    /** Writes bytes on the first connection at the moment at which the next request arrives on any connection. */
+    void writeBeforeNextStep(final String bytes) {
+        bytesBeforeNextStep.set(bytes);
+    }
+
     int connectionCount() {
         return connections.size();
     }
@@ -102,6 +109,10 @@
     private boolean runStep(final String request, final Socket socket, final OutputStream output)
             throws IOException, InterruptedException {
         String step = script.take().replace("$ID", idOf(request));
+        String bytesBefore = bytesBeforeNextStep.getAndSet("");
+        if (!bytesBefore.isEmpty()) {
+            connections.get(0).getOutputStream().write(bytesBefore.getBytes(StandardCharsets.ISO_8859_1));
+        }
         int endless = step.indexOf("ENDLESS");
         if (endless >= 0) {
             output.write(step.substring(0, endless).getBytes(StandardCharsets.ISO_8859_1));
