Memory of answers: a refused reservation is never counted

Seen once: NettyTargetCallerTest.endlessAnswersTogetherUseBoundedMemory, 25,172,240 bytes held where 25,165,824 are allowed.

Cause: ByteBudget.tryReserve added the bytes, compared, and took them back, so that others saw more than the limit meanwhile and could be refused for it.

Change: compare and set. ByteBudgetTest.reservedBytesNeverExceedTheLimitWhileReservationsAreRefused on the code before: expected 10 but was 1010; passes now.

--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/ByteBudget.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/ByteBudget.java
@@ -28,11 +28,14 @@
 
     /** Reserves bytes and returns true, or reserves none and returns false if they would exceed the limit. */
     boolean tryReserve(final long bytes) {
-        if (reservedBytes.addAndGet(bytes) > limitBytes) {
-            reservedBytes.addAndGet(-bytes);
-            return false;
+        long reserved = reservedBytes.get();
+        while (reserved + bytes <= limitBytes) {
+            if (reservedBytes.compareAndSet(reserved, reserved + bytes)) {
+                return true;
+            }
+            reserved = reservedBytes.get();
         }
-        return true;
+        return false;
     }
 
     /** Returns reserved bytes to the budget. */
