--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/StutteringTargetTest.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/StutteringTargetTest.java
@@ -93,7 +93,8 @@
     }
 
     private static NettyTargetCaller createCaller(final LinkThreads threads, final Clock clock) {
-        return NettyTargetCaller.create(threads.callLoop(), StutteringTarget.HEADER_NAMES, clock);
+        return NettyTargetCaller.create(
+                threads.callLoop(), StutteringTarget.HEADER_NAMES, clock, TargetConnectionObserver.NONE);
     }
 
     @ParameterizedTest
