Answers of targets: a head is one head, or the answer is invalid

What callers saw: 200 with the body and the signature of a failure, after a target broke off in a head and wrote the answer that was due behind it; a request that the target had run ended as not run when the beginning was one of a refusal.

Cause: Netty's decoder passes over lines that are no header field, joins folded lines and keeps fields that stand twice, so that the status came from one answer and identity, signature, length and body from the next. The class: bytes are taken for the answer because of where they stand or one field that they carry, not because the whole is one answer.

Evidence, TargetAnswerIdentityTest on the code before: cuts after 13 to 15 and 44 to 46 bytes of a head give "200 failed"; cuts after 13 to 17 of a refusal's head give "503 failed", those from 44 on NOT_RUN; ten of 17 answers that contradict themselves are delivered, taken for refusals or wait for the deadline; an answer with an identity that the connection never carried is passed over.

An answer to a request that the connection has not carried, a change of the protocol, a success marked as not run, and more than 16 answers or 16 MB before the one that is due end the request at once as unknown and close the connection. Answers to HEAD requests have no body.

--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/NettyTargetCaller.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/NettyTargetCaller.java
@@ -15,8 +15,10 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.sequoiashunt.call.CallRequest;
@@ -54,6 +56,7 @@
     private final MeshHeaders headerNames;
     private final Clock clock;
     private final TargetConnectionObserver observer;
+    private final Set<String> singleHeaderNames;
     private final Map<NodeAddress, Deque<TargetConnection>> idleConnections = new HashMap<>();
     private long openedConnections;
 
@@ -66,6 +69,10 @@
         this.headerNames = Objects.requireNonNull(headerNames, "headerNames");
         this.clock = Objects.requireNonNull(clock, "clock");
         this.observer = Objects.requireNonNull(observer, "observer");
+        this.singleHeaderNames = Set.of(
+                headerNames.requestId().toLowerCase(Locale.ROOT),
+                headerNames.signature().toLowerCase(Locale.ROOT),
+                headerNames.notExecuted().toLowerCase(Locale.ROOT));
     }
 
     /**
@@ -148,7 +155,7 @@
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(final SocketChannel channel) {
-                        TargetResponseDecoder decoder = new TargetResponseDecoder();
+                        TargetResponseDecoder decoder = new TargetResponseDecoder(singleHeaderNames);
                         openedConnections++;
                         TargetConnection connection = new TargetConnection(
                                 openedConnections,
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/TargetConnection.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/TargetConnection.java
@@ -116,6 +116,7 @@
     void attach(final TargetExchange newExchange) {
         exchange = newExchange;
         skippedAnswer = null;
+        decoder.setHeadRequest(newExchange.isHeadRequest());
         if (carriedIdentities.size() == REMEMBERED_REQUESTS) {
             carriedIdentities.clear();
         }
@@ -208,8 +209,9 @@
 
     private void skip(final HttpContent content) {
         skippedAnswer = skippedAnswer.plusBytes(content.content().readableBytes());
+        boolean allowed = exchange.allowsSkipping(content);
         if (content instanceof LastHttpContent) {
-            if (skippedAnswer.isFinal()) {
+            if (allowed && skippedAnswer.isFinal()) {
                 observer.answerSkipped(this, skippedAnswer);
             }
             skippedAnswer = null;
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/TargetExchange.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/TargetExchange.java
@@ -38,11 +38,16 @@
     private static final int MISDIRECTED_REQUEST_STATUS = 421;
     private static final int SUCCESS_STATUS_CLASS = 2;
     private static final int INFORMATIONAL_STATUS_CLASS = 1;
+    private static final int SWITCHING_PROTOCOLS_STATUS = 101;
+    private static final int LOWEST_ERROR_STATUS = 400;
     private static final int STATUS_CLASS_SIZE = 100;
 
     /** Largest body of an answer: a node's memory holds a few bodies of this size at a time. */
     private static final int MAXIMUM_ANSWER_BYTES = 16 << 20;
 
+    /** Most interim answers and answers to earlier requests before the answer to this one. */
+    private static final int MAXIMUM_SKIPPED_ANSWERS = 16;
+
     /** Idle time after which a target that states no idle timeout may close a connection. */
     private static final long DEFAULT_IDLE_TIMEOUT_MS = 4_000;
 
@@ -63,6 +68,8 @@
     private ChannelFuture writeFuture;
     private HttpResponse response;
     private long reservedBytes;
+    private long skippedBytes;
+    private int skippedAnswers;
 
     TargetExchange(
             final MeshHeaders headerNames,
@@ -93,6 +100,10 @@
         return request.callId();
     }
 
+    boolean isHeadRequest() {
+        return request.method().equals("HEAD");
+    }
+
     /** Returns the memory of the answer's body to the budget; called once, when the exchange has ended. */
     void releaseMemory() {
         answerMemory.release(reservedBytes);
@@ -131,7 +142,10 @@
         return method.equals("GET") || method.equals("HEAD") || method.equals("DELETE");
     }
 
-    /** Returns whether an answer belongs to this request; fails the exchange if the answer is invalid. */
+    /**
+     * Returns whether an answer belongs to this request. Interim answers and answers to earlier requests of the
+     * connection are passed over; any other answer fails the exchange.
+     */
     boolean accepts(final HttpResponse candidate) {
         int status = candidate.status().code();
         if (candidate.decoderResult().isFailure()) {
@@ -139,6 +153,9 @@
             return false;
         }
         if (status / STATUS_CLASS_SIZE == INFORMATIONAL_STATUS_CLASS) {
+            if (status == SWITCHING_PROTOCOLS_STATUS) {
+                reject(candidate, "a change of the protocol");
+            }
             return false;
         }
         String echoed = candidate.headers().get(headerNames.requestId());
@@ -146,11 +163,14 @@
             reject(candidate, "no request identity");
             return false;
         }
-        boolean matches = echoed.equals(requestId);
-        if (matches) {
+        if (echoed.equals(requestId)) {
             response = candidate;
+            return true;
+        }
+        if (!connection.hasCarried(echoed)) {
+            reject(candidate, "the identity of a request that the connection has not carried");
         }
-        return matches;
+        return false;
     }
 
     private void reject(final HttpResponse candidate, final String detail) {
@@ -158,6 +178,19 @@
                 TargetConnection.traceOf(candidate, headerNames.requestId()).withDetail(detail));
     }
 
+    /** Returns whether a part of an answer may be passed over; fails the exchange if there are too many of them. */
+    boolean allowsSkipping(final HttpContent content) {
+        skippedBytes += content.content().readableBytes();
+        skippedAnswers += content instanceof LastHttpContent ? 1 : 0;
+        boolean allowed = !content.decoderResult().isFailure()
+                && skippedBytes <= MAXIMUM_ANSWER_BYTES
+                && skippedAnswers <= MAXIMUM_SKIPPED_ANSWERS;
+        if (!allowed) {
+            rejectAnswer(AnswerTrace.NONE.plusBytes(skippedBytes).withDetail("too many bytes before the answer"));
+        }
+        return allowed;
+    }
+
     private boolean isMarkedNotRun(final HttpResponse candidate) {
         return candidate.headers().contains(headerNames.notExecuted())
                 || candidate.status().code() == MISDIRECTED_REQUEST_STATUS;
@@ -191,7 +224,7 @@
     private void complete() {
         CallResult ended = resultOf(response);
         if (ended.reason() == Reason.BAD_ANSWER) {
-            reject(response, "no signature, or an encoded body");
+            reject(response, "no signature, an encoded body, or a refusal that is no error");
             return;
         }
         release();
@@ -199,10 +232,12 @@
     }
 
     private CallResult resultOf(final HttpResponse answer) {
+        int status = answer.status().code();
         if (isMarkedNotRun(answer)) {
-            return CallResult.notRun(Reason.SHED);
+            return status >= LOWEST_ERROR_STATUS
+                    ? CallResult.notRun(Reason.SHED)
+                    : CallResult.unknown(Reason.BAD_ANSWER);
         }
-        int status = answer.status().code();
         boolean success = status / STATUS_CLASS_SIZE == SUCCESS_STATUS_CLASS;
         boolean signed = answer.headers().contains(headerNames.signature());
         boolean encoded = answer.headers().contains(HttpHeaderNames.CONTENT_ENCODING);
