Connections to targets: a connection carries an identity once

What callers saw: the answer of an earlier run. A request that runs again at its target, sent again by its caller or made by a run that is repeated itself, took the connection of its first run, as the one that became idle last is taken first.

Cause: the identity is all that tells answers on a connection apart, and it does not tell two runs of one request apart: a late copy of the first answer carries the identity that is awaited.

Evidence, TargetAnswerIdentityTest on the code before: lateCopyOfFirstRunIsNotTheAnswerOfTheSecondRun got "200 hello" where the target answers the second run with 500; lateCopyOfFirstRefusalIsNoPromiseForTheSecondRun got NOT_RUN for a run that goes on.

Change: a connection remembers hashes of the identities it has carried; a request takes the idle connection used last that has not carried its identity, or a new one. After 1,000 requests a connection is not reused, which bounds the hashes. Why it works: bytes for a run can only come on the connection that carried it, and there its identity is unique.

--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/ConnectionEnd.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/ConnectionEnd.java
@@ -6,6 +6,8 @@
     IDLE("idle", false),
     /** The answer, or the request that was not written completely, does not allow another request. */
     NOT_PERSISTENT("not-persistent", false),
+    /** It has carried as many requests as it may. */
+    REQUEST_LIMIT("request-limit", false),
     /** The request was cancelled. */
     CANCELLED("cancelled", false),
     /** The request reached its deadline without an answer. */
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/LogKind.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/LogKind.java
@@ -28,7 +28,7 @@
     ATTEMPT("attempt", 30),
     /** An attempt was withdrawn from the gate of its target because this node stops. */
     WITHDRAWN("withdrawn", 20),
-    /** A connection to a target was closed for a fault, or is used in an unusual way. */
+    /** A connection to a target was closed for a fault. */
     TARGET_CONNECTION("target-connection", 20),
     /** A target's answer to an earlier request was passed over. */
     ANSWER_SKIPPED("answer-skipped", 20),
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/NettyTargetCaller.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/NettyTargetCaller.java
@@ -14,6 +14,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -127,17 +128,21 @@
         return answerMemory.reservedBytes();
     }
 
+    /** Takes the connection that became idle last among those that have not carried a request with this identity. */
     private TargetConnection takeIdle(final NodeAddress target, final String requestId, final long nowMs) {
         Deque<TargetConnection> connections = idleConnections.get(target);
-        while (connections != null && !connections.isEmpty()) {
-            TargetConnection candidate = connections.pop();
-            if (candidate.isUsable(nowMs)) {
-                if (candidate.hasCarried(requestId)) {
-                    observer.identityRepeated(candidate, requestId);
-                }
+        if (connections == null) {
+            return null;
+        }
+        for (Iterator<TargetConnection> each = connections.iterator(); each.hasNext(); ) {
+            TargetConnection candidate = each.next();
+            if (!candidate.isUsable(nowMs)) {
+                each.remove();
+                candidate.closeUnused();
+            } else if (!candidate.hasCarried(requestId)) {
+                each.remove();
                 return candidate;
             }
-            candidate.closeUnused();
         }
         return null;
     }
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/TargetConnection.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/TargetConnection.java
@@ -22,15 +22,16 @@
  * HTTP connection to a target that carries one request at a time.
  *
  * <p>Confined to the event loop of its channel. Invariants: an answer is passed only to the exchange whose request
- * identity it echoes; the connection is closed if bytes arrive while it has no exchange.
+ * identity it echoes; the connection carries an identity once, so that no copy of an earlier answer echoes the identity
+ * of a later request; it is closed if bytes arrive while it has no exchange.
  */
 final class TargetConnection extends ChannelInboundHandlerAdapter {
 
     /** Longest idle time of a connection that has carried no request yet. */
     private static final long FIRST_IDLE_LIMIT_MS = 1_000;
 
-    /** Most requests of a connection whose identities are remembered. */
-    private static final int REMEMBERED_REQUESTS = 1_000;
+    /** Requests after which a connection is not reused; bounds the memory for their identities. */
+    private static final int MAXIMUM_REQUESTS = 1_000;
 
     /** Latest requests that are named in the log. */
     private static final int LOGGED_REQUESTS = 6;
@@ -117,9 +118,6 @@
         exchange = newExchange;
         skippedAnswer = null;
         decoder.setHeadRequest(newExchange.isHeadRequest());
-        if (carriedIdentities.size() == REMEMBERED_REQUESTS) {
-            carriedIdentities.clear();
-        }
         carriedIdentities.add(StableHash.of(newExchange.requestId()));
         if (latestRequests.size() == LOGGED_REQUESTS) {
             latestRequests.removeFirst();
@@ -139,7 +137,7 @@
 
     /** Returns whether the connection has no exchange and nothing stands between it and the next answer. */
     boolean isReusable() {
-        return channel.isActive() && exchange == null && idleLimitMs > 0;
+        return channel.isActive() && exchange == null && idleLimitMs > 0 && carriedIdentities.size() < MAXIMUM_REQUESTS;
     }
 
     boolean isUsable(final long nowMs) {
@@ -148,7 +146,11 @@
 
     /** Closes the connection because it is not reused. */
     void closeUnused() {
-        close(idleLimitMs > 0 ? ConnectionEnd.IDLE : ConnectionEnd.NOT_PERSISTENT, AnswerTrace.NONE);
+        if (requestCount() >= MAXIMUM_REQUESTS) {
+            close(ConnectionEnd.REQUEST_LIMIT, AnswerTrace.NONE);
+        } else {
+            close(idleLimitMs > 0 ? ConnectionEnd.IDLE : ConnectionEnd.NOT_PERSISTENT, AnswerTrace.NONE);
+        }
     }
 
     /** Closes the connection and reports its end; later calls have no effect. */
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/TargetConnectionObserver.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/TargetConnectionObserver.java
@@ -19,11 +19,6 @@
         public void answerSkipped(final TargetConnection connection, final AnswerTrace trace) {
             // Nothing to report.
         }
-
-        @Override
-        public void identityRepeated(final TargetConnection connection, final String requestId) {
-            // Nothing to report.
-        }
     };
 
     /**
@@ -42,13 +37,4 @@
      * @param trace the answer, not null.
      */
     void answerSkipped(TargetConnection connection, AnswerTrace trace);
-
-    /**
-     * Called when a connection is used for a request whose identity it has carried before, so that a late copy of the
-     * earlier answer would echo the identity of the later request.
-     *
-     * @param connection the connection, not null.
-     * @param requestId the identity, not null.
-     */
-    void identityRepeated(TargetConnection connection, String requestId);
 }
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/TargetConnectionReporter.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/TargetConnectionReporter.java
@@ -27,12 +27,6 @@
         log(LogKind.ANSWER_SKIPPED, connection, "answer to an earlier request", trace);
     }
 
-    @Override
-    public void identityRepeated(final TargetConnection connection, final String requestId) {
-        metrics.count("target_identities_repeated");
-        log(LogKind.TARGET_CONNECTION, connection, "identity-repeated", new AnswerTrace("", 0, requestId, 0));
-    }
-
     private void log(
             final LogKind kind, final TargetConnection connection, final String cause, final AnswerTrace trace) {
         log.log(
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/TargetAnswerIdentityTest.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/TargetAnswerIdentityTest.java
@@ -131,6 +131,35 @@
         assertEquals(Outcome.UNKNOWN, call("b", 2_000).outcome());
     }
 
+    /** Guards against an answer of an earlier run: its copy echoes the identity under which the request comes again. */
+    @Test
+    void identityIsNotCarriedTwiceByOneConnection() throws Exception {
+        target = new ScriptedTarget(SUCCESS, SUCCESS.replace("$ID", "a") + FAILURE, FAILURE);
+        assertEquals("200 hello", describe(call("a", 2_000)));
+        CallResult again = call("a", 2_000);
+        assertEquals(2, target.connectionCount(), "the repeated request takes another connection");
+        assertTrue(again.outcome() == Outcome.COMPLETE, again.toString());
+    }
+
+    /** Guards against a success out of the first run when the second run of a request fails. */
+    @Test
+    void lateCopyOfFirstRunIsNotTheAnswerOfTheSecondRun() throws Exception {
+        String copy = SUCCESS.replace("$ID", "a");
+        target = new ScriptedTarget(SUCCESS, FAILURE);
+        assertEquals("200 hello", describe(call("a", 2_000)));
+        target.writeBeforeNextStep(copy);
+        assertEquals("500 failed", describe(call("a", 2_000)));
+    }
+
+    /** Guards against "not run" for a run that goes on: a late copy of the refusal of the first run. */
+    @Test
+    void lateCopyOfFirstRefusalIsNoPromiseForTheSecondRun() throws Exception {
+        target = new ScriptedTarget(REFUSAL, FAILURE);
+        assertEquals(Outcome.NOT_RUN, call("a", 2_000).outcome());
+        target.writeBeforeNextStep(REFUSAL.replace("$ID", "a"));
+        assertEquals("500 failed", describe(call("a", 2_000)));
+    }
+
     /** Guards against heads that are read by one field although they contradict themselves. */
     @ParameterizedTest
     @ValueSource(
@@ -192,4 +221,15 @@
         assertEquals("200 hello", describe(call("b", 2_000)));
         assertEquals(1, target.connectionCount());
     }
+
+    @Test
+    void connectionIsReplacedAfterItsLastRequest() throws Exception {
+        int count = 1_001;
+        target =
+                new ScriptedTarget(java.util.Collections.nCopies(count, SUCCESS).toArray(String[]::new));
+        for (int request = 0; request < count; request++) {
+            assertEquals("200 hello", describe(call("r" + request, 2_000)));
+        }
+        assertEquals(2, target.connectionCount());
+    }
 }
