--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/NettyTargetCaller.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/NettyTargetCaller.java
@@ -14,9 +14,12 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.sequoiashunt.call.CallRequest;
@@ -54,6 +57,7 @@
     private final MeshHeaders headerNames;
     private final Clock clock;
     private final TargetConnectionObserver observer;
+    private final Set<String> singleHeaderNames;
     private final Map<NodeAddress, Deque<TargetConnection>> idleConnections = new HashMap<>();
     private long openedConnections;
 
@@ -66,6 +70,10 @@
         this.headerNames = Objects.requireNonNull(headerNames, "headerNames");
         this.clock = Objects.requireNonNull(clock, "clock");
         this.observer = Objects.requireNonNull(observer, "observer");
+        this.singleHeaderNames = Set.of(
+                headerNames.requestId().toLowerCase(Locale.ROOT),
+                headerNames.signature().toLowerCase(Locale.ROOT),
+                headerNames.notExecuted().toLowerCase(Locale.ROOT));
     }
 
     /**
@@ -120,17 +128,21 @@
         return answerMemory.reservedBytes();
     }
 
+    /** Takes the connection that became idle last among those that have not carried a request with this identity. */
     private TargetConnection takeIdle(final NodeAddress target, final String requestId, final long nowMs) {
         Deque<TargetConnection> connections = idleConnections.get(target);
-        while (connections != null && !connections.isEmpty()) {
-            TargetConnection candidate = connections.pop();
-            if (candidate.isUsable(nowMs)) {
-                if (candidate.hasCarried(requestId)) {
-                    observer.identityRepeated(candidate, requestId);
-                }
+        if (connections == null) {
+            return null;
+        }
+        for (Iterator<TargetConnection> each = connections.iterator(); each.hasNext(); ) {
+            TargetConnection candidate = each.next();
+            if (!candidate.isUsable(nowMs)) {
+                each.remove();
+                candidate.closeUnused();
+            } else if (!candidate.hasCarried(requestId)) {
+                each.remove();
                 return candidate;
             }
-            candidate.closeUnused();
         }
         return null;
     }
@@ -148,7 +160,7 @@
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(final SocketChannel channel) {
-                        TargetResponseDecoder decoder = new TargetResponseDecoder();
+                        TargetResponseDecoder decoder = new TargetResponseDecoder(singleHeaderNames);
                         openedConnections++;
                         TargetConnection connection = new TargetConnection(
                                 openedConnections,
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/TargetConnection.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/TargetConnection.java
@@ -22,15 +22,16 @@
  * HTTP connection to a target that carries one request at a time.
  *
  * <p>Confined to the event loop of its channel. Invariants: an answer is passed only to the exchange whose request
- * identity it echoes; the connection is closed if bytes arrive while it has no exchange.
+ * identity it echoes; the connection carries an identity once, so that no copy of an earlier answer echoes the identity
+ * of a later request; it is closed if bytes arrive while it has no exchange.
  */
 final class TargetConnection extends ChannelInboundHandlerAdapter {
 
     /** Longest idle time of a connection that has carried no request yet. */
     private static final long FIRST_IDLE_LIMIT_MS = 1_000;
 
-    /** Most requests of a connection whose identities are remembered. */
-    private static final int REMEMBERED_REQUESTS = 1_000;
+    /** Requests after which a connection is not reused; bounds the memory for their identities. */
+    private static final int MAXIMUM_REQUESTS = 1_000;
 
     /** Latest requests that are named in the log. */
     private static final int LOGGED_REQUESTS = 6;
@@ -116,9 +117,7 @@
     void attach(final TargetExchange newExchange) {
         exchange = newExchange;
         skippedAnswer = null;
-        if (carriedIdentities.size() == REMEMBERED_REQUESTS) {
-            carriedIdentities.clear();
-        }
+        decoder.setHeadRequest(newExchange.isHeadRequest());
         carriedIdentities.add(StableHash.of(newExchange.requestId()));
         if (latestRequests.size() == LOGGED_REQUESTS) {
             latestRequests.removeFirst();
@@ -138,7 +137,7 @@
 
     /** Returns whether the connection has no exchange and nothing stands between it and the next answer. */
     boolean isReusable() {
-        return channel.isActive() && exchange == null && idleLimitMs > 0;
+        return channel.isActive() && exchange == null && idleLimitMs > 0 && carriedIdentities.size() < MAXIMUM_REQUESTS;
     }
 
     boolean isUsable(final long nowMs) {
@@ -147,7 +146,11 @@
 
     /** Closes the connection because it is not reused. */
     void closeUnused() {
-        close(idleLimitMs > 0 ? ConnectionEnd.IDLE : ConnectionEnd.NOT_PERSISTENT, AnswerTrace.NONE);
+        if (requestCount() >= MAXIMUM_REQUESTS) {
+            close(ConnectionEnd.REQUEST_LIMIT, AnswerTrace.NONE);
+        } else {
+            close(idleLimitMs > 0 ? ConnectionEnd.IDLE : ConnectionEnd.NOT_PERSISTENT, AnswerTrace.NONE);
+        }
     }
 
     /** Closes the connection and reports its end; later calls have no effect. */
@@ -208,8 +211,9 @@
 
     private void skip(final HttpContent content) {
         skippedAnswer = skippedAnswer.plusBytes(content.content().readableBytes());
+        boolean allowed = exchange.allowsSkipping(content);
         if (content instanceof LastHttpContent) {
-            if (skippedAnswer.isFinal()) {
+            if (allowed && skippedAnswer.isFinal()) {
                 observer.answerSkipped(this, skippedAnswer);
             }
             skippedAnswer = null;
