--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/StutteringTarget.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/StutteringTarget.java
@@ -67,6 +67,7 @@
         WHOLE,
         WHOLE_TWICE,
         CUT_IN_HEAD,
+        CUT_BETWEEN_CHUNKS,
         CUT_AND_STOPPED,
         NOTHING
     }
@@ -245,7 +246,9 @@
                     written.add(answer);
                 }
                 undisturbed &= whole && ending != Ending.RESET;
-                if (answer.framing() != TargetAnswer.Framing.CONNECTION_END && !stopped && chance(1 - steadiness)) {
+                if (answer.framing() != TargetAnswer.Framing.CONNECTION_END
+                        && !stopped
+                        && chance(whole ? 1 - steadiness : 0.8)) {
                     if (chance(0.4)) {
                         Thread.sleep(random.nextInt(LONGEST_PAUSE_MS));
                     }
@@ -275,8 +278,13 @@
                 return Delivery.WHOLE;
             }
             Delivery delivery = pick(Delivery.values());
-            boolean repeatable = answer.framing() != TargetAnswer.Framing.CONNECTION_END;
-            return delivery == Delivery.WHOLE_TWICE && !repeatable ? Delivery.WHOLE : delivery;
+            boolean possible =
+                    switch (delivery) {
+                        case WHOLE_TWICE -> answer.framing() != TargetAnswer.Framing.CONNECTION_END;
+                        case CUT_BETWEEN_CHUNKS -> answer.framing().isChunked();
+                        default -> true;
+                    };
+            return possible ? delivery : Delivery.WHOLE;
         }
 
         private Ending drawEnding(final TargetAnswer answer, final boolean whole) {
@@ -320,6 +328,12 @@
                     headOpen = true;
                     disturbed = true;
                 }
+                case CUT_BETWEEN_CHUNKS -> {
+                    List<Integer> cuts = answer.cutsBetweenChunks();
+                    write(withSafeBeginning(bytes.substring(0, cuts.get(random.nextInt(cuts.size())))));
+                    headOpen = true;
+                    disturbed = true;
+                }
                 case CUT_AND_STOPPED -> {
                     write(withSafeBeginning(bytes.substring(0, random.nextInt(bytes.length()))));
                     stopped = true;
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/TargetAnswer.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/TargetAnswer.java
@@ -1,6 +1,9 @@
 package org.sequoiashunt.node.mesh;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
 
 /**
  * Answer of a fake target as it stands on the wire: a head and a body, with at most one flaw in the head.
@@ -20,6 +23,7 @@
 
     private static final int CHUNK_SIZE = 7;
     private static final String LINE_END = "\r\n";
+    private static final int HEXADECIMAL = 16;
 
     /** How the end of a body is stated. */
     enum Framing {
@@ -227,6 +231,25 @@
         return head() + framing.encode(body());
     }
 
+    /** Returns the cuts of a chunked answer that are neither in its head nor in the data of a chunk. */
+    List<Integer> cutsBetweenChunks() {
+        List<Integer> cuts = new ArrayList<>();
+        String bytes = bytes();
+        int position = head().length();
+        int size = framing.isChunked() ? 1 : 0;
+        while (size > 0) {
+            int lineEnd = bytes.indexOf(LINE_END, position);
+            size = Integer.parseInt(bytes.substring(position, lineEnd), HEXADECIMAL);
+            int dataStart = lineEnd + LINE_END.length();
+            int dataEnd = size > 0 ? dataStart + size : bytes.length();
+            IntStream.range(position, dataStart).forEach(cuts::add);
+            IntStream.range(size > 0 ? dataEnd : dataStart, Math.min(dataEnd + LINE_END.length(), bytes.length()))
+                    .forEach(cuts::add);
+            position = dataEnd + LINE_END.length();
+        }
+        return cuts;
+    }
+
     /** Returns whether a strict reader accepts the head; a flaw for which the head has no place changes nothing. */
     boolean isAcceptable() {
         return flaw.isHarmless() && !(flaw == Flaw.OLD_VERSION && framing.isChunked()) || head().equals(plainHead());
