--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/StutteringTargetTest.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/StutteringTargetTest.java
@@ -35,7 +35,7 @@
 import org.sequoiashunt.time.Clock;
 
 /**
- * Random test: only the whole answer of its own run may end a call to a target that cuts, joins and repeats its answers.
+ * Random test: only the whole answer of its own run ends a call to a target that cuts, joins and repeats answers.
  *
  * <p>The system property {@value #SEEDS_PROPERTY} sets the number of seeds.
  */
