Connections to targets: none is reused while it holds bytes

Cause: a decoder reports bytes only once they are a line; until then the connection counted as idle and clean.

Change: incomplete heads stay in the decoder's buffer, where they are counted; a connection that holds bytes is closed when they arrive while it is idle, and neither kept nor taken. Why it works: no byte that was received before a request can stand in its answer. Bytes that arrive after the request are judged as parts of an answer.

--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/TargetConnection.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/TargetConnection.java
@@ -23,7 +23,7 @@
  *
  * <p>Confined to the event loop of its channel. Invariants: an answer is passed only to the exchange whose request
  * identity it echoes; the connection carries an identity once, so that no copy of an earlier answer echoes the identity
- * of a later request; it is closed if bytes arrive while it has no exchange.
+ * of a later request; it is closed if bytes arrive while it has no exchange, and reused only if none are held.
  */
 final class TargetConnection extends ChannelInboundHandlerAdapter {
 
@@ -137,7 +137,11 @@
 
     /** Returns whether the connection has no exchange and nothing stands between it and the next answer. */
     boolean isReusable() {
-        return channel.isActive() && exchange == null && idleLimitMs > 0 && carriedIdentities.size() < MAXIMUM_REQUESTS;
+        return channel.isActive()
+                && exchange == null
+                && idleLimitMs > 0
+                && carriedIdentities.size() < MAXIMUM_REQUESTS
+                && !decoder.isInResponse();
     }
 
     boolean isUsable(final long nowMs) {
@@ -146,7 +150,9 @@
 
     /** Closes the connection because it is not reused. */
     void closeUnused() {
-        if (requestCount() >= MAXIMUM_REQUESTS) {
+        if (exchange == null && decoder.isInResponse()) {
+            closeForHeldBytes();
+        } else if (requestCount() >= MAXIMUM_REQUESTS) {
             close(ConnectionEnd.REQUEST_LIMIT, AnswerTrace.NONE);
         } else {
             close(idleLimitMs > 0 ? ConnectionEnd.IDLE : ConnectionEnd.NOT_PERSISTENT, AnswerTrace.NONE);
@@ -181,6 +187,10 @@
                 message instanceof HttpResponse response ? traceOf(response) : AnswerTrace.NONE);
     }
 
+    private void closeForHeldBytes() {
+        close(ConnectionEnd.UNEXPECTED_BYTES, traceOfHeldBytes("bytes without a request"));
+    }
+
     private AnswerTrace traceOf(final HttpResponse response) {
         return traceOf(response, requestIdHeader);
     }
@@ -220,6 +230,15 @@
         }
     }
 
+    /** Closes an idle connection for which bytes arrived that are no complete head. */
+    @Override
+    public void channelReadComplete(final ChannelHandlerContext context) {
+        if (exchange == null && decoder.isInResponse()) {
+            closeForHeldBytes();
+        }
+        context.fireChannelReadComplete();
+    }
+
     @Override
     public void channelInactive(final ChannelHandlerContext context) {
         onClose.run();
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/TargetAnswerIdentityTest.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/TargetAnswerIdentityTest.java
@@ -160,6 +160,17 @@
         assertEquals("500 failed", describe(call("a", 2_000)));
     }
 
+    /** Guards against a failed request behind bytes that end without a line end and are therefore not reported. */
+    @ParameterizedTest
+    @ValueSource(strings = {"x", "HTTP/1.1 200 OK", "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nSig", "\r\n", "\0"})
+    void connectionWithUnreportedBytesIsNotReused(final String bytes) throws Exception {
+        target = new ScriptedTarget(SUCCESS + bytes, SUCCESS, SUCCESS);
+        assertEquals("200 hello", describe(call("a", 2_000)));
+        Thread.sleep(50);
+        assertEquals("200 hello", describe(call("b", 2_000)));
+        assertEquals(2, target.connectionCount());
+    }
+
     /** Guards against heads that are read by one field although they contradict themselves. */
     @ParameterizedTest
     @ValueSource(
