Memory of answers: the largest answer is given up, not the one that comes last

What callers would see: 502 for ordinary answers of other requests, while a few slow answers without end hold the 24 MB that all answers share until their deadline.

Cause: a reservation that did not fit failed the answer that asked for it.

Change: AnswerMemory gives up the largest answer if it is larger than the one that asks. Why it works: an answer without end grows until it is the largest, whatever its speed.

--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/NettyTargetCaller.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/NettyTargetCaller.java
@@ -53,7 +53,7 @@
     static final long MAXIMUM_ANSWER_MEMORY_BYTES = 24 << 20;
 
     private final EventLoop loop;
-    private final ByteBudget answerMemory = new ByteBudget(MAXIMUM_ANSWER_MEMORY_BYTES);
+    private final AnswerMemory answerMemory = new AnswerMemory(MAXIMUM_ANSWER_MEMORY_BYTES);
     private final MeshHeaders headerNames;
     private final Clock clock;
     private final TargetConnectionObserver observer;
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/TargetExchange.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/TargetExchange.java
@@ -62,7 +62,7 @@
     private final CallRequest request;
     private final String requestId;
     private final CompletableFuture<CallResult> result;
-    private final ByteBudget answerMemory;
+    private final AnswerMemory answerMemory;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private TargetConnection connection;
     private ChannelFuture writeFuture;
@@ -75,7 +75,7 @@
             final MeshHeaders headerNames,
             final CallRequest request,
             final CompletableFuture<CallResult> result,
-            final ByteBudget answerMemory) {
+            final AnswerMemory answerMemory) {
         this.answerMemory = answerMemory;
         this.headerNames = headerNames;
         this.request = request;
@@ -104,12 +104,23 @@
         return request.method().equals("HEAD");
     }
 
-    /** Returns the memory of the answer's body to the budget; called once, when the exchange has ended. */
+    /** Returns the number of bytes of memory that the answer holds. */
+    long reservedBytes() {
+        return reservedBytes;
+    }
+
+    /** Releases the memory of the answer; called when the exchange has ended. */
     void releaseMemory() {
-        answerMemory.release(reservedBytes);
+        answerMemory.release(this, reservedBytes);
         reservedBytes = 0;
     }
 
+    /** Fails the exchange and releases its memory for other answers. */
+    void giveUp() {
+        reject(response, "the largest answer while the memory for answers is used up");
+        releaseMemory();
+    }
+
     void start(final TargetConnection chosen, final long remainingMs) {
         connection = chosen;
         chosen.attach(this);
@@ -205,7 +216,7 @@
             reject(response, "the body is malformed");
             return;
         }
-        if (body.size() + length > MAXIMUM_ANSWER_BYTES || !answerMemory.tryReserve(length)) {
+        if (body.size() + length > MAXIMUM_ANSWER_BYTES || !answerMemory.tryReserve(this, length)) {
             reject(response, "the body is too large");
             return;
         }
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/NettyTargetCallerTest.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/NettyTargetCallerTest.java
@@ -292,6 +292,22 @@
         assertEquals(0, caller.answerMemoryBytes(), "all memory is released");
     }
 
+    /** Guards against answers that fail because slow ones without end hold the memory of all until their deadline. */
+    @Test
+    void ordinaryAnswerGetsThroughWhileLargeOnesHoldTheMemory() throws Exception {
+        String head = "HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\nSignature: s\r\nContent-Length: ";
+        String held = head + (16 << 20) + "\r\n\r\n" + "x".repeat((12 << 20) - 1_000) + "SILENT";
+        target = new ScriptedTarget(held, held, head + "100000\r\n\r\n" + "y".repeat(100_000));
+        CompletableFuture<CallResult> first = start("a", "GET", "", 15_000);
+        CompletableFuture<CallResult> second = start("b", "GET", "", 15_000);
+        long deadlineMs = clock.nowMs() + 8_000;
+        while (caller.answerMemoryBytes() < (24 << 20) - 2_000 && clock.nowMs() < deadlineMs) {
+            Thread.sleep(5);
+        }
+        assertEquals(100_000, bodyOf(call("c", "GET", "")).length());
+        assertTrue(first.isDone() != second.isDone(), "one of the large answers is given up");
+    }
+
     @Test
     void callToStoppedTargetHasOutcomeNotRun() throws Exception {
         target = new ScriptedTarget();
