Answers of targets: malformed trailers end the answer before it is delivered

What callers would see: a success or "not run" out of an answer whose chunks are followed by trailers that belong to another answer.

Cause: the check of the trailers threw after the last part had been put into the decoder's output, which Netty passes on all the same.

Change: the last part is marked as malformed, which the exchange rejects. A trailer line without a colon is still read as a field without a value.

--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/TargetResponseDecoder.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/TargetResponseDecoder.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
@@ -91,19 +92,23 @@
                 inHead = false;
             }
             if (part instanceof LastHttpContent last) {
-                checkTrailers(last);
+                markMalformedTrailers(last);
                 startHead();
             }
         }
     }
 
-    /** Rejects trailers that are no fields, or that only a head may hold. */
-    private void checkTrailers(final LastHttpContent last) throws MalformedHeadException {
-        for (Map.Entry<String, String> trailer : last.trailingHeaders()) {
-            if (singleNames.contains(trailer.getKey().toLowerCase(Locale.ROOT))) {
-                throw new MalformedHeadException("a field of the head stands in the trailers");
+    /** Marks the end of an answer as malformed if trailers are no fields, or are fields that only a head may hold. */
+    private void markMalformedTrailers(final LastHttpContent last) {
+        try {
+            for (Map.Entry<String, String> trailer : last.trailingHeaders()) {
+                if (singleNames.contains(trailer.getKey().toLowerCase(Locale.ROOT))) {
+                    throw new MalformedHeadException("a field of the head stands in the trailers");
+                }
+                ResponseHeadValidator.checkField(trailer.getKey() + ":" + trailer.getValue());
             }
-            ResponseHeadValidator.checkField(trailer.getKey() + ":" + trailer.getValue());
+        } catch (MalformedHeadException exception) {
+            last.setDecoderResult(DecoderResult.failure(exception));
         }
     }
 
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/StutteringTargetNodeTest.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/StutteringTargetNodeTest.java
@@ -43,7 +43,7 @@
     private static final int REQUESTS_PER_CALLER = 25;
     private static final int SHARED_IDENTITIES = 4;
     private static final int REMAINING_MS = 400;
-    private static final int LATEST_END_MS = 5_000;
+    private static final int LATEST_END_MS = 4_000;
     private static final int LONGEST_STAY_MS = 15;
     private static final int ANNOUNCEMENT_PERIOD_MS = 200;
     private static final int START_TIMEOUT_MS = 10_000;
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/StutteringTargetTest.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/StutteringTargetTest.java
@@ -48,7 +48,7 @@
     private static final int CALLS_PER_CALLER = 20;
     private static final int SHARED_IDENTITIES = 5;
     private static final long REMAINING_MS = 120;
-    private static final long LATEST_END_MS = 5_000;
+    private static final long LATEST_END_MS = 3_000;
     private static final long WARM_UP_TIMEOUT_MS = 30_000;
     private static final int LONGEST_CANCEL_DELAY_MS = 15;
     private static final int PRINTED_VIOLATIONS = 3;
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/TargetAnswerIdentityTest.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/TargetAnswerIdentityTest.java
@@ -196,7 +196,11 @@
                 "HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n"
                         + "5\r\nhello\r\n" + FAILURE,
                 "HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n" + "5"
-                        + FAILURE
+                        + FAILURE,
+                "HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        + "5\r\nhello\r\n0\r\nSignature: t\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        + "5\r\nhello\r\n0\r\nX-Date: MoHTTP/1.1 500 Failed\r\n\r\n"
             })
     void answerThatContradictsItselfIsInvalidAtOnce(final String answer) throws Exception {
         target = new ScriptedTarget(answer);
@@ -225,6 +229,13 @@
         assertEquals("200 hello", describe(call("d", 2_000)));
     }
 
+    @Test
+    void trailersAreRead() throws Exception {
+        target = new ScriptedTarget("HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\nSignature: s\r\n"
+                + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nX-Checksum: 1\r\n\r\n");
+        assertEquals("200 hello", describe(call("a", 2_000)));
+    }
+
     @Test
     void answerToHeadRequestHasNoBody() throws Exception {
         target = new ScriptedTarget(SUCCESS.substring(0, headLength(SUCCESS)), SUCCESS);
