Links: two results in one frame are refused

A frame that held two results was decoded as one: protobuf merges a field that occurs twice, so the caller would get the status and body of the second and the headers of both, signatures included.

Cause: the decoder asked only whether the bytes can be parsed. Evidence on the code before: FrameDecoderTest.twoResultsInOneFrameAreNotMerged, "Expected DecoderException to be thrown, but nothing was thrown".

A message that was parsed must have the length of the bytes it was parsed from; merged or repeated fields make it shorter. Unknown fields of later versions are kept by the parser and count. A frame that is cut before its body and continued by another one was refused before too (resultCutBeforeItsBodyIsNotContinuedByAnother, each cut).

--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/FrameDecoder.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/FrameDecoder.java
@@ -9,7 +9,12 @@
 import org.sequoiashunt.link.wire.FrameProto.Frame;
 import org.sequoiashunt.time.Clock;
 
-/** Parses complete frames and counts their bytes. Confined to the thread of its connection. */
+/**
+ * Parses complete frames and counts their bytes.
+ *
+ * <p>Confined to the thread of its connection. Invariant: a frame whose fields occur twice is refused, because protobuf
+ * would merge two results into one.
+ */
 final class FrameDecoder extends MessageToMessageDecoder<ByteBuf> {
 
     private final LinkCounters counters;
@@ -35,7 +40,11 @@
 
     private static Frame parse(final ByteBuf bytes) throws LinkProtocolException {
         try {
-            return Frame.parseFrom(bytes.nioBuffer());
+            Frame frame = Frame.parseFrom(bytes.nioBuffer());
+            if (frame.getSerializedSize() != bytes.readableBytes()) {
+                throw new LinkProtocolException(Refusal.MALFORMED, "frame consists of more than one message");
+            }
+            return frame;
         } catch (InvalidProtocolBufferException exception) {
             throw new LinkProtocolException(Refusal.MALFORMED, "bytes are not a valid frame", exception);
         }
