Links: results and states that answer nothing sent end no call

A call could end by a result that came before it was sent, and by a state (not received, lost) that was not queried. A caller would be told "not run" for a request that its target runs, and the request would be sent to another target.

Cause: only number and identity of the call were compared. Evidence on the code before: InFlightCallsTest.aResultThatArrivesBeforeItsCallWasSentIsRejected, "Expected LinkProtocolException to be thrown, but nothing was thrown"; LinkFaultTest.aStateThatWasNotQueriedEndsNoCall, "expected: <true> but was: <false>", as the connection stayed open.

A result is taken for a sent call only, a state only for a call that was queried on the current connection. Everything else is a protocol violation, which closes the connection and is counted; the call is then queried on the next one. aDoubledResultEndsNoOtherCall passed before too: numbers are never used again.

--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/InFlightCall.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/InFlightCall.java
@@ -19,6 +19,7 @@
     private LinkIdentity sentTo;
     private long lostMs = NOT_LOST;
     private boolean withdrawn;
+    private boolean queried;
 
     InFlightCall(
             final long number,
@@ -60,11 +61,21 @@
     }
 
     void markLost(final long nowMs) {
+        queried = false;
         if (isSent() && !isLost()) {
             lostMs = nowMs;
         }
     }
 
+    void markQueried() {
+        queried = true;
+    }
+
+    /** Returns whether the state of the call was queried on the current connection. */
+    boolean isQueried() {
+        return queried;
+    }
+
     void markResumed() {
         lostMs = NOT_LOST;
     }
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/InFlightCalls.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/InFlightCalls.java
@@ -24,7 +24,8 @@
  * connection to the same process. Methods that end calls complete their futures after releasing the lock.
  *
  * <p>Thread-safe; all state is guarded by the lock of this object. Invariants: a call is sent at most once; it ends
- * exactly once; it ends as {@link Outcome#NOT_RUN} only if it was never marked as sent or the gate reported so.
+ * exactly once; it ends as {@link Outcome#NOT_RUN} only if it was never marked as sent or the gate reported so;
+ * only a call that was sent takes a result, and only one that was queried on the current connection takes a state.
  */
 final class InFlightCalls {
 
@@ -129,7 +130,24 @@
                 ? Optional.of(CallResult.unknown(Reason.CONNECTION_FAILED))
                 : Optional.empty());
         synchronized (this) {
-            return calls.values().stream().filter(InFlightCall::isLost).toList();
+            List<InFlightCall> lost =
+                    calls.values().stream().filter(InFlightCall::isLost).toList();
+            lost.forEach(InFlightCall::markQueried);
+            return lost;
+        }
+    }
+
+    /**
+     * Checks that a received state answers a query of the current connection.
+     *
+     * @param number the number in the received frame.
+     * @param callId the call identity in the received frame.
+     * @throws LinkProtocolException if the number is that of another call, or the call was not queried.
+     */
+    synchronized void requireQueried(final long number, final String callId) throws LinkProtocolException {
+        InFlightCall call = find(number, callId);
+        if (call != null && !call.isQueried()) {
+            throw new LinkProtocolException(Refusal.UNEXPECTED, "state of call " + callId + ", which was not queried");
         }
     }
 
@@ -157,7 +175,7 @@
      * @param callId the call identity in the received frame.
      * @param result the result.
      * @return true if the call was in flight.
-     * @throws LinkProtocolException if the number is that of another call.
+     * @throws LinkProtocolException if the number is that of another call, or the call was not sent.
      */
     boolean end(final long number, final String callId, final CallResult result) throws LinkProtocolException {
         InFlightCall call;
@@ -204,6 +222,7 @@
                     .filter(call -> call.request().callId().equals(callId))
                     .findFirst();
             sent.ifPresent(InFlightCall::markWithdrawn);
+            sent.ifPresent(InFlightCall::markQueried);
             return sent;
         }
     }
@@ -271,6 +290,9 @@
             throw new LinkProtocolException(
                     Refusal.WRONG_NUMBER, "result of call " + callId + " has the number of another call: " + number);
         }
+        if (call != null && !call.isSent()) {
+            throw new LinkProtocolException(Refusal.UNEXPECTED, "result of call " + callId + ", which was not sent");
+        }
         return call;
     }
 }
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/LinkCalls.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/LinkCalls.java
@@ -96,6 +96,7 @@
     }
 
     void receive(final CallState state) throws LinkProtocolException {
+        inFlight.requireQueried(state.getNumber(), state.getCallId());
         switch (state.getState()) {
             case RUNNING -> {
                 if (inFlight.markResumed(state.getNumber(), state.getCallId())) {
--- a/sequoiashunt-link/src/test/java/org/sequoiashunt/link/InFlightCallsTest.java
+++ b/sequoiashunt-link/src/test/java/org/sequoiashunt/link/InFlightCallsTest.java
@@ -82,6 +82,26 @@
         assertFalse(first.future().isDone() || second.future().isDone());
     }
 
+    @Test
+    void aResultThatArrivesBeforeItsCallWasSentIsRejected() {
+        InFlightCall waiting = add("a");
+        CallResult answer = LinkFixture.answer(Body.EMPTY);
+        assertThrows(LinkProtocolException.class, () -> calls.end(waiting.number(), "a", answer));
+        assertFalse(waiting.future().isDone());
+        assertEquals(Optional.of(waiting), calls.nextWaiting());
+    }
+
+    @Test
+    void aDoubledResultEndsNoOtherCall() throws LinkProtocolException {
+        InFlightCall first = addSent("a");
+        CallResult answer = LinkFixture.answer(Body.EMPTY);
+        assertTrue(calls.end(first.number(), "a", answer));
+        InFlightCall second = addSent("a");
+        assertFalse(calls.end(first.number(), "a", LinkFixture.answer(Body.of(new byte[1]))));
+        assertFalse(second.future().isDone());
+        assertEquals(answer, first.future().join());
+    }
+
     @Test
     void aRetiredLinkTakesNoCall() {
         InFlightCall call = add("a");
--- a/sequoiashunt-link/src/test/java/org/sequoiashunt/link/LinkFaultTest.java
+++ b/sequoiashunt-link/src/test/java/org/sequoiashunt/link/LinkFaultTest.java
@@ -15,6 +15,7 @@
 import org.sequoiashunt.call.Outcome;
 import org.sequoiashunt.call.Reason;
 import org.sequoiashunt.link.LinkCounters.Count;
+import org.sequoiashunt.link.wire.FrameProto.CallState;
 import org.sequoiashunt.link.wire.FrameProto.Frame;
 import org.sequoiashunt.peer.NodeAddress;
 
@@ -132,6 +133,32 @@
         assertEquals(1, fixture.clientCounters.read(Refusal.WRONG_NUMBER));
     }
 
+    @Test
+    void aStateThatWasNotQueriedEndsNoCall() throws Exception {
+        try (ServerSocket listener = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            listener.setSoTimeout((int) LinkFixture.WAIT_MS);
+            NodeAddress address = new NodeAddress("127.0.0.1", listener.getLocalPort());
+            CompletableFuture<CallResult> call = fixture.client.call(address, LinkFixture.request("call", 20_000));
+            try (RawPeer peer = new RawPeer(listener.accept())) {
+                peer.answerHello();
+                long number = peer.read().getCallStart().getNumber();
+                peer.write(FrameFactory.of(CallState.newBuilder()
+                        .setNumber(number)
+                        .setCallId("call")
+                        .setState(CallState.State.NOT_RECEIVED)
+                        .build()));
+                assertTrue(peer.isClosedByPeer());
+            }
+            try (RawPeer peer = new RawPeer(listener.accept())) {
+                peer.answerHello();
+                long number = peer.read().getCallQuery().getNumber();
+                peer.write(FrameFactory.of(CallCodec.encode(number, "call", ANSWER)));
+                assertEquals(ANSWER, LinkFixture.await(call));
+            }
+        }
+        assertEquals(1, fixture.clientCounters.read(Refusal.UNEXPECTED));
+    }
+
     @Test
     void aTruncatedBodyReachesNoCaller() throws Exception {
         try (ServerSocket listener = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
