Links: frames and requests of all peers share memory limits

Peers that read no results, many half frames, or long requests that wait exhausted the memory of a node with its own settings (160 MB of heap, 64 MB direct); calls of all other peers then failed.

Cause: unread results were limited for each connection (8.5 MB), not together; half frames up to 64 KB were not counted, and of larger ones the connection that came last paid; on the side that asked, half frames were neither limited nor timed; bodies of calls that run or wait had no limit. A frame that could not be written was lost without a word.

ConnectionBudget limits the bytes of all connections together and closes the one whose bytes weigh most by number and time, so that an ordinary frame on its way does not pay for a flood. Requests share 32 MB, a quarter of it reserved for connections with little; what does not fit is refused as not run. Times of frames hold on both sides. A frame that cannot be written closes its connection, so that its call is resumed.

PartialFrameMonitorTest.theBudgetRefusesOnlyConnectionsWithManyPendingBytes is replaced by ConnectionBudgetTest: it held fast that the connection that comes last is refused. The new tests ask for the same limit, and that the ones that hold most or longest are closed.

--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/CallLedger.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/CallLedger.java
@@ -21,6 +21,9 @@
  * retained bytes exceed the limit. In the last case the call is reported as lost, which its sender must report as
  * unknown.
  *
+ * <p>The requests of running calls share a memory limit. A quarter of it is reserved for connections that use little of
+ * it, so that the requests of some peers do not displace those of all others.
+ *
  * <p>Thread-safe; all state is guarded by the lock of the ledger, and no foreign code is called while it is held.
  * Invariants: a call identity is admitted at most once while it is recorded; a revoked call is never admitted before
  * its deadline.
@@ -28,12 +31,19 @@
 final class CallLedger {
 
     private final long maximumRetainedBytes;
+    /** Part of the memory for requests that a connection may use of the reserve. */
+    private static final int RESERVE_PARTS = 64;
+
     private final int maximumCalls;
+    private final long maximumRequestBytes;
     private final Map<String, CallRecord> records = new HashMap<>();
     private final Deque<CallRecord> endedRecords = new ArrayDeque<>();
+    private final Map<ResultReceiver, Long> requestBytes = new HashMap<>();
+    private long totalRequestBytes;
     private long retainedBytes;
 
-    CallLedger(final long maximumRetainedBytes, final int maximumCalls) {
+    CallLedger(final long maximumRetainedBytes, final int maximumCalls, final long maximumRequestBytes) {
+        this.maximumRequestBytes = maximumRequestBytes;
         this.maximumRetainedBytes = maximumRetainedBytes;
         this.maximumCalls = maximumCalls;
     }
@@ -46,19 +56,27 @@
      * @param forgetAfterMs when the deadline of the call has passed for certain, in milliseconds of the local clock;
      *     the record may be removed after it.
      * @param receiver where to send the result.
+     * @param bytes the length of the request's body.
      * @return the decision, never null.
      */
     synchronized CallAdmission admit(
-            final String callId, final long number, final long forgetAfterMs, final ResultReceiver receiver) {
+            final String callId,
+            final long number,
+            final long forgetAfterMs,
+            final ResultReceiver receiver,
+            final long bytes) {
         CallRecord callRecord = records.get(callId);
         if (callRecord != null) {
             return callRecord.hasPhase(Phase.REVOKED) ? CallAdmission.REVOKED : CallAdmission.DUPLICATE;
         }
-        if (records.size() >= maximumCalls) {
+        if (records.size() >= maximumCalls || !hasRequestMemory(receiver, bytes)) {
             return CallAdmission.FULL;
         }
         CallRecord newRecord = CallRecord.running(callId, forgetAfterMs);
         newRecord.attach(number, receiver);
+        newRecord.chargeRequest(receiver, bytes);
+        totalRequestBytes += bytes;
+        requestBytes.merge(receiver, bytes, Long::sum);
         records.put(callId, newRecord);
         return CallAdmission.RUN;
     }
@@ -91,6 +109,7 @@
         if (callRecord == null || !callRecord.hasPhase(Phase.RUNNING)) {
             return Optional.empty();
         }
+        releaseRequest(callRecord);
         ResultDelivery delivery = callRecord.end(result);
         retainedBytes += callRecord.bytes();
         endedRecords.addLast(callRecord);
@@ -201,6 +220,19 @@
         return retainedBytes;
     }
 
+    private boolean hasRequestMemory(final ResultReceiver owner, final long bytes) {
+        long ownBytes = requestBytes.getOrDefault(owner, 0L) + bytes;
+        long reservedBytes = ownBytes <= maximumRequestBytes / RESERVE_PARTS ? 0 : maximumRequestBytes / 4;
+        return totalRequestBytes + bytes <= maximumRequestBytes - reservedBytes;
+    }
+
+    private void releaseRequest(final CallRecord callRecord) {
+        long bytes = callRecord.requestBytes();
+        totalRequestBytes -= bytes;
+        requestBytes.computeIfPresent(
+                callRecord.requestOwner(), (owner, ownBytes) -> ownBytes == bytes ? null : ownBytes - bytes);
+    }
+
     private boolean revoke(final String callId, final long forgetAfterMs) {
         if (records.size() >= maximumCalls) {
             return false;
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/CallRecord.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/CallRecord.java
@@ -22,6 +22,8 @@
     private boolean cancelled;
     private CallResult result;
     private long bytes;
+    private ResultReceiver requestOwner;
+    private long requestBytes;
 
     private CallRecord(final String callId, final Phase phase, final long forgetAfterMs) {
         this.callId = callId;
@@ -58,6 +60,19 @@
         receiver = newReceiver;
     }
 
+    void chargeRequest(final ResultReceiver owner, final long newRequestBytes) {
+        requestOwner = owner;
+        requestBytes = newRequestBytes;
+    }
+
+    ResultReceiver requestOwner() {
+        return requestOwner;
+    }
+
+    long requestBytes() {
+        return requestBytes;
+    }
+
     boolean isAttachedTo(final ResultReceiver other) {
         return receiver == other;
     }
@@ -84,6 +99,7 @@
     }
 
     ResultDelivery end(final CallResult newResult) {
+        requestOwner = null;
         ResultDelivery delivery = new ResultDelivery(receiver, number, callId, newResult);
         phase = Phase.DONE;
         result = newResult;
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/InboundActivityHandler.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/InboundActivityHandler.java
@@ -24,7 +24,7 @@
     @Override
     public void channelRead(final ChannelHandlerContext context, final Object message) {
         if (message instanceof ByteBuf bytes) {
-            partialFrameMonitor.bytesRead(bytes.readableBytes(), clock.nowMs());
+            partialFrameMonitor.bytesRead(bytes.readableBytes(), bytes.capacity(), clock.nowMs());
         }
         context.fireChannelRead(message);
         afterRead.run();
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/Link.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/Link.java
@@ -16,6 +16,7 @@
 
     private final NodeAddress address;
     private final LinkContext context;
+    private final LinkBudgets budgets;
     private final LinkCalls calls;
     private final ControlQueue controlQueue;
     private final ReconnectDelay reconnectDelay;
@@ -24,9 +25,14 @@
     private long nextAttemptMs;
     private long lastUsedMs;
 
-    Link(final NodeAddress address, final LinkContext context, final ReconnectDelay reconnectDelay) {
+    Link(
+            final NodeAddress address,
+            final LinkContext context,
+            final LinkBudgets budgets,
+            final ReconnectDelay reconnectDelay) {
         this.address = address;
         this.context = context;
+        this.budgets = budgets;
         this.calls = new LinkCalls(context.limits(), context.clock(), context.counters());
         this.controlQueue = new ControlQueue(context.counters());
         this.reconnectDelay = reconnectDelay;
@@ -81,6 +87,9 @@
     boolean tick() {
         long nowMs = context.clock().nowMs();
         calls.expire(connection);
+        if (isOpen()) {
+            connection.closeIfStalled(nowMs);
+        }
         if (isOpen()) {
             checkHealth(nowMs);
         } else if (connection != null
@@ -202,7 +211,7 @@
 
     private void connect() {
         connectingSinceMs = context.clock().nowMs();
-        LinkConnection opening = new LinkConnection(context, this);
+        LinkConnection opening = new LinkConnection(context, budgets, this);
         connection = opening;
         opening.open(address);
     }
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/LinkClient.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/LinkClient.java
@@ -33,6 +33,7 @@
     private static final long IDLE_TICK_MS = 100; // A timer with a period of 25 ms used 0.5% of a core at rest.
 
     private final LinkContext context;
+    private final LinkBudgets budgets;
     private final RandomGenerator random;
     private final Map<NodeAddress, Link> links = new ConcurrentHashMap<>();
     private Future<?> nextTick;
@@ -41,6 +42,7 @@
 
     private LinkClient(final LinkContext context, final RandomGenerator random) {
         this.context = context;
+        this.budgets = LinkBudgets.of(context.limits());
         this.random = Objects.requireNonNull(random, "random");
     }
 
@@ -159,7 +161,7 @@
             return Optional.empty();
         }
         if (link == null && links.size() < context.limits().maximumConnections()) {
-            link = links.computeIfAbsent(address, key -> new Link(key, context, new ReconnectDelay(random)));
+            link = links.computeIfAbsent(address, key -> new Link(key, context, budgets, new ReconnectDelay(random)));
         }
         return Optional.ofNullable(link);
     }
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/LinkConnection.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/LinkConnection.java
@@ -20,18 +20,25 @@
 final class LinkConnection extends SimpleChannelInboundHandler<Frame> {
 
     private final LinkContext context;
+    private final LinkBudgets budgets;
     private final Link link;
     private final LinkHealth health;
     private final PeerStamp stamp = new PeerStamp();
+    private final PartialFrameMonitor partialFrameMonitor;
+    private final ConnectionBudget.Holder partialFrameHolder = () -> refuse(Refusal.TOO_MUCH_PENDING);
+    private FrameWriter writer;
     private Channel channel;
     private LinkIdentity peer;
     private boolean closed;
 
-    LinkConnection(final LinkContext context, final Link link) {
+    LinkConnection(final LinkContext context, final LinkBudgets budgets, final Link link) {
         super(Frame.class);
         this.context = context;
+        this.budgets = budgets;
         this.link = link;
         this.health = new LinkHealth(context.limits(), context.clock().nowMs());
+        this.partialFrameMonitor = new PartialFrameMonitor(
+                context.limits().frameTimeoutMs(), context.clock().nowMs());
     }
 
     void open(final NodeAddress address) {
@@ -57,12 +64,21 @@
     }
 
     void onBytesReceived() {
-        health.markReceived(context.clock().nowMs());
+        long nowMs = context.clock().nowMs();
+        health.markReceived(nowMs);
+        if (!closed) {
+            budgets.partialFrames()
+                    .update(
+                            partialFrameHolder,
+                            partialFrameMonitor.heldBytes(),
+                            partialFrameMonitor.pendingSinceMs(),
+                            nowMs);
+        }
     }
 
     void write(final Frame frame) {
         health.markSent();
-        channel.writeAndFlush(frame);
+        writer.write(frame);
     }
 
     boolean isOpen() {
@@ -73,6 +89,13 @@
         return isOpen() && channel.isWritable();
     }
 
+    /** Closes the connection if a frame did not arrive completely in time, as its results would keep calls waiting. */
+    void closeIfStalled(final long nowMs) {
+        if (partialFrameMonitor.isStalled(nowMs)) {
+            refuse(Refusal.INCOMPLETE);
+        }
+    }
+
     LinkIdentity peer() {
         return peer;
     }
@@ -105,6 +128,7 @@
     @Override
     public void channelRegistered(final ChannelHandlerContext handlerContext) {
         channel = handlerContext.channel();
+        writer = new FrameWriter(channel, budgets.unread(), () -> refuse(Refusal.NOT_READ), context.clock());
         if (closed) {
             channel.close();
         }
@@ -117,6 +141,8 @@
 
     @Override
     public void channelInactive(final ChannelHandlerContext handlerContext) {
+        budgets.partialFrames().remove(partialFrameHolder);
+        writer.close();
         link.connectionClosed(this);
     }
 
@@ -149,12 +175,17 @@
     }
 
     private void addHandlers(final SocketChannel opened) {
-        PartialFrameMonitor partialFrameMonitor = new PartialFrameMonitor(
-                context.limits().frameTimeoutMs(), context.clock().nowMs());
         FramePipeline.addHandlers(opened, context, partialFrameMonitor, this::onBytesReceived);
         opened.pipeline().addLast(this);
     }
 
+    private void refuse(final Refusal refusal) {
+        if (!closed) {
+            context.counters().countRefusal(refusal);
+        }
+        closeImmediately();
+    }
+
     private void handleHello(final Frame frame) throws LinkProtocolException {
         if (!frame.hasHello()) {
             throw new LinkProtocolException(Refusal.UNEXPECTED, "received a frame before hello");
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/LinkLimits.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/LinkLimits.java
@@ -18,7 +18,11 @@
  * @param frameTimeoutMs how long a frame may take to arrive completely, in milliseconds.
  * @param maximumFrameBytes the maximum length of a frame.
  * @param maximumConnections the maximum number of accepted connections, and separately of links.
- * @param maximumPartialFrameBytes the memory for incompletely received frames of all accepted connections, in bytes.
+ * @param maximumPartialFrameBytes the memory for incompletely received frames of all accepted connections, and
+ *     separately of all links, in bytes.
+ * @param maximumUnreadBytes the memory for written frames that have not been sent because their peers do not read, of
+ *     all accepted connections, and separately of all links, in bytes.
+ * @param maximumRequestBytes the memory for the requests of accepted calls that have not ended, in bytes.
  * @param maximumRetainedBytes the memory for results retained until their receiver has acknowledged them, in bytes.
  * @param maximumRetainedCalls the maximum number of calls in the ledger of the side that runs them.
  */
@@ -34,6 +38,8 @@
         int maximumFrameBytes,
         int maximumConnections,
         long maximumPartialFrameBytes,
+        long maximumUnreadBytes,
+        long maximumRequestBytes,
         long maximumRetainedBytes,
         int maximumRetainedCalls) {
 
@@ -56,6 +62,8 @@
         requirePositive("maximumFrameBytes", maximumFrameBytes);
         requirePositive("maximumConnections", maximumConnections);
         requirePositive("maximumPartialFrameBytes", maximumPartialFrameBytes);
+        requirePositive("maximumUnreadBytes", maximumUnreadBytes);
+        requirePositive("maximumRequestBytes", maximumRequestBytes);
         requirePositive("maximumRetainedBytes", maximumRetainedBytes);
         requirePositive("maximumRetainedCalls", maximumRetainedCalls);
     }
@@ -79,6 +87,8 @@
                 MEGABYTE + MEGABYTE / 4,
                 4_096,
                 8L * MEGABYTE,
+                12L * MEGABYTE,
+                32L * MEGABYTE,
                 4L * MEGABYTE,
                 16_384);
     }
@@ -106,6 +116,8 @@
                 maximumFrameBytes,
                 maximumConnections,
                 maximumPartialFrameBytes,
+                maximumUnreadBytes,
+                maximumRequestBytes,
                 maximumRetainedBytes,
                 maximumRetainedCalls);
     }
@@ -135,6 +147,8 @@
                 frameBytes,
                 maximumConnections,
                 Math.max(maximumPartialFrameBytes, 2L * frameBytes),
+                Math.max(maximumUnreadBytes, 2L * frameBytes),
+                Math.max(maximumRequestBytes, 2L * frameBytes),
                 Math.max(maximumRetainedBytes, 2L * frameBytes),
                 maximumRetainedCalls);
     }
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/LinkServer.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/LinkServer.java
@@ -35,7 +35,7 @@
     private final LinkContext context;
     private final ServedCalls calls;
     private final ControlReceiver controlReceiver;
-    private final PartialFrameBudget budget;
+    private final LinkBudgets budgets;
     private final PauseDetector pauseDetector;
     private final Map<Channel, ServerConnection> connections = new ConcurrentHashMap<>();
     private Channel listener;
@@ -45,7 +45,7 @@
         this.context = context;
         this.calls = new ServedCalls(handler, context.limits(), context.clock(), context.counters());
         this.controlReceiver = Objects.requireNonNull(receiver, "receiver");
-        this.budget = new PartialFrameBudget(context.limits().maximumPartialFrameBytes());
+        this.budgets = LinkBudgets.of(context.limits());
         this.pauseDetector = new PauseDetector(
                 context.limits().maximumFrameAgeMs(), context.clock().nowMs());
     }
@@ -133,7 +133,7 @@
         PartialFrameMonitor partialFrameMonitor = new PartialFrameMonitor(
                 context.limits().frameTimeoutMs(), context.clock().nowMs());
         ServerConnection connection =
-                new ServerConnection(context, calls, controlReceiver, partialFrameMonitor, budget);
+                new ServerConnection(context, calls, controlReceiver, partialFrameMonitor, budgets);
         channel.pipeline().addLast(new PauseHandler(this::closeAfterPause));
         connections.put(channel, connection);
         channel.closeFuture().addListener(closed -> connections.remove(channel));
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/PartialFrameMonitor.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/PartialFrameMonitor.java
@@ -9,6 +9,7 @@
 
     private final long frameTimeoutMs;
     private long pendingBytes;
+    private long bufferBytes;
     private long pendingSinceMs;
     private long lastReadMs;
 
@@ -17,10 +18,19 @@
         this.lastReadMs = nowMs;
     }
 
-    void bytesRead(final int count, final long nowMs) {
+    /**
+     * Records received bytes.
+     *
+     * @param count the number of bytes.
+     * @param capacity the capacity of their buffer, which is kept while a part of it is pending, in bytes.
+     * @param nowMs the current time in milliseconds.
+     */
+    void bytesRead(final int count, final int capacity, final long nowMs) {
         if (pendingBytes == 0) {
             pendingSinceMs = nowMs;
+            bufferBytes = 0;
         }
+        bufferBytes = Math.max(bufferBytes, capacity);
         pendingBytes += count;
         lastReadMs = nowMs;
     }
@@ -39,6 +49,19 @@
         return pendingBytes;
     }
 
+    /**
+     * Returns the memory of the incomplete frame.
+     *
+     * @return the number of bytes, zero if no frame is incomplete.
+     */
+    long heldBytes() {
+        return pendingBytes == 0 ? 0 : Math.max(pendingBytes, bufferBytes);
+    }
+
+    long pendingSinceMs() {
+        return pendingSinceMs;
+    }
+
     long lastReadMs() {
         return lastReadMs;
     }
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/Refusal.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/Refusal.java
@@ -34,7 +34,7 @@
     UNKNOWN_SUBJECT("unknown-subject"),
     /** The payload of a control message is not a valid message of its subject. */
     MALFORMED_CONTROL("malformed-control"),
-    /** A call was refused because the ledger holds the maximum number of calls. */
+    /** A call was refused because the ledger holds the maximum number of calls or of bytes of their requests. */
     LEDGER_FULL("ledger-full"),
     /** A call handler or control receiver of this node threw an exception. */
     HANDLER_FAILED("handler-failed"),
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/ServedCalls.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/ServedCalls.java
@@ -33,7 +33,8 @@
     private final LinkCounters counters;
 
     ServedCalls(final CallHandler handler, final LinkLimits limits, final Clock clock, final LinkCounters counters) {
-        this.ledger = new CallLedger(limits.maximumRetainedBytes(), limits.maximumRetainedCalls());
+        this.ledger = new CallLedger(
+                limits.maximumRetainedBytes(), limits.maximumRetainedCalls(), limits.maximumRequestBytes());
         this.handler = Objects.requireNonNull(handler, "handler");
         this.limits = limits;
         this.clock = clock;
@@ -58,7 +59,12 @@
             receiver.callEnded(start.getNumber(), request.callId(), CallResult.notRun(Reason.DEADLINE));
             return;
         }
-        CallAdmission admission = ledger.admit(request.callId(), start.getNumber(), nowMs + remainingMs, receiver);
+        CallAdmission admission = ledger.admit(
+                request.callId(),
+                start.getNumber(),
+                nowMs + remainingMs,
+                receiver,
+                request.body().length());
         if (admission == CallAdmission.RUN) {
             run(request);
         } else {
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/ServerConnection.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/ServerConnection.java
@@ -32,9 +32,11 @@
     private final ServedCalls calls;
     private final ControlReceiver controlReceiver;
     private final PartialFrameMonitor partialFrameMonitor;
-    private final PartialFrameBudget budget;
+    private final LinkBudgets budgets;
+    private final ConnectionBudget.Holder partialFrameHolder = () -> refuse(Refusal.TOO_MUCH_PENDING);
     private final Deque<CallEnd> deferred = new ArrayDeque<>();
     private Channel channel;
+    private FrameWriter writer;
     private LinkIdentity peer;
     private boolean refused;
     private long lastPongMs;
@@ -44,18 +46,19 @@
             final ServedCalls calls,
             final ControlReceiver receiver,
             final PartialFrameMonitor partialFrameMonitor,
-            final PartialFrameBudget budget) {
+            final LinkBudgets budgets) {
         super(Frame.class);
         this.context = context;
         this.calls = calls;
         this.controlReceiver = receiver;
         this.partialFrameMonitor = partialFrameMonitor;
-        this.budget = budget;
+        this.budgets = budgets;
     }
 
     @Override
     public void channelActive(final ChannelHandlerContext handlerContext) {
         channel = handlerContext.channel();
+        writer = new FrameWriter(channel, budgets.unread(), () -> refuse(Refusal.NOT_READ), context.clock());
         context.counters().increment(Count.CONNECTIONS_ACCEPTED);
         channel.eventLoop().schedule(this::requireHello, context.limits().openTimeoutMs(), TimeUnit.MILLISECONDS);
     }
@@ -63,7 +66,8 @@
     @Override
     public void channelInactive(final ChannelHandlerContext handlerContext) {
         context.counters().add(Count.CONNECTIONS_ACCEPTED, -1);
-        budget.remove(partialFrameMonitor);
+        budgets.partialFrames().remove(partialFrameHolder);
+        writer.close();
         deferred.clear();
         channel.eventLoop()
                 .schedule(() -> calls.withdrawAbandoned(this), ABANDONED_CALL_TIMEOUT_MS, TimeUnit.MILLISECONDS);
@@ -118,13 +122,19 @@
 
     /** Checks the memory limit after bytes arrived, and sends a pong to a peer that is still sending a long frame. */
     void afterRead() {
-        if (refused || peer == null) {
+        if (refused || !channel.isActive()) {
             return;
         }
         long nowMs = context.clock().nowMs();
-        if (!budget.update(partialFrameMonitor)) {
-            refuse(Refusal.TOO_MUCH_PENDING);
-        } else if (partialFrameMonitor.pendingBytes() > 0
+        budgets.partialFrames()
+                .update(
+                        partialFrameHolder,
+                        partialFrameMonitor.heldBytes(),
+                        partialFrameMonitor.pendingSinceMs(),
+                        nowMs);
+        if (!refused
+                && peer != null
+                && partialFrameMonitor.pendingBytes() > 0
                 && nowMs - lastPongMs >= context.limits().pingIntervalMs()) {
             writePong();
         }
@@ -147,8 +157,7 @@
         }
         Hello hello = frame.getHello();
         peer = FrameFactory.identity(hello);
-        channel.writeAndFlush(
-                FrameFactory.hello(context.identity(), context.clock().nowMs()));
+        writer.write(FrameFactory.hello(context.identity(), context.clock().nowMs()));
     }
 
     private void receiveControl(final Frame frame) {
@@ -165,13 +174,13 @@
     private void writePong() {
         lastPongMs = context.clock().nowMs();
         if (channel.isWritable()) {
-            channel.writeAndFlush(FrameFactory.pong(lastPongMs));
+            writer.write(FrameFactory.pong(lastPongMs));
         }
     }
 
     private void writeOrDefer(final CallEnd end) {
         if (channel.isWritable() || end.getBodyLength() == 0) {
-            channel.writeAndFlush(FrameFactory.of(end));
+            writer.write(FrameFactory.of(end));
         } else if (deferred.size() < MAXIMUM_DEFERRED_RESULTS) {
             deferred.addLast(end.toBuilder().clearBody().clearHeaders().build());
         } else {
@@ -194,7 +203,7 @@
     }
 
     private void query(final CallQuery query) {
-        calls.query(query, this).ifPresent(state -> channel.writeAndFlush(FrameFactory.of(state)));
+        calls.query(query, this).ifPresent(state -> writer.write(FrameFactory.of(state)));
     }
 
     private void requireHello() {
--- a/sequoiashunt-link/src/test/java/org/sequoiashunt/link/CallLedgerTest.java
+++ b/sequoiashunt-link/src/test/java/org/sequoiashunt/link/CallLedgerTest.java
@@ -18,7 +18,7 @@
     private static final long DEADLINE_MS = 2_000;
     private static final CallResult RESULT = LinkFixture.answer(Body.of(new byte[1_000]));
 
-    private final CallLedger ledger = new CallLedger(4_000, 10);
+    private final CallLedger ledger = new CallLedger(4_000, 10, 1_000);
     private final List<String> delivered = new ArrayList<>();
 
     @Test
@@ -101,7 +101,7 @@
     }
 
     private CallAdmission admit(final String callId) {
-        return ledger.admit(callId, 7, DEADLINE_MS, receiver("first"));
+        return ledger.admit(callId, 7, DEADLINE_MS, receiver("first"), 0);
     }
 
     private CallStatus query(final String callId) {
--- a/sequoiashunt-link/src/test/java/org/sequoiashunt/link/LinkBadInputTest.java
+++ b/sequoiashunt-link/src/test/java/org/sequoiashunt/link/LinkBadInputTest.java
@@ -22,8 +22,8 @@
 /** Invalid input of a faulty or malicious peer closes its connection and does not affect a call on another link. */
 class LinkBadInputTest {
 
-    private static final LinkLimits LIMITS =
-            new LinkLimits(250, 750, 300, 1_000, 3_000, 30_000, 1_500, 300, 100_000, 3, 90_000, 4_000_000, 100);
+    private static final LinkLimits LIMITS = new LinkLimits(
+            250, 750, 300, 1_000, 3_000, 30_000, 1_500, 300, 100_000, 3, 90_000, 400_000, 400_000, 4_000_000, 100);
     private static final Frame HELLO = FrameFactory.hello(new LinkIdentity("peer", 1), 0);
 
     private LinkFixture fixture;
--- a/sequoiashunt-link/src/test/java/org/sequoiashunt/link/LinkTest.java
+++ b/sequoiashunt-link/src/test/java/org/sequoiashunt/link/LinkTest.java
@@ -14,8 +14,8 @@
 /** Calls, control messages and idle connections between a link client and a link server on loopback. */
 class LinkTest {
 
-    private static final LinkLimits SHORT_IDLE =
-            new LinkLimits(250, 750, 750, 1_000, 3_000, 300, 1_500, 10_000, 100_000, 10, 100_000, 100_000, 100);
+    private static final LinkLimits SHORT_IDLE = new LinkLimits(
+            250, 750, 750, 1_000, 3_000, 300, 1_500, 10_000, 100_000, 10, 100_000, 100_000, 100_000, 100_000, 100);
 
     @Test
     void carriesACallAndItsAnswer() throws Exception {
--- a/sequoiashunt-link/src/test/java/org/sequoiashunt/link/PartialFrameMonitorTest.java
+++ b/sequoiashunt-link/src/test/java/org/sequoiashunt/link/PartialFrameMonitorTest.java
@@ -16,7 +16,7 @@
     @Test
     void aSlowFrameIsStalledAtTheTimeout() {
         for (long nowMs = 0; nowMs <= FRAME_TIMEOUT_MS; nowMs += 100) {
-            partialFrameMonitor.bytesRead(1, nowMs);
+            partialFrameMonitor.bytesRead(1, 1, nowMs);
             assertFalse(partialFrameMonitor.isStalled(nowMs));
         }
         assertTrue(partialFrameMonitor.isStalled(FRAME_TIMEOUT_MS + 1));
@@ -24,24 +24,18 @@
 
     @Test
     void completeFramesNeverStall() {
-        partialFrameMonitor.bytesRead(30, 0);
+        partialFrameMonitor.bytesRead(30, 30, 0);
         partialFrameMonitor.frameRead(20, 0);
         partialFrameMonitor.frameRead(10, 0);
         assertFalse(partialFrameMonitor.isStalled(10 * FRAME_TIMEOUT_MS));
     }
 
     @Test
-    void theBudgetRefusesOnlyConnectionsWithManyPendingBytes() {
-        PartialFrameBudget budget = new PartialFrameBudget(1_000_000);
-        PartialFrameMonitor large = new PartialFrameMonitor(FRAME_TIMEOUT_MS, 0);
-        large.bytesRead(900_000, 0);
-        assertTrue(budget.update(large));
-        partialFrameMonitor.bytesRead(60_000, 0);
-        assertTrue(budget.update(partialFrameMonitor));
-        partialFrameMonitor.bytesRead(60_000, 0);
-        assertFalse(budget.update(partialFrameMonitor));
-        budget.remove(large);
-        assertTrue(budget.update(partialFrameMonitor));
-        assertEquals(120_000, partialFrameMonitor.pendingBytes());
+    void aBufferIsHeldWhileAPartOfItIsPending() {
+        partialFrameMonitor.bytesRead(30, 65_536, 0);
+        partialFrameMonitor.frameRead(29, 0);
+        assertEquals(65_536, partialFrameMonitor.heldBytes());
+        partialFrameMonitor.frameRead(1, 0);
+        assertEquals(0, partialFrameMonitor.heldBytes());
     }
 }
--- a/sequoiashunt-link/src/test/java/org/sequoiashunt/link/RawPeer.java
+++ b/sequoiashunt-link/src/test/java/org/sequoiashunt/link/RawPeer.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
+import java.nio.ByteBuffer;
 import org.sequoiashunt.link.wire.FrameProto.Frame;
 import org.sequoiashunt.peer.NodeAddress;
 
@@ -42,6 +43,24 @@
         out.flush();
     }
 
+    /** Writes a frame and returns whether the connection was open. */
+    boolean tryWrite(final Frame frame) {
+        return tryWriteBytes(ByteBuffer.allocate(FrameFactory.encodedBytes(frame))
+                .putInt(frame.getSerializedSize())
+                .put(frame.toByteArray())
+                .array());
+    }
+
+    /** Writes bytes and returns whether the connection was open. */
+    boolean tryWriteBytes(final byte... bytes) {
+        try {
+            writeBytes(bytes);
+            return true;
+        } catch (IOException exception) {
+            return false;
+        }
+    }
+
     /** Reads the hello frame of the peer and answers it as an accepting node. */
     void answerHello() throws IOException {
         read();
