Links: identities of calls have at most 512 characters

A peer could fill the heap of a node with identities: a cancellation or query of an unknown call is recorded with its identity until the stated deadline, and an identity could be as long as a frame.

Evidence on the code before: NodeMemoryTest.longIdentitiesDoNotExhaustTheMemory (300 cancellations with 1 MB each), "expected: <20> but was: <18>" calls of another peer answered.

Longer identities are malformed: the connection is closed and counted. The sending side ends such a call as not run.

--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/CallCodec.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/CallCodec.java
@@ -21,8 +21,22 @@
  */
 final class CallCodec {
 
+    /** Bounds the memory of records of calls, which contain identities that peers have chosen, in characters. */
+    static final int MAXIMUM_CALL_ID_LENGTH = 512;
+
     private CallCodec() {}
 
+    /**
+     * Checks the length of a received call identity.
+     *
+     * @throws LinkProtocolException if it exceeds the limit.
+     */
+    static void requireCallId(final String callId) throws LinkProtocolException {
+        if (callId.length() > MAXIMUM_CALL_ID_LENGTH) {
+            throw new LinkProtocolException(Refusal.MALFORMED, "call identity of " + callId.length() + " characters");
+        }
+    }
+
     static FrameProto.CallStart encode(
             final long number, final CallRequest request, final FrameProto.Freshness freshness) {
         FrameProto.CallStart.Builder builder = FrameProto.CallStart.newBuilder()
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/LinkCalls.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/LinkCalls.java
@@ -91,6 +91,7 @@
     }
 
     void receive(final CallEnd end) throws LinkProtocolException {
+        CallCodec.requireCallId(end.getCallId());
         inFlight.end(end.getNumber(), end.getCallId(), CallCodec.decode(end));
         unacknowledgedCallIds.add(end.getCallId());
     }
@@ -138,7 +139,8 @@
                 call.number(),
                 call.request(),
                 connection.stamp().freshness(call.request().deadlineMs(), clock.nowMs())));
-        if (frame.getSerializedSize() > limits.maximumFrameBytes()) {
+        if (frame.getSerializedSize() > limits.maximumFrameBytes()
+                || call.request().callId().length() > CallCodec.MAXIMUM_CALL_ID_LENGTH) {
             inFlight.remove(call);
             call.future().complete(CallResult.notRun(Reason.TOO_LARGE));
         } else if (inFlight.markSent(call, connection.peer())) {
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/ServedCalls.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/ServedCalls.java
@@ -46,9 +46,10 @@
      *
      * @param start the call.
      * @param receiver where to send the result.
-     * @throws LinkProtocolException if the body is truncated; the call is then not run.
+     * @throws LinkProtocolException if the body is truncated or the identity too long; the call is then not run.
      */
     void start(final CallStart start, final ResultReceiver receiver) throws LinkProtocolException {
+        CallCodec.requireCallId(start.getCallId());
         long nowMs = clock.nowMs();
         long remainingMs = remainingMs(start.getFreshness().getRemainingMs());
         FrameAge age = FrameAge.of(
@@ -79,8 +80,10 @@
      * @param query the query.
      * @param receiver receives the result at once if the call has ended, otherwise when it ends.
      * @return the state to report, or empty if the result was sent to the receiver.
+     * @throws LinkProtocolException if the identity is too long.
      */
-    Optional<CallState> query(final CallQuery query, final ResultReceiver receiver) {
+    Optional<CallState> query(final CallQuery query, final ResultReceiver receiver) throws LinkProtocolException {
+        CallCodec.requireCallId(query.getCallId());
         if (query.getWithdraw()) {
             handler.withdrawCall(query.getCallId());
         }
@@ -98,7 +101,8 @@
                 .build());
     }
 
-    void cancel(final CallCancel cancel) {
+    void cancel(final CallCancel cancel) throws LinkProtocolException {
+        CallCodec.requireCallId(cancel.getCallId());
         ledger.cancel(cancel.getCallId(), clock.nowMs() + remainingMs(cancel.getRemainingMs()))
                 .ifPresent(execution -> execution.cancel(true));
     }
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/ServerConnection.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/ServerConnection.java
@@ -96,7 +96,7 @@
     }
 
     @Override
-    public void channelWritabilityChanged(final ChannelHandlerContext handlerContext) {
+    public void channelWritabilityChanged(final ChannelHandlerContext handlerContext) throws LinkProtocolException {
         if (channel.isWritable()) {
             writeDeferred();
         }
@@ -191,7 +191,7 @@
     /**
      * Reads the deferred results again from the ledger, which retains them within its memory limit, and writes them.
      */
-    private void writeDeferred() {
+    private void writeDeferred() throws LinkProtocolException {
         List<CallEnd> ends = List.copyOf(deferred);
         deferred.clear();
         for (CallEnd end : ends) {
@@ -202,7 +202,7 @@
         }
     }
 
-    private void query(final CallQuery query) {
+    private void query(final CallQuery query) throws LinkProtocolException {
         calls.query(query, this).ifPresent(state -> writer.write(FrameFactory.of(state)));
     }
 
--- a/sequoiashunt-link/src/test/java/org/sequoiashunt/link/NodeMemoryTest.java
+++ b/sequoiashunt-link/src/test/java/org/sequoiashunt/link/NodeMemoryTest.java
@@ -94,6 +94,15 @@
         assertOrdinaryCallsSucceed();
     }
 
+    @Test
+    void longIdentitiesDoNotExhaustTheMemory() throws Exception {
+        for (int count = 0; count < 300; count++) {
+            RawPeer peer = connect(count);
+            peer.tryWrite(FrameFactory.cancel(count + "x".repeat(1_000_000), 60_000));
+        }
+        assertOrdinaryCallsSucceed();
+    }
+
     @Test
     void statesThatAreNotReadDoNotExhaustTheMemory() throws Exception {
         for (int count = 0; count < 10; count++) {
