Control loop: the queue of messages is limited in bytes

A peer that sends long control messages faster than they are handled could fill the heap: the queue was limited to 4,096 messages, each up to the length of a frame (4.25 MB).

The queue holds 8 MB of encoded messages; a sender that has messages in it may hold a quarter, and what is beyond is dropped and counted as before. A single message of any length passes into an empty share, so a configuration still arrives.

--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/ServerConnection.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/ServerConnection.java
@@ -163,7 +163,10 @@
     private void receiveControl(final Frame frame) {
         context.counters().increment(Count.CONTROL_MESSAGES_IN);
         try {
-            controlReceiver.receive(peer.node(), context.codec().decode(frame.getControl()));
+            controlReceiver.receive(
+                    peer.node(),
+                    context.codec().decode(frame.getControl()),
+                    frame.getControl().getSerializedSize());
         } catch (LinkProtocolException exception) {
             context.counters().countRefusal(exception.refusal());
         } catch (RuntimeException exception) {
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/ControlLoop.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/ControlLoop.java
@@ -1,7 +1,9 @@
 package org.sequoiashunt.node;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
@@ -15,7 +17,8 @@
  * Runs all controllers on one thread: ticks them and passes them the messages of other nodes.
  *
  * <p>Add the controllers, then {@link #start()}. Thread-safe. Invariants: controllers run one at a time; messages
- * beyond {@link #MAXIMUM_QUEUED_MESSAGES} are dropped and counted, as if lost by the network.
+ * beyond {@link #MAXIMUM_QUEUED_MESSAGES} or {@link #MAXIMUM_QUEUED_BYTES} are dropped and counted, as if lost by the
+ * network; a sender with messages in the queue may fill a quarter of it.
  */
 public final class ControlLoop implements ControlReceiver, AutoCloseable {
 
@@ -25,11 +28,16 @@
     /** Largest number of messages in the queue. */
     static final int MAXIMUM_QUEUED_MESSAGES = 4_096;
 
+    /** Largest number of bytes of the encoded messages in the queue. */
+    static final int MAXIMUM_QUEUED_BYTES = 8 << 20;
+
     private static final long TERMINATION_TIMEOUT_MS = 1_000;
     private static final Logger LOGGER = Logger.getLogger(ControlLoop.class);
 
     private final List<Controller> controllers = new CopyOnWriteArrayList<>();
     private final AtomicInteger queuedMessages = new AtomicInteger();
+    private final AtomicInteger queuedBytes = new AtomicInteger();
+    private final Map<String, Integer> bytesBySender = new ConcurrentHashMap<>();
     private final AtomicInteger droppedMessages = new AtomicInteger();
     private final AtomicInteger failures = new AtomicInteger();
     private final ScheduledThreadPoolExecutor executor;
@@ -56,17 +64,35 @@
 
     @Override
     public void receive(final String sender, final ControlMessage message) {
-        if (queuedMessages.incrementAndGet() > MAXIMUM_QUEUED_MESSAGES || executor.isShutdown()) {
-            queuedMessages.decrementAndGet();
+        receive(sender, message, 0);
+    }
+
+    @Override
+    public void receive(final String sender, final ControlMessage message, final int bytes) {
+        boolean full = queuedMessages.incrementAndGet() > MAXIMUM_QUEUED_MESSAGES;
+        int senderBytes = bytesBySender.merge(sender, bytes, Integer::sum);
+        boolean share = senderBytes == bytes || senderBytes <= MAXIMUM_QUEUED_BYTES / 4;
+        boolean fits = queuedBytes.addAndGet(bytes) <= MAXIMUM_QUEUED_BYTES && share;
+        if (full || !fits || executor.isShutdown()) {
+            release(sender, bytes);
             droppedMessages.incrementAndGet();
             return;
         }
         executor.execute(() -> {
-            queuedMessages.decrementAndGet();
-            handle(sender, message);
+            try {
+                handle(sender, message);
+            } finally {
+                release(sender, bytes);
+            }
         });
     }
 
+    private void release(final String sender, final int bytes) {
+        queuedMessages.decrementAndGet();
+        queuedBytes.addAndGet(-bytes);
+        bytesBySender.computeIfPresent(sender, (name, held) -> held == bytes ? null : held - bytes);
+    }
+
     /**
      * Returns the number of messages dropped because the queue was full or the loop was closed.
      *
