HTTP client: bytes count as a response only if they are exactly one

Callers saw: a conditional write to the store whose 412 was joined to the beginning of a 200 was reported as a success, and one that the store had made as "nothing done" if the beginning of a 503 stood before it. The same held for the older caller of targets and for the clients of the trial.

Cause: Undertow's client parses leniently. It keeps one of two lengths, takes a length beside chunks, unfinished status lines and field values that go on with another head, line feeds alone, spaces before the colon and interim responses as final ones, and reports a response that begins before the request is written. What it returns no longer tells that, so a check of the parsed head cannot find it.

Change: HttpConnection and ResponseParser replace Undertow's client in HttpCall and PooledHttpClient. The parser accepts what the grammar allows, each line passes ResponseHeadValidator, and heads are bounded. Bytes that arrive before the request is written fail it, bytes behind the response or on an idle connection close the connection, with one log line. A call to the store that is followed by more bytes fails with an unknown outcome.

--- a/sequoiashunt-commit/src/main/java/org/sequoiashunt/commit/HttpStore.java
+++ b/sequoiashunt-commit/src/main/java/org/sequoiashunt/commit/HttpStore.java
@@ -13,11 +13,15 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.regex.Pattern;
 import org.sequoiashunt.http.HttpCall;
 import org.sequoiashunt.http.HttpResponse;
+import org.sequoiashunt.http.ResponseMemory;
+import org.sequoiashunt.http.ResponseRules;
 import org.sequoiashunt.lifecycle.Closer;
 import org.sequoiashunt.peer.NodeAddress;
 import org.sequoiashunt.store.Store;
@@ -44,10 +48,15 @@
     /** Largest list that is accepted: more than the summaries of all failure domains take. */
     static final int MAXIMUM_LIST_BYTES = 8 * MAXIMUM_VALUE_BYTES;
 
+    /** Memory of all incomplete responses: one of the largest lists, which is copied once, and others. */
+    private static final long RESPONSE_MEMORY_BYTES = 3L * MAXIMUM_LIST_BYTES;
+
     private static final int MAXIMUM_SMALL_RESPONSE_BYTES = 65_536;
     private static final int BUFFER_BYTES = 16_384;
     private static final int MAXIMUM_POOLED_BUFFERS = 16;
     private static final byte[] EMPTY_BODY = new byte[0];
+    private static final Set<String> SINGLE_FIELDS =
+            Set.of(StoreProtocol.REVISION.toString().toLowerCase(Locale.ROOT));
     private static final Pattern VALID_KEY = Pattern.compile("[A-Za-z0-9._-]+(/[A-Za-z0-9._-]+)*");
 
     private final NodeAddress address;
@@ -55,6 +64,7 @@
     private final XnioWorker worker;
     private final long timeoutMs;
     private final ByteBufferPool buffers;
+    private final ResponseMemory responseMemory = new ResponseMemory(RESPONSE_MEMORY_BYTES);
 
     private HttpStore(final NodeAddress address, final XnioWorker worker, final long timeoutMs) {
         this.address = Objects.requireNonNull(address, "address");
@@ -224,7 +234,8 @@
         }
 
         private HttpResponse run(final long callTimeoutMs) throws StoreException {
-            HttpCall call = new HttpCall(request, body, maximumResponseBytes);
+            HttpCall call = new HttpCall(
+                    request, body, new ResponseRules(maximumResponseBytes, SINGLE_FIELDS, false, responseMemory));
             try {
                 return call.run(server, worker, buffers, callTimeoutMs);
             } catch (IOException exception) {
--- a/sequoiashunt-commit/src/main/java/org/sequoiashunt/http/ConnectionPool.java
+++ b/sequoiashunt-commit/src/main/java/org/sequoiashunt/http/ConnectionPool.java
@@ -1,6 +1,5 @@
 package org.sequoiashunt.http;
 
-import io.undertow.client.ClientConnection;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -8,7 +7,6 @@
 import java.util.Optional;
 import org.sequoiashunt.peer.NodeAddress;
 import org.sequoiashunt.time.Clock;
-import org.xnio.IoUtils;
 
 /**
  * Pool of idle connections, by address, that hands out the most recently used one first.
@@ -34,7 +32,7 @@
         this.clock = clock;
     }
 
-    synchronized Optional<ClientConnection> acquire(final NodeAddress address, final boolean repeatable) {
+    synchronized Optional<HttpConnection> acquire(final NodeAddress address, final boolean repeatable) {
         Deque<IdleConnection> connections = idleConnections.get(address);
         long earliestIdleSinceMs = clock.nowMs() - (repeatable ? MAXIMUM_IDLE_MS : MAXIMUM_IDLE_NOT_REPEATABLE_MS);
         while (connections != null && !connections.isEmpty()) {
@@ -42,15 +40,15 @@
             if (candidate.connection().isOpen() && candidate.idleSinceMs() >= earliestIdleSinceMs) {
                 return Optional.of(candidate.connection());
             }
-            IoUtils.safeClose(candidate.connection());
+            candidate.connection().close();
         }
         return Optional.empty();
     }
 
-    synchronized void release(final NodeAddress address, final ClientConnection connection) {
+    synchronized void release(final NodeAddress address, final HttpConnection connection) {
         Deque<IdleConnection> connections = idleConnections.computeIfAbsent(address, unused -> new ArrayDeque<>());
         if (closed || connections.size() >= MAXIMUM_IDLE_PER_ADDRESS || !connection.isOpen()) {
-            IoUtils.safeClose(connection);
+            connection.close();
             return;
         }
         connections.push(new IdleConnection(connection, clock.nowMs()));
@@ -61,10 +59,11 @@
         closed = true;
         idleConnections
                 .values()
-                .forEach(connections -> connections.forEach(each -> IoUtils.safeClose(each.connection())));
+                .forEach(connections ->
+                        connections.forEach(each -> each.connection().close()));
         idleConnections.clear();
     }
 
     /** Connection and the time at which it became idle. Immutable and thread-safe. */
-    private record IdleConnection(ClientConnection connection, long idleSinceMs) {}
+    private record IdleConnection(HttpConnection connection, long idleSinceMs) {}
 }
--- a/sequoiashunt-commit/src/main/java/org/sequoiashunt/http/HttpCall.java
+++ b/sequoiashunt-commit/src/main/java/org/sequoiashunt/http/HttpCall.java
@@ -1,57 +1,45 @@
 package org.sequoiashunt.http;
 
-import io.undertow.client.ClientCallback;
-import io.undertow.client.ClientConnection;
-import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
-import io.undertow.client.UndertowClient;
 import io.undertow.connector.ByteBufferPool;
-import io.undertow.connector.PooledByteBuffer;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.net.URI;
 import java.nio.ByteBuffer;
+import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import java.util.function.Consumer;
-import org.xnio.ChannelListeners;
-import org.xnio.IoUtils;
-import org.xnio.OptionMap;
 import org.xnio.XnioWorker;
-import org.xnio.channels.StreamSinkChannel;
-import org.xnio.channels.StreamSourceChannel;
 
 /**
  * One HTTP request on a new connection, with a timeout and a maximum size of the response.
  *
  * <p>The connection is not reused: calls to the store are few, and the peer of an idle connection may never answer
  * again. Create an instance and call {@link #run} once. The calling thread waits; all I/O runs on one thread of the
- * worker.
+ * worker. Invariant: a response is returned only if it begins after the whole request was written, is complete and well
+ * formed, and nothing follows it with its last bytes.
  */
 public final class HttpCall {
 
-    private static final int READ_BUFFER_BYTES = 16_384;
-
     private final ClientRequest request;
     private final byte[] body;
-    private final int maximumResponseBytes;
+    private final ResponseRules rules;
     private final CompletableFuture<HttpResponse> response = new CompletableFuture<>();
-    private volatile ClientConnection connection;
     private volatile boolean sent;
 
     /**
      * Creates a call.
      *
-     * @param request the request line and headers, not null.
+     * @param request the request line and headers, not null; they state the length of a body that is not empty.
      * @param body the body, not null.
-     * @param maximumResponseBytes the largest accepted body of the response, in bytes.
+     * @param rules what the response must comply with, not null.
      */
-    public HttpCall(final ClientRequest request, final byte[] body, final int maximumResponseBytes) {
+    public HttpCall(final ClientRequest request, final byte[] body, final ResponseRules rules) {
         this.request = request;
         this.body = body;
-        this.maximumResponseBytes = maximumResponseBytes;
+        this.rules = rules;
     }
 
     /**
@@ -62,25 +50,42 @@
      * @param buffers the pool of buffers for the connection, not null.
      * @param timeoutMs the longest time for the whole call, in milliseconds.
      * @return the response, never null.
+     * @throws InvalidResponseException if the server sends bytes that are not one response to the request.
+     * @throws IllegalArgumentException if the request line or a header contains a control character.
      * @throws IOException if no complete response arrives in time; {@link #wasSent()} then tells whether the server may
      *     have received the request.
      */
     public HttpResponse run(
             final URI server, final XnioWorker worker, final ByteBufferPool buffers, final long timeoutMs)
             throws IOException {
-        UndertowClient.getInstance().connect(callback(this::send), server, worker, buffers, OptionMap.EMPTY);
-        try {
+        Queue<ByteBuffer> encoded = RequestEncoder.encode(request, body);
+        InetSocketAddress address = new InetSocketAddress(server.getHost(), server.getPort());
+        CompletableFuture<HttpConnection> opening = new CompletableFuture<>();
+        try (ResponseParser parser = new ResponseParser(request.getMethod().toString(), rules, this::giveUp)) {
+            opening.whenComplete((connection, failure) -> {
+                if (failure == null) {
+                    send(connection, encoded, parser);
+                } else {
+                    response.completeExceptionally(failure);
+                }
+            });
+            HttpConnection.open(address, worker, buffers, opening);
             return response.get(timeoutMs, TimeUnit.MILLISECONDS);
         } catch (TimeoutException exception) {
             throw new IOException("no response within " + timeoutMs + " ms", exception);
         } catch (ExecutionException exception) {
+            if (exception.getCause() instanceof InvalidResponseException invalid) {
+                throw invalid;
+            }
             throw new IOException(describe(exception.getCause()), exception.getCause());
         } catch (InterruptedException exception) {
             Thread.currentThread().interrupt();
             throw new IOException("interrupted while waiting for the response", exception);
         } finally {
             response.cancel(false);
-            IoUtils.safeClose(connection);
+            if (!opening.cancel(false)) {
+                opening.thenAccept(HttpConnection::close);
+            }
         }
     }
 
@@ -97,100 +102,37 @@
         return cause.getMessage() == null ? cause.getClass().getSimpleName() : cause.getMessage();
     }
 
-    private void send(final ClientConnection opened) {
-        connection = opened;
-        if (response.isDone()) {
-            IoUtils.safeClose(opened);
-            return;
-        }
-        sent = true;
-        opened.sendRequest(request, callback(this::sendBody));
+    private void giveUp() {
+        response.completeExceptionally(
+                new ResponseTooLargeException("the response is given up to limit the memory of all responses"));
     }
 
-    private void sendBody(final ClientExchange exchange) {
-        exchange.setResponseListener(callback(this::receiveBody));
-        ByteBuffer remaining = ByteBuffer.wrap(body);
-        StreamSinkChannel sink = exchange.getRequestChannel();
-        sink.getWriteSetter().set(channel -> writeBody(channel, remaining));
-        writeBody(sink, remaining);
-    }
-
-    private void writeBody(final StreamSinkChannel sink, final ByteBuffer remaining) {
-        try {
-            while (remaining.hasRemaining()) {
-                if (sink.write(remaining) == 0) {
-                    sink.resumeWrites();
-                    return;
-                }
-            }
-            sink.shutdownWrites();
-            if (!sink.flush()) {
-                sink.getWriteSetter().set(ChannelListeners.flushingChannelListener(null, (channel, e) -> fail(e)));
-                sink.resumeWrites();
-            }
-        } catch (IOException exception) {
-            fail(exception);
+    private void send(final HttpConnection connection, final Queue<ByteBuffer> encoded, final ResponseParser parser) {
+        if (response.isDone()) {
+            connection.close();
+        } else if (connection.isClean()) {
+            sent = true;
+            connection.send(encoded, parser, new ResponseListener());
+        } else {
+            response.completeExceptionally(new InvalidResponseException("bytes arrived before the request was sent"));
         }
     }
 
-    private void receiveBody(final ClientExchange exchange) {
-        ByteArrayOutputStream received = new ByteArrayOutputStream();
-        StreamSourceChannel source = exchange.getResponseChannel();
-        source.getReadSetter().set(channel -> readBody(exchange, channel, received));
-        readBody(exchange, source, received);
-    }
+    /** Ends the call with the response. Thread-safe. */
+    private final class ResponseListener implements HttpConnection.Listener {
 
-    private void readBody(
-            final ClientExchange exchange, final StreamSourceChannel source, final ByteArrayOutputStream received) {
-        byte[] chunk = new byte[READ_BUFFER_BYTES];
-        try (PooledByteBuffer pooled = exchange.getConnection().getBufferPool().allocate()) {
-            ByteBuffer buffer = pooled.getBuffer();
-            while (true) {
-                buffer.clear();
-                int count = source.read(buffer);
-                if (count < 0) {
-                    response.complete(HttpResponse.of(exchange.getResponse(), received.toByteArray()));
-                    return;
-                }
-                if (count == 0) {
-                    source.resumeReads();
-                    return;
-                }
-                buffer.flip();
-                append(buffer, chunk, received);
+        @Override
+        public void completed(final ResponseParser parser, final boolean followed) {
+            if (followed) {
+                failed(new InvalidResponseException("bytes follow the response"));
+            } else {
+                response.complete(HttpResponse.of(parser));
             }
-        } catch (IOException exception) {
-            fail(exception);
         }
-    }
 
-    private void append(final ByteBuffer buffer, final byte[] chunk, final ByteArrayOutputStream received)
-            throws IOException {
-        if (received.size() + buffer.remaining() > maximumResponseBytes) {
-            throw new IOException("the response exceeds " + maximumResponseBytes + " bytes");
-        }
-        while (buffer.hasRemaining()) {
-            int count = Math.min(chunk.length, buffer.remaining());
-            buffer.get(chunk, 0, count);
-            received.write(chunk, 0, count);
+        @Override
+        public void failed(final IOException reason) {
+            response.completeExceptionally(reason);
         }
     }
-
-    private void fail(final Throwable cause) {
-        response.completeExceptionally(cause);
-    }
-
-    private <T> ClientCallback<T> callback(final Consumer<T> onCompleted) {
-        return new ClientCallback<>() {
-            @Override
-            public void completed(final T result) {
-                onCompleted.accept(result);
-            }
-
-            @Override
-            public void failed(final IOException exception) {
-                fail(exception);
-            }
-        };
-    }
 }
--- a/sequoiashunt-commit/src/main/java/org/sequoiashunt/http/HttpResponse.java
+++ b/sequoiashunt-commit/src/main/java/org/sequoiashunt/http/HttpResponse.java
@@ -1,6 +1,5 @@
 package org.sequoiashunt.http;
 
-import io.undertow.client.ClientResponse;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HttpString;
 import java.util.Optional;
@@ -14,8 +13,10 @@
  */
 public record HttpResponse(int status, HeaderMap headers, byte[] body) {
 
-    static HttpResponse of(final ClientResponse response, final byte[] body) {
-        return new HttpResponse(response.getResponseCode(), response.getResponseHeaders(), body);
+    static HttpResponse of(final ResponseParser response) {
+        HeaderMap headers = new HeaderMap();
+        response.fields().forEach(field -> headers.add(new HttpString(field.name()), field.value()));
+        return new HttpResponse(response.status(), headers, response.body());
     }
 
     /**
--- a/sequoiashunt-commit/src/main/java/org/sequoiashunt/http/PooledHttpClient.java
+++ b/sequoiashunt-commit/src/main/java/org/sequoiashunt/http/PooledHttpClient.java
@@ -1,27 +1,23 @@
 package org.sequoiashunt.http;
 
-import io.undertow.client.ClientCallback;
-import io.undertow.client.ClientConnection;
-import io.undertow.client.UndertowClient;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
-import java.io.IOException;
-import java.net.URI;
+import java.net.InetSocketAddress;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.sequoiashunt.call.CallResponse;
 import org.sequoiashunt.peer.NodeAddress;
 import org.sequoiashunt.time.Clock;
-import org.xnio.IoUtils;
-import org.xnio.OptionMap;
 import org.xnio.XnioWorker;
 
 /**
  * HTTP client that reuses connections and returns complete responses only.
  *
  * <p>Thread-safe; never blocks. Each connection carries one request at a time. The worker belongs to the caller, who
- * closes this client before it. Invariant: every exchange ends within its timeout, whatever the peer does.
+ * closes this client before it. Invariant: every exchange ends within its timeout, whatever the peer does,
+ * and the incomplete responses together take bounded memory.
  */
 public final class PooledHttpClient implements AutoCloseable {
 
@@ -29,19 +25,23 @@
     private static final int MAXIMUM_POOLED_BUFFERS = 256;
     private static final int BUFFERS_CACHED_PER_THREAD = 8;
 
+    /** Memory of all incomplete responses, unless the largest accepted response needs more. */
+    private static final long RESPONSE_MEMORY_BYTES = 32 << 20;
+
+    private static final long RESPONSES_IN_MEMORY = 4;
+
     private final XnioWorker worker;
     private final ByteBufferPool buffers;
     private final ConnectionPool pool;
-    private final int maximumResponseBytes;
-
+    private final ResponseRules rules;
     private final Timers timers;
 
-    private PooledHttpClient(final XnioWorker worker, final Clock clock, final int maximumResponseBytes) {
+    private PooledHttpClient(final XnioWorker worker, final Clock clock, final ResponseRules rules) {
         this.worker = worker;
         this.buffers = new DefaultByteBufferPool(true, BUFFER_BYTES, MAXIMUM_POOLED_BUFFERS, BUFFERS_CACHED_PER_THREAD);
         this.pool = new ConnectionPool(clock);
         this.timers = new Timers();
-        this.maximumResponseBytes = maximumResponseBytes;
+        this.rules = rules;
     }
 
     /**
@@ -50,16 +50,23 @@
      * @param worker the worker whose threads run the connections, not null.
      * @param clock the clock that measures idle times, not null.
      * @param maximumResponseBytes the largest accepted body of a response, in bytes, zero or more.
+     * @param singleFields the names, in lower case, of the fields that may stand only once in the head of a response,
+     *     beside those that state the end of its body, not null.
      * @return a new client, never null.
      * @throws IllegalArgumentException if the maximum is negative.
      */
-    public static PooledHttpClient of(final XnioWorker worker, final Clock clock, final int maximumResponseBytes) {
+    public static PooledHttpClient of(
+            final XnioWorker worker,
+            final Clock clock,
+            final int maximumResponseBytes,
+            final Set<String> singleFields) {
         Objects.requireNonNull(worker, "worker");
         Objects.requireNonNull(clock, "clock");
-        if (maximumResponseBytes < 0) {
-            throw new IllegalArgumentException("maximumResponseBytes must not be negative: " + maximumResponseBytes);
-        }
-        return new PooledHttpClient(worker, clock, maximumResponseBytes);
+        long memoryBytes = Math.max(RESPONSE_MEMORY_BYTES, RESPONSES_IN_MEMORY * maximumResponseBytes);
+        return new PooledHttpClient(
+                worker,
+                clock,
+                new ResponseRules(maximumResponseBytes, singleFields, false, new ResponseMemory(memoryBytes)));
     }
 
     /**
@@ -82,7 +89,7 @@
                     new HttpException(HttpException.Kind.NOT_SENT, "no time left to send the request", null));
             return result;
         }
-        HttpExchange exchange = new HttpExchange(request, result, maximumResponseBytes);
+        HttpExchange exchange = new HttpExchange(request, result, rules);
         Runnable cancelTimer = timers.after(timeoutMs, exchange::endWithTimeout);
         result.whenComplete((response, failure) -> cancelTimer.run());
         connect(address, request, exchange);
@@ -90,23 +97,37 @@
     }
 
     private void connect(final NodeAddress address, final HttpRequest request, final HttpExchange exchange) {
-        Optional<ClientConnection> pooled = pool.acquire(address, request.repeatable());
+        Optional<HttpConnection> pooled = pool.acquire(address, request.repeatable());
         if (pooled.isPresent()) {
-            ClientConnection connection = pooled.get();
-            connection.getIoThread().execute(() -> start(address, connection, exchange));
+            HttpConnection connection = pooled.get();
+            connection.ioThread().execute(() -> {
+                if (connection.isClean()) {
+                    start(address, connection, exchange);
+                } else {
+                    connect(address, request, exchange);
+                }
+            });
             return;
         }
-        URI uri = URI.create("http://" + address);
-        UndertowClient.getInstance()
-                .connect(new ConnectCallback(address, exchange), uri, worker, buffers, OptionMap.EMPTY);
+        CompletableFuture<HttpConnection> opening = new CompletableFuture<>();
+        opening.whenComplete((connection, failure) -> {
+            if (failure != null) {
+                exchange.fail(HttpException.Kind.NOT_SENT, "no connection to " + address, failure);
+            } else if (connection.isClean()) {
+                start(address, connection, exchange);
+            } else {
+                exchange.fail(HttpException.Kind.NOT_SENT, "no clean connection to " + address, null);
+            }
+        });
+        HttpConnection.open(new InetSocketAddress(address.host(), address.port()), worker, buffers, opening);
     }
 
-    private void start(final NodeAddress address, final ClientConnection connection, final HttpExchange exchange) {
+    private void start(final NodeAddress address, final HttpConnection connection, final HttpExchange exchange) {
         exchange.start(connection, address, reusable -> {
             if (reusable) {
                 pool.release(address, connection);
             } else {
-                IoUtils.safeClose(connection);
+                connection.close();
             }
         });
     }
@@ -117,26 +138,4 @@
         pool.close();
         timers.close();
     }
-
-    /** Starts the exchange when the connection is established. */
-    private final class ConnectCallback implements ClientCallback<ClientConnection> {
-
-        private final NodeAddress address;
-        private final HttpExchange exchange;
-
-        private ConnectCallback(final NodeAddress address, final HttpExchange exchange) {
-            this.address = address;
-            this.exchange = exchange;
-        }
-
-        @Override
-        public void completed(final ClientConnection connection) {
-            start(address, connection, exchange);
-        }
-
-        @Override
-        public void failed(final IOException failure) {
-            exchange.fail(HttpException.Kind.NOT_SENT, "no connection to " + address, failure);
-        }
-    }
 }
--- a/sequoiashunt-commit/src/test/java/org/sequoiashunt/http/PooledHttpClientTest.java
+++ b/sequoiashunt-commit/src/test/java/org/sequoiashunt/http/PooledHttpClientTest.java
@@ -2,21 +2,25 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.io.InputStream;
-import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.sequoiashunt.call.Body;
 import org.sequoiashunt.call.CallResponse;
 import org.sequoiashunt.commit.SystemClock;
@@ -41,7 +45,7 @@
     @BeforeEach
     void open() throws IOException {
         worker = Xnio.getInstance().createWorker(OptionMap.EMPTY);
-        client = PooledHttpClient.of(worker, SystemClock.start(), MAXIMUM_RESPONSE_BYTES);
+        client = PooledHttpClient.of(worker, SystemClock.start(), MAXIMUM_RESPONSE_BYTES, Set.of("x-outcome"));
         server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
     }
 
@@ -105,6 +109,80 @@
         assertEquals(Kind.NOT_SENT, kindOfFailure(0));
     }
 
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("org.sequoiashunt.http.MalformedResponses#all")
+    void bytesThatAreNotOneResponseAreNotReturned(final String name, final String response) throws Exception {
+        serve(response, true);
+        assertTrue(kindOfFailure(TIMEOUT_MS).mayHaveBeenSent(), name);
+    }
+
+    @Test
+    void fieldThatMayStandOnceAndStandsTwiceIsMalformed() {
+        serve("HTTP/1.1 200 OK\r\nX-Outcome: a\r\nX-Outcome: b\r\nContent-Length: 0\r\n\r\n", false);
+        assertEquals(Kind.MALFORMED, kindOfFailure(TIMEOUT_MS));
+    }
+
+    @Test
+    void interimResponseIsNotTheResponse() throws Exception {
+        serve("HTTP/1.1 102 Processing\r\n\r\n" + response("second"), false);
+        assertEquals("second", bodyOfNextResponse());
+    }
+
+    @Test
+    void bytesBehindAResponseAreNotTheNextResponse() throws Exception {
+        serve(response("first") + response("late"), false);
+        assertEquals("first", bodyOfNextResponse());
+        serve(response("second"), false);
+        assertEquals("second", bodyOfNextResponse());
+    }
+
+    @Test
+    void bytesThatArriveOnAnIdleConnectionAreNotTheNextResponse() throws Exception {
+        CountDownLatch firstEnded = new CountDownLatch(1);
+        serve(socket -> {
+            readHead(socket.getInputStream());
+            write(socket, response("first"));
+            firstEnded.await();
+            write(socket, response("late"));
+        });
+        assertEquals("first", bodyOfNextResponse());
+        firstEnded.countDown();
+        Thread.sleep(SHORT_TIMEOUT_MS);
+        serve(response("second"), false);
+        assertEquals("second", bodyOfNextResponse());
+    }
+
+    @Test
+    void responseBeforeTheRequestIsWrittenIsNotReturned() {
+        serve(response("early"), false);
+        HttpRequest large = new HttpRequest("POST", "/", List.of(), Body.of(new byte[64 << 20]), false);
+        ExecutionException failure = assertThrows(
+                ExecutionException.class,
+                () -> client.send(address(), large, TIMEOUT_MS).get());
+        assertTrue(((HttpException) failure.getCause()).kind().mayHaveBeenSent());
+    }
+
+    @Test
+    void headWithoutEndEndsLongBeforeTheTimeout() {
+        serve(socket -> {
+            readHead(socket.getInputStream());
+            write(socket, "HTTP/1.1 200 OK\r\n");
+            while (true) {
+                write(socket, "Name: " + "x".repeat(1_000) + "\r\n");
+            }
+        });
+        assertEquals(Kind.TOO_LARGE, kindOfFailure(TIMEOUT_MS));
+    }
+
+    private static String response(final String body) {
+        return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    private String bodyOfNextResponse() throws Exception {
+        CallResponse response = client.send(address(), REQUEST, TIMEOUT_MS).get();
+        return new String(response.body().bytes(), StandardCharsets.UTF_8);
+    }
+
     private Kind kindOfFailure(final long timeoutMs) {
         ExecutionException failure = assertThrows(
                 ExecutionException.class,
@@ -118,17 +196,25 @@
 
     /** Accepts one connection, sends a text after the request's head, and closes the connection or leaves it open. */
     private void serve(final String text, final boolean close) {
+        serve(socket -> {
+            readHead(socket.getInputStream());
+            write(socket, text);
+            if (close) {
+                socket.close();
+            }
+        });
+    }
+
+    private static void write(final Socket socket, final String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    /** Accepts one connection and runs a script on it. */
+    private void serve(final Script script) {
         Thread thread = new Thread(() -> {
             try {
-                Socket socket = server.accept();
-                readHead(socket.getInputStream());
-                OutputStream output = socket.getOutputStream();
-                output.write(text.getBytes(StandardCharsets.UTF_8));
-                output.flush();
-                if (close) {
-                    socket.close();
-                }
-            } catch (IOException exception) {
+                script.run(server.accept());
+            } catch (IOException | InterruptedException exception) {
                 // The test has ended.
                 return;
             }
@@ -145,4 +231,10 @@
             matched = expected ? matched + 1 : 0;
         }
     }
+
+    /** What a server does on one connection. */
+    @FunctionalInterface
+    private interface Script {
+        void run(Socket socket) throws IOException, InterruptedException;
+    }
 }
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/CallHeaders.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/CallHeaders.java
@@ -1,5 +1,8 @@
 package org.sequoiashunt.node;
 
+import java.util.Locale;
+import java.util.Set;
+
 /**
  * Names of the HTTP headers that callers and targets use. Not instantiable; thread-safe.
  */
@@ -20,5 +23,9 @@
     /** Set to true by a target that refuses a request because of its load and has not run it. */
     public static final String SHED = "Sequoiashunt-Shed";
 
+    /** Names in lower case of the headers that may stand only once in a response. */
+    public static final Set<String> SINGLE_IN_RESPONSE =
+            Set.of(OUTCOME.toLowerCase(Locale.ROOT), SHED.toLowerCase(Locale.ROOT));
+
     private CallHeaders() {}
 }
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/NodeServer.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/NodeServer.java
@@ -115,7 +115,8 @@
         RolloutComponents rollout = RolloutComponents.of(settings, replica, store.moves(), clock, random);
         ClaimComponents claims = ClaimComponents.of(settings, replica, store.rosters(), sender, clock, random);
         CrashTracker crashTracker = new CrashTracker(settings.node(), replica.blackboard(), clock);
-        PooledHttpClient httpClient = closer.register(PooledHttpClient.of(worker, clock, settings.maximumBodyBytes()));
+        PooledHttpClient httpClient = closer.register(
+                PooledHttpClient.of(worker, clock, settings.maximumBodyBytes(), CallHeaders.SINGLE_IN_RESPONSE));
         gate = new NodeGate(clock, new UndertowTargetCaller(httpClient, clock), rollout.collector(), crashTracker);
         selector = new TargetSelector(settings.failureDomain(), settings.region(), clock, random);
         CallDispatcher dispatcher = new CallDispatcher(dispatcherDependencies(link, rollout, claims));
--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/demonstration/Demonstration.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/demonstration/Demonstration.java
@@ -15,6 +15,7 @@
 import org.sequoiashunt.configuration.Move;
 import org.sequoiashunt.http.PooledHttpClient;
 import org.sequoiashunt.lifecycle.Closer;
+import org.sequoiashunt.node.CallHeaders;
 import org.sequoiashunt.rollout.RolloutProgress;
 import org.sequoiashunt.rollout.Stage;
 import org.sequoiashunt.time.Clock;
@@ -62,7 +63,8 @@
         this.closer = closer;
         this.worker = closer.register(new OutgoingWorker());
         this.deployment = closer.register(Deployment.start(clock));
-        this.exchanger = closer.register(PooledHttpClient.of(worker.worker(), clock, MAXIMUM_ANSWER_BYTES));
+        this.exchanger = closer.register(
+                PooledHttpClient.of(worker.worker(), clock, MAXIMUM_ANSWER_BYTES, CallHeaders.SINGLE_IN_RESPONSE));
         this.pages = new NodePages(exchanger);
         this.store = HttpStore.of(deployment.store().address(), worker.worker(), STORE_TIMEOUT_MS);
     }
--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/measurement/Measurement.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/measurement/Measurement.java
@@ -12,6 +12,7 @@
 import org.sequoiashunt.commit.SystemClock;
 import org.sequoiashunt.http.PooledHttpClient;
 import org.sequoiashunt.lifecycle.Closer;
+import org.sequoiashunt.node.CallHeaders;
 import org.sequoiashunt.peer.NodeAddress;
 import org.sequoiashunt.time.Clock;
 import org.sequoiashunt.trial.process.Conditions;
@@ -53,7 +54,8 @@
         this.seconds = seconds;
         this.deployment = closer.register(Deployment.start(clock));
         OutgoingWorker worker = closer.register(new OutgoingWorker());
-        this.exchanger = closer.register(PooledHttpClient.of(worker.worker(), clock, MAXIMUM_ANSWER_BYTES));
+        this.exchanger = closer.register(
+                PooledHttpClient.of(worker.worker(), clock, MAXIMUM_ANSWER_BYTES, CallHeaders.SINGLE_IN_RESPONSE));
         this.pages = new NodePages(exchanger);
     }
 
--- a/sequoiashunt-trial/src/test/java/org/sequoiashunt/trial/process/NodeProcesses.java
+++ b/sequoiashunt-trial/src/test/java/org/sequoiashunt/trial/process/NodeProcesses.java
@@ -62,7 +62,8 @@
     private NodeProcesses() throws IOException {
         OutgoingWorker worker = closer.register(new OutgoingWorker());
         deployment = closer.register(Deployment.start(clock));
-        httpClient = closer.register(PooledHttpClient.of(worker.worker(), clock, MAXIMUM_ANSWER_BYTES));
+        httpClient = closer.register(
+                PooledHttpClient.of(worker.worker(), clock, MAXIMUM_ANSWER_BYTES, CallHeaders.SINGLE_IN_RESPONSE));
         pages = new NodePages(httpClient);
     }
 
