Store calls: memory of responses is bounded in total

A node saw its process end with an OutOfMemoryError when the store answered many calls at a time with large bodies that stop just below the limit, or with documents of millions of small parts or of one string.

Cause: the limit of 8 MB held for one response, not for all; a body took up to three times its size while it was read, and the parsed objects of one document many times its size.

Change: ResponseMemory counts the bytes of all responses of a client until they are decoded. When it is exhausted, the largest incomplete response is given up, so that small ones get through.

--- a/sequoiashunt-commit/src/main/java/org/sequoiashunt/http/HttpCall.java
+++ b/sequoiashunt-commit/src/main/java/org/sequoiashunt/http/HttpCall.java
@@ -58,6 +58,30 @@
     public HttpResponse run(
             final URI server, final XnioWorker worker, final ByteBufferPool buffers, final long timeoutMs)
             throws IOException {
+        return run(server, worker, buffers, timeoutMs, received -> received);
+    }
+
+    /**
+     * Sends the request, waits for the complete response and decodes it. Until it is decoded, it counts for the memory
+     * that all responses share.
+     *
+     * @param <T> the type of the result.
+     * @param server the scheme, IP address and port of the server, not null.
+     * @param worker the worker whose threads run the connection, not null.
+     * @param buffers the pool of buffers for the connection, not null.
+     * @param timeoutMs the longest time until the response is complete, in milliseconds.
+     * @param decoder decodes the response on the calling thread, not null.
+     * @return the result of the decoder.
+     * @throws InvalidResponseException if the server sends bytes that are not one response to the request.
+     * @throws IOException if no complete response arrives in time, or from the decoder.
+     */
+    public <T> T run(
+            final URI server,
+            final XnioWorker worker,
+            final ByteBufferPool buffers,
+            final long timeoutMs,
+            final ResponseDecoder<T> decoder)
+            throws IOException {
         Queue<ByteBuffer> encoded = RequestEncoder.encode(request, body);
         InetSocketAddress address = new InetSocketAddress(server.getHost(), server.getPort());
         CompletableFuture<HttpConnection> opening = new CompletableFuture<>();
@@ -70,7 +94,7 @@
                 }
             });
             HttpConnection.open(address, worker, buffers, opening);
-            return response.get(timeoutMs, TimeUnit.MILLISECONDS);
+            return decoder.decode(response.get(timeoutMs, TimeUnit.MILLISECONDS));
         } catch (TimeoutException exception) {
             throw new IOException("no response within " + timeoutMs + " ms", exception);
         } catch (ExecutionException exception) {
@@ -118,6 +142,24 @@
         }
     }
 
+    /**
+     * Decodes a response.
+     *
+     * @param <T> the type of the result.
+     */
+    @FunctionalInterface
+    public interface ResponseDecoder<T> {
+
+        /**
+         * Decodes a response.
+         *
+         * @param response the complete response, not null.
+         * @return the result.
+         * @throws IOException if the response cannot be decoded.
+         */
+        T decode(HttpResponse response) throws IOException;
+    }
+
     /** Ends the call with the response. Thread-safe. */
     private final class ResponseListener implements HttpConnection.Listener {
 
@@ -125,7 +167,7 @@
         public void completed(final ResponseParser parser, final boolean followed) {
             if (followed) {
                 failed(new InvalidResponseException("bytes follow the response"));
-            } else {
+            } else if (parser.retainMemory()) {
                 response.complete(HttpResponse.of(parser));
             }
         }
--- a/sequoiashunt-commit/src/main/java/org/sequoiashunt/http/HttpExchange.java
+++ b/sequoiashunt-commit/src/main/java/org/sequoiashunt/http/HttpExchange.java
@@ -103,7 +103,7 @@
         public void completed(final ResponseParser response, final boolean followed) {
             boolean reusable = !followed && response.keepsConnectionOpen();
             boolean completedHere = result.complete(new CallResponse(
-                    response.status(), HopByHopHeaders.remove(response.fields()), Body.of(response.body())));
+                    response.status(), HopByHopHeaders.remove(response.fields()), Body.of(response.takeBody())));
             release.accept(completedHere && reusable);
         }
 
--- a/sequoiashunt-commit/src/main/java/org/sequoiashunt/http/HttpResponse.java
+++ b/sequoiashunt-commit/src/main/java/org/sequoiashunt/http/HttpResponse.java
@@ -16,7 +16,7 @@
     static HttpResponse of(final ResponseParser response) {
         HeaderMap headers = new HeaderMap();
         response.fields().forEach(field -> headers.add(new HttpString(field.name()), field.value()));
-        return new HttpResponse(response.status(), headers, response.body());
+        return new HttpResponse(response.status(), headers, response.takeBody());
     }
 
     /**
--- a/sequoiashunt-commit/src/main/java/org/sequoiashunt/http/ResponseMemory.java
+++ b/sequoiashunt-commit/src/main/java/org/sequoiashunt/http/ResponseMemory.java
@@ -5,8 +5,8 @@
 import java.util.Set;
 
 /**
- * Bounds the memory that all incomplete responses of one client take together. When it is exhausted, the response that
- * takes most of it is given up, so that small ones still arrive while others have no end.
+ * Bounds the memory that all responses of one client take together until they are used. When it is exhausted, the
+ * incomplete response that takes most of it is given up, so that small ones still arrive while others have no end.
  *
  * <p>Thread-safe: guarded by its own monitor. Invariant: the shares never hold more than the limit.
  */
@@ -50,7 +50,7 @@
         while (heldBytes + bytes > limitBytes) {
             Share largest = requester;
             for (Share share : shares) {
-                if (share.bytes > largest.bytes) {
+                if (!share.retained && share.bytes > largest.bytes) {
                     largest = share;
                 }
             }
@@ -70,6 +70,11 @@
         return new ResponseTooLargeException("responses exceed " + limitBytes + " bytes in total");
     }
 
+    private synchronized boolean retain(final Share share) {
+        share.retained = true;
+        return !share.released;
+    }
+
     private synchronized void release(final Share share) {
         if (!share.released) {
             share.released = true;
@@ -83,6 +88,7 @@
 
         private final Runnable onRevoked;
         private long bytes;
+        private boolean retained;
         private boolean released;
 
         private Share(final Runnable onRevoked) {
@@ -100,6 +106,15 @@
             ResponseMemory.this.reserve(this, count).forEach(share -> share.onRevoked.run());
         }
 
+        /**
+         * Keeps the memory until this share is closed, as the response is complete.
+         *
+         * @return false if the share was revoked before.
+         */
+        boolean retain() {
+            return ResponseMemory.this.retain(this);
+        }
+
         @Override
         public void close() {
             release(this);
--- a/sequoiashunt-commit/src/main/java/org/sequoiashunt/http/ResponseParser.java
+++ b/sequoiashunt-commit/src/main/java/org/sequoiashunt/http/ResponseParser.java
@@ -110,8 +110,13 @@
         return fields;
     }
 
-    /** Returns the body; call it only once the response is complete. */
-    byte[] body() {
+    /** Tells whether the memory of the complete response is kept until this parser is closed. */
+    boolean retainMemory() {
+        return share.retain();
+    }
+
+    /** Returns the body and forgets it; call it only once, when the response is complete. */
+    byte[] takeBody() {
         byte[] body = new byte[bodyBytes];
         int offset = 0;
         for (byte[] segment : segments) {
@@ -119,6 +124,7 @@
             System.arraycopy(segment, 0, body, offset, count);
             offset += count;
         }
+        segments.clear();
         return body;
     }
 
