Input without end is bounded for all connections of an address together

Callers of one machine could stop its node. A flood within the limits of each request took the heap or the I/O thread, so that ordinary requests, announcements and readiness checks got no answer; silent bodies made the node refuse everybody else with 503.

Cause: chunked bodies were counted as 0 bytes; declared lengths were reserved before their bytes came, and nothing ended a body that did not come; heads and connections were not bounded in total; the rest of a refused body was read to its end. Bodies above 2 MB were reset by a limit of the library.

InboundConnections counts input as it arrives, for the heads and the bodies of each address, and refuses the incomplete request that holds most. Requests that are served are never refused, so 408, 413, 431 and 503 are true: nothing has run.

--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/AnnouncementHandler.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/AnnouncementHandler.java
@@ -23,6 +23,12 @@
 
     private static final int MAXIMUM_BODY_BYTES = 65_536;
 
+    /** Time after which targets no longer wait for an acknowledgement. */
+    private static final long BODY_TIMEOUT_MS = 1_000;
+
+    private static final RequestBodyReceiver.Limits BODY_LIMITS =
+            new RequestBodyReceiver.Limits(MAXIMUM_BODY_BYTES, BODY_TIMEOUT_MS);
+
     private final AnnouncementDecoder decoder;
     private final TargetRegistry registry;
     private final SlotGates gates;
@@ -55,11 +61,19 @@
             respond(exchange, StatusCodes.NOT_FOUND, "{}");
             return;
         }
-        exchange.setMaxEntitySize(MAXIMUM_BODY_BYTES);
-        exchange.getRequestReceiver()
-                .receiveFullBytes(
-                        (received, body) -> handleBody(received, target, body),
-                        (failed, exception) -> respond(failed, StatusCodes.BAD_REQUEST, "{}"));
+        exchange.dispatch(
+                SameThreadExecutor.INSTANCE,
+                () -> RequestBodyReceiver.receive(exchange, BODY_LIMITS, new RequestBodyReceiver.Handler() {
+                    @Override
+                    public void handleBody(final byte[] body) {
+                        AnnouncementHandler.this.handleBody(exchange, target, body);
+                    }
+
+                    @Override
+                    public void handleRefusal(final InputRefusal refusal) {
+                        respond(exchange, refusal.status(), "{}");
+                    }
+                }));
     }
 
     private void handleBody(final HttpServerExchange exchange, final String target, final byte[] body) {
@@ -137,12 +151,10 @@
             respond(exchange, StatusCodes.OK, "{}");
             return;
         }
-        exchange.dispatch(
-                SameThreadExecutor.INSTANCE,
-                () -> departures
-                        .record(departure.get())
-                        .thenAccept(mayAcknowledge -> exchange.getIoThread()
-                                .execute(() -> respondToDeparture(exchange, target, mayAcknowledge))));
+        departures
+                .record(departure.get())
+                .thenAccept(mayAcknowledge ->
+                        exchange.getIoThread().execute(() -> respondToDeparture(exchange, target, mayAcknowledge)));
     }
 
     private void respondToDeparture(
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/LogKind.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/LogKind.java
@@ -39,7 +39,9 @@
     /** A caller disconnected before the answer. */
     CALLER_LEFT("caller-left", 10),
     /** Lines were dropped because the buffer of the log was full. */
-    LOG_DROPPED("log-dropped", 5);
+    LOG_DROPPED("log-dropped", 5),
+    /** Input was refused before a request was read, to keep the memory of all input within its limits. */
+    INPUT_REFUSED("input-refused", 10);
 
     private final String label;
     private final int linesPerSecond;
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshCallerHandler.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshCallerHandler.java
@@ -1,23 +1,19 @@
 package org.sequoiashunt.node.mesh;
 
-import io.undertow.io.Receiver;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.server.RequestTooBigException;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import io.undertow.util.SameThreadExecutor;
 import io.undertow.util.StatusCodes;
-import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import java.util.regex.Pattern;
@@ -39,25 +35,22 @@
 /**
  * Receives the HTTP requests of this VM's callers, dispatches them and sends the results back.
  *
- * <p>Requests are read completely before they are dispatched; their number and the bytes of their bodies are bounded.
+ * <p>Requests are read completely before they are dispatched; their number is bounded here, and their memory by the
+ * listener.
  *
  * <p>Thread-safe; never blocks. Invariants: each request gets exactly one complete answer, which belongs to it, or its
  * connection is closed; 503 and 408 are sent only for a request that has not run and never will.
  */
 final class MeshCallerHandler implements HttpHandler {
 
-    /** Most requests served at a time; with {@link #MAXIMUM_ACTIVE_BODY_BYTES} a fraction of a node's memory. */
+    /** Most requests served at a time; {@link InputLimits} bounds their memory. */
     private static final int MAXIMUM_ACTIVE_REQUESTS = 4_096;
 
-    /** Most bytes of the bodies of all requests served at a time. */
-    private static final long MAXIMUM_ACTIVE_BODY_BYTES = 24 << 20;
-
     private static final double MS_PER_SECOND = 1_000;
     private static final Pattern REMAINING_MS_PATTERN = Pattern.compile("[0-9]{1,9}");
 
     private final Dependencies dependencies;
     private final AtomicInteger activeRequests = new AtomicInteger();
-    private final AtomicLong activeBodyBytes = new AtomicLong();
 
     MeshCallerHandler(final Dependencies dependencies) {
         this.dependencies = Objects.requireNonNull(dependencies, "dependencies");
@@ -90,8 +83,7 @@
             refuseUnmatched(exchange, requestIds.getFirst(), match.refusal());
             return;
         }
-        long bodyBytes = declaredBodyBytes(exchange);
-        if (bodyBytes > dependencies.limits().get().maximumBodyBytes()) {
+        if (exchange.getRequestContentLength() > dependencies.limits().get().maximumBodyBytes()) {
             exchange.setPersistent(false);
             refuse(exchange, StatusCodes.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
             return;
@@ -101,8 +93,7 @@
             refuse(exchange, requestIds.getFirst(), match.route().get(), arrivedMs, CallResult.notRun(Reason.DRAINING));
             return;
         }
-        if (activeRequests.get() >= MAXIMUM_ACTIVE_REQUESTS
-                || activeBodyBytes.get() + bodyBytes > MAXIMUM_ACTIVE_BODY_BYTES) {
+        if (activeRequests.get() >= MAXIMUM_ACTIVE_REQUESTS) {
             refuse(
                     exchange,
                     requestIds.getFirst(),
@@ -112,40 +103,35 @@
             return;
         }
         activeRequests.incrementAndGet();
-        activeBodyBytes.addAndGet(bodyBytes);
         exchange.addExchangeCompleteListener((completed, next) -> {
             activeRequests.decrementAndGet();
-            activeBodyBytes.addAndGet(-bodyBytes);
             next.proceed();
         });
-        receiveBody(exchange, match.route().get(), arrivedMs);
-    }
-
-    private static long declaredBodyBytes(final HttpServerExchange exchange) {
-        return exchange.isRequestComplete() ? 0 : Math.max(0, exchange.getRequestContentLength());
+        exchange.dispatch(
+                SameThreadExecutor.INSTANCE,
+                () -> receiveBody(exchange, match.route().get(), arrivedMs));
     }
 
     private void receiveBody(final HttpServerExchange exchange, final MeshRoute route, final long arrivedMs) {
-        int maximumBytes = (int) Math.min(dependencies.limits().get().maximumBodyBytes(), MAXIMUM_ACTIVE_BODY_BYTES);
-        exchange.setMaxEntitySize(maximumBytes);
-        exchange.getRequestReceiver().setMaxBufferSize(maximumBytes);
-        exchange.getRequestReceiver()
-                .receiveFullBytes(
-                        (received, body) -> received.dispatch(
-                                SameThreadExecutor.INSTANCE, () -> serve(received, route, body, arrivedMs)),
-                        MeshCallerHandler::handleReceiveFailure);
-    }
+        String statedRemainingMs =
+                exchange.getRequestHeaders().getFirst(dependencies.headerNames().remainingMs());
+        RequestBodyReceiver.Limits limits = new RequestBodyReceiver.Limits(
+                dependencies.limits().get().maximumBodyBytes(),
+                Math.min(remainingMs(statedRemainingMs, route), route.timeoutMs()));
+        RequestBodyReceiver.receive(exchange, limits, new RequestBodyReceiver.Handler() {
+            @Override
+            public void handleBody(final byte[] body) {
+                serve(exchange, route, body, arrivedMs);
+            }
 
-    /** Closes the connection of an incomplete request: ending its exchange would send a success status. */
-    private static void handleReceiveFailure(final HttpServerExchange exchange, final IOException exception) {
-        boolean tooLarge =
-                exception instanceof Receiver.RequestToLargeException || exception instanceof RequestTooBigException;
-        if (tooLarge) {
-            exchange.setPersistent(false);
-            refuse(exchange, StatusCodes.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
-        } else {
-            IoUtils.safeClose(exchange.getConnection());
-        }
+            @Override
+            public void handleRefusal(final InputRefusal refusal) {
+                if (refusal.mayBeRetried()) {
+                    exchange.getResponseHeaders().put(Headers.RETRY_AFTER, InputRefusal.RETRY_AFTER_S);
+                }
+                refuse(exchange, refusal.status(), refusal.text());
+            }
+        });
     }
 
     private void serve(
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshMetrics.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshMetrics.java
@@ -49,6 +49,10 @@
         count("requests_unmatched{reason=\"" + labelValue(reason) + "\"}");
     }
 
+    void countRefusedInput(final String listener, final String reason) {
+        count("input_refused{listener=\"" + listener + "\",reason=\"" + reason + "\"}");
+    }
+
     private static String labelValue(final Reason reason) {
         return reason.text().replace(' ', '-');
     }
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
@@ -1,6 +1,7 @@
 package org.sequoiashunt.node.mesh;
 
 import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
 import io.undertow.util.StatusCodes;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -8,6 +9,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Random;
+import java.util.function.IntSupplier;
 import org.sequoiashunt.blackboard.BlockingTask;
 import org.sequoiashunt.call.CallHandler;
 import org.sequoiashunt.call.TargetCaller;
@@ -60,6 +62,12 @@
     /** Largest body that a link carries. */
     private static final int MAXIMUM_LINK_BODY_BYTES = 4 << 20;
 
+    /** Limits on the requests of callers, a fraction of a node's memory and descriptors. */
+    private static final InputLimits CALLER_INPUT_LIMITS = new InputLimits(2_048, 16 << 20, 24 << 20);
+
+    /** Limits on each address to which only few short requests are sent. */
+    private static final InputLimits SMALL_INPUT_LIMITS = new InputLimits(128, 1 << 20, 1 << 20);
+
     /** Idle time after which a link is pinged. Each ping wakes the nodes at both ends. */
     private static final long PING_INTERVAL_MS = 700;
 
@@ -274,7 +282,7 @@
                 platformComponents.headerNames(),
                 dispatcher,
                 new RetryAfterPolicy(random),
-                () -> configuration.current().map(MeshConfiguration::limits).orElse(CallerLimits.defaults()),
+                this::callerLimits,
                 () -> service,
                 () -> draining,
                 () -> refusingRequests,
@@ -283,26 +291,58 @@
     }
 
     private void openListeners(final TargetRegistry registry) throws IOException {
-        Map<InetSocketAddress, HttpHandler> handlers = new HashMap<>();
-        handlers.put(settings.callerAddress(), callerHandler);
-        handlers.put(settings.readinessAddress(), exchange -> {
-            exchange.setStatusCode(isReady() ? StatusCodes.OK : StatusCodes.SERVICE_UNAVAILABLE);
-            exchange.endExchange();
-        });
-        handlers.put(
+        Map<InetSocketAddress, InboundConnections.Dependencies> addresses = new HashMap<>();
+        addresses.put(
+                settings.callerAddress(),
+                listener(
+                        "callers",
+                        callerHandler,
+                        CALLER_INPUT_LIMITS,
+                        () -> callerLimits().maximumHeaderBytes()));
+        addresses.put(settings.readinessAddress(), smallListener("readiness", this::handleReadinessCheck));
+        addresses.put(
                 settings.announcementAddress(),
-                new AnnouncementHandler(
-                        platformComponents.announcementDecoder(),
-                        registry,
-                        gates,
-                        departureRecorder,
-                        crashGuard,
-                        fleetController::requestReport,
-                        log));
+                smallListener(
+                        "announcements",
+                        new AnnouncementHandler(
+                                platformComponents.announcementDecoder(),
+                                registry,
+                                gates,
+                                departureRecorder,
+                                crashGuard,
+                                fleetController::requestReport,
+                                log)));
         settings.metricsAddress()
-                .ifPresent(address -> handlers.put(
-                        address, exchange -> exchange.getResponseSender().send(metrics.text())));
-        closer.register(MeshListeners.open(handlers));
+                .ifPresent(address -> addresses.put(
+                        address,
+                        smallListener(
+                                "metrics",
+                                exchange -> exchange.getResponseSender().send(metrics.text()))));
+        closer.register(MeshListeners.open(addresses));
+    }
+
+    private void handleReadinessCheck(final HttpServerExchange exchange) {
+        if (exchange.isRequestComplete()) {
+            exchange.setStatusCode(isReady() ? StatusCodes.OK : StatusCodes.SERVICE_UNAVAILABLE);
+            exchange.endExchange();
+        } else {
+            exchange.setPersistent(false);
+            exchange.setStatusCode(StatusCodes.REQUEST_ENTITY_TOO_LARGE);
+            exchange.getResponseSender().send(InputRefusal.BODY_TOO_LARGE.text());
+        }
+    }
+
+    private InboundConnections.Dependencies smallListener(final String name, final HttpHandler handler) {
+        return listener(name, handler, SMALL_INPUT_LIMITS, CallerLimits.defaults()::maximumHeaderBytes);
+    }
+
+    private InboundConnections.Dependencies listener(
+            final String name, final HttpHandler handler, final InputLimits limits, final IntSupplier headerBytes) {
+        return new InboundConnections.Dependencies(name, handler, limits, headerBytes, clock, metrics, log);
+    }
+
+    private CallerLimits callerLimits() {
+        return configuration.current().map(MeshConfiguration::limits).orElse(CallerLimits.defaults());
     }
 
     private void startStoreTasks() {
