Answers: a number that is no HTTP status ends no request

Readers of targets and of the store refused such heads already, without a test.

Tests for targets (14 forms), links and the store.

--- a/sequoiashunt-commit/src/test/java/org/sequoiashunt/http/MalformedResponses.java
+++ b/sequoiashunt-commit/src/test/java/org/sequoiashunt/http/MalformedResponses.java
@@ -45,6 +45,8 @@
                 malformed("empty line first", "\r\n" + SUCCESS + LENGTH + BODY),
                 malformed("unknown version", "HTTP/2.0 200 OK\r\n" + LENGTH + BODY),
                 malformed("status of four digits", "HTTP/1.1 2000 OK\r\n" + LENGTH + BODY),
+                malformed("status of zeros", "HTTP/1.1 000 Odd\r\n" + LENGTH + BODY),
+                malformed("status above the last class", "HTTP/1.1 600 Odd\r\n" + LENGTH + BODY),
                 malformed("no content with a length", "HTTP/1.1 204 No Content\r\n" + LENGTH + BODY),
                 malformed("interim response with a length", "HTTP/1.1 102 Processing\r\n" + LENGTH + BODY),
                 malformed("switch of protocols", "HTTP/1.1 101 Switching Protocols\r\n\r\n" + SUCCESS + LENGTH + BODY),
--- a/sequoiashunt-link/src/test/java/org/sequoiashunt/link/LinkBadResultTest.java
+++ b/sequoiashunt-link/src/test/java/org/sequoiashunt/link/LinkBadResultTest.java
@@ -9,9 +9,12 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.sequoiashunt.call.Body;
 import org.sequoiashunt.call.CallResult;
 import org.sequoiashunt.lifecycle.Closer;
+import org.sequoiashunt.link.wire.FrameProto;
 import org.sequoiashunt.peer.NodeAddress;
 
 /** Results without end close the connection on the side that opened it and do not affect calls on other links. */
@@ -65,6 +68,22 @@
         assertEquals(answer, LinkFixture.await(call));
     }
 
+    /** Guards against a number that is no status reaching a caller as the answer to its request. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1, 99, 199, 600, 999, 1_000})
+    void resultWhoseStatusIsNoneIsNoAnswer(final int status) throws Exception {
+        ServerSocket listener = listen();
+        CallResult answer = LinkFixture.answer(Body.of(new byte[10]));
+        CompletableFuture<CallResult> call = fixture.client.call(address(listener), LinkFixture.request("call", 5_000));
+        RawPeer faulty = accept(listener);
+        long number = faulty.read().getCallStart().getNumber();
+        FrameProto.CallEnd end = CallCodec.encode(number, "call", answer);
+        faulty.write(FrameFactory.of(end.toBuilder().setStatus(status).build()));
+        RawPeer next = accept(listener);
+        next.write(FrameFactory.of(CallCodec.encode(next.read().getCallQuery().getNumber(), "call", answer)));
+        assertEquals(answer, LinkFixture.await(call));
+    }
+
     @Test
     void halfResultsOfManyPeersAreBoundedAndAnOrdinaryCallIsAnswered() throws Exception {
         for (int count = 0; count < 3; count++) {
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/NettyTargetCallerTest.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/NettyTargetCallerTest.java
@@ -150,6 +150,19 @@
         assertEquals(Reason.BAD_ANSWER, call("b", "GET", "").reason());
     }
 
+    /** Guards against a number that is no status reaching a caller, with the signature of a target in trouble. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {"000", "001", "099", "600", "999", "20", "2000", "0200", "+200", "-200", "2x0", "abc", "", "2 0"
+            })
+    void answerWhoseStatusIsNoneIsBadAnswer(final String status) throws Exception {
+        target = new ScriptedTarget(
+                "HTTP/1.1 " + status + " Odd\r\nRequest-Id: $ID\r\nSignature: s\r\nContent-Length: 5\r\n\r\nhello");
+        CallResult result = call("a", "GET", "");
+        assertEquals(Outcome.UNKNOWN, result.outcome());
+        assertEquals(Reason.BAD_ANSWER, result.reason());
+    }
+
     @Test
     void refusalByTargetHasOutcomeNotRun() throws Exception {
         target = new ScriptedTarget(
