Fair shares of the slots at a gate: flows by organisation or route within a rank

Ranks and latest useful starts alone let one organisation that floods take the slots of a rank. Where a configuration has organisations or large bodies, flows share the slots by start-time fair queueing, and admission counts what would run before a call in this order.

--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshConfiguration.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshConfiguration.java
@@ -28,6 +28,7 @@
     private final Map<String, Map<String, Optional<MeshRoute>>> routesByHost = new HashMap<>();
 
     private final int routeCount;
+    private final boolean fairShares;
 
     private MeshConfiguration(
             final long version,
@@ -42,6 +43,8 @@
         this.organisations = Objects.requireNonNull(organisations, "organisations");
         this.omissions = omissions.reasons();
         this.routeCount = routes.size();
+        this.fairShares = organisations.size() > 0
+                || routes.stream().anyMatch(route -> route.kind().hasLargeBodies());
         omissions
                 .unservedPrefixes()
                 .forEach(unserved -> routesByHost
@@ -169,6 +172,16 @@
     public int routeCount() {
         return routeCount;
     }
+
+    /**
+     * Returns whether organisations, and routes for calls without one, share the slots of a target while calls wait.
+     *
+     * @return true if there are organisations, or routes with large bodies, which share services with short requests.
+     */
+    public boolean usesFairShares() {
+        return fairShares;
+    }
+
     /**
      * Returns the organisations and their keys.
      *
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/RequestKind.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/RequestKind.java
@@ -39,4 +39,13 @@
     public boolean isIdempotent() {
         return idempotent;
     }
+
+    /**
+     * Returns whether bodies of requests or responses are large.
+     *
+     * @return true for uploads and downloads.
+     */
+    public boolean hasLargeBodies() {
+        return this == UPLOAD || this == DOWNLOAD;
+    }
 }
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/SlotGate.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/SlotGate.java
@@ -5,6 +5,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 import org.sequoiashunt.call.CallRequest;
 import org.sequoiashunt.call.CallResponse;
 import org.sequoiashunt.call.CallResult;
@@ -48,7 +49,7 @@
     public SlotGate(final TargetAnnouncement target, final Dependencies dependencies) {
         this.target = Objects.requireNonNull(target, "target");
         this.dependencies = Objects.requireNonNull(dependencies, "dependencies");
-        this.queue = new SlotQueue(target.slots());
+        this.queue = new SlotQueue(target.slots(), dependencies.fairSharesInForce());
         this.latestAnnouncementMs = dependencies.clock().nowMs();
     }
 
@@ -84,7 +85,7 @@
         if (request.deadlineMs() <= nowMs) {
             return refuse(request, CallResult.notRun(Reason.DEADLINE));
         }
-        WaitingCall waiting = new WaitingCall(request, latestStartMs(request, nowMs), result);
+        WaitingCall waiting = waitingCall(request, nowMs, result);
         Optional<CallResult> refusal = enqueue(waiting, nowMs);
         if (refusal.isPresent()) {
             return refuse(request, refusal.get());
@@ -98,9 +99,12 @@
         return result;
     }
 
-    private synchronized long latestStartMs(final CallRequest request, final long nowMs) {
-        return Math.max(
+    private synchronized WaitingCall waitingCall(
+            final CallRequest request, final long nowMs, final CompletableFuture<CallResult> result) {
+        long latestStartMs = Math.max(
                 nowMs, Math.min(request.urgency().objectiveMs(), request.deadlineMs()) - likelyServiceMs(request));
+        long expectedServiceMs = movingAverages.meanMs(request.route(), queue.meanMs());
+        return new WaitingCall(request, latestStartMs, expectedServiceMs, result);
     }
 
     private long likelyServiceMs(final CallRequest request) {
@@ -116,8 +120,7 @@
         if (closeReason != null) {
             return Optional.of(CallResult.notRun(closeReason));
         }
-        long earliestStartMs =
-                nowMs + queue.expectedWaitMs(waiting.request().urgency().rank());
+        long earliestStartMs = nowMs + queue.expectedWaitMs(waiting, nowMs);
         if (outlastsStop(waiting.request(), earliestStartMs)) {
             return Optional.of(CallResult.notRun(Reason.DRAINING));
         }
@@ -328,6 +331,20 @@
      * @param clock the clock.
      * @param targets sends calls to targets.
      * @param observer receives the gate's decisions.
+     * @param fairSharesInForce whether the flows of a rank share the slots of a target.
      */
-    public record Dependencies(Clock clock, TargetCaller targetCaller, GateObserver observer) {}
+    public record Dependencies(
+            Clock clock, TargetCaller targetCaller, GateObserver observer, BooleanSupplier fairSharesInForce) {
+
+        /**
+         * Creates dependencies of gates without fair shares.
+         *
+         * @param clock the clock.
+         * @param targetCaller sends calls to targets.
+         * @param observer receives the gate's decisions.
+         */
+        public Dependencies(final Clock clock, final TargetCaller targetCaller, final GateObserver observer) {
+            this(clock, targetCaller, observer, () -> false);
+        }
+    }
 }
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/SlotQueue.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/SlotQueue.java
@@ -4,8 +4,10 @@
 import java.util.Comparator;
 import java.util.Iterator;
 import java.util.List;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.TreeSet;
+import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 
 /**
@@ -16,6 +18,9 @@
  * caller can still try another target. Calls of a more urgent rank start first; within a rank the call with the
  * earliest latest useful start goes first. A call that has missed its latest useful start yields to one that has not.
  *
+ * <p>While fair shares are in force, the calls of a rank start and are admitted in the order of {@link FairShares}
+ * instead, and no flow takes more of the queue than it leaves free.
+ *
  * <p>Not thread-safe: the owner guards it by a lock. Invariants: there are never more running calls than slots; a
  * refused call never starts.
  */
@@ -30,13 +35,15 @@
     /** Maximum of waiting calls for each slot; bounds memory whatever the objectives are. */
     private static final int MAXIMUM_WAITING_PER_SLOT = 8;
 
-    private static final Comparator<WaitingCall> ORDER = Comparator.<WaitingCall>comparingInt(
+    static final Comparator<WaitingCall> ORDER = Comparator.<WaitingCall>comparingInt(
                     waiting -> waiting.request().urgency().rank())
             .thenComparingLong(WaitingCall::latestStartMs)
             .thenComparing(waiting -> waiting.request().callId());
 
     private final int slots;
-    private final TreeSet<WaitingCall> queue = new TreeSet<>(ORDER);
+    private final BooleanSupplier fairSharesInForce;
+    private final FairShares fairShares;
+    private final TreeSet<WaitingCall> queue;
     private int running;
     private double meanMs = INITIAL_MEAN_MS;
 
@@ -47,10 +54,32 @@
      * @throws IllegalArgumentException if the number of slots is not positive.
      */
     public SlotQueue(final int slots) {
+        this(slots, () -> false);
+    }
+
+    /**
+     * Creates an empty queue.
+     *
+     * @param slots the maximum of calls that run at a time, positive.
+     * @param fairSharesInForce whether the flows of a rank share the slots, not null.
+     * @throws IllegalArgumentException if the number of slots is not positive.
+     */
+    public SlotQueue(final int slots, final BooleanSupplier fairSharesInForce) {
+        this(slots, fairSharesInForce, FairShares.OVERTAKING_SHARE, ORDER);
+    }
+
+    SlotQueue(
+            final int slots,
+            final BooleanSupplier fairSharesInForce,
+            final double overtakingShare,
+            final Comparator<WaitingCall> order) {
         if (slots < 1) {
             throw new IllegalArgumentException("slots must be positive: " + slots);
         }
         this.slots = slots;
+        this.fairSharesInForce = Objects.requireNonNull(fairSharesInForce, "fairSharesInForce");
+        this.fairShares = new FairShares(slots, overtakingShare);
+        this.queue = new TreeSet<>(order);
     }
 
     /**
@@ -61,16 +90,42 @@
      * @return empty if the call was admitted, otherwise the expected wait for which it was refused, in milliseconds.
      */
     public Optional<Long> offer(final WaitingCall waiting, final long nowMs) {
-        long waitMs = expectedWaitMs(waiting.request().urgency().rank());
+        long waitMs = expectedWaitMs(waiting, nowMs);
         boolean startsAtOnce = running < slots && queue.isEmpty();
-        if (!startsAtOnce
-                && (nowMs + waitMs > waiting.latestStartMs() || queue.size() >= slots * MAXIMUM_WAITING_PER_SLOT)) {
+        if (!startsAtOnce && (nowMs + waitMs > waiting.latestStartMs() || isFullFor(waiting))) {
             return Optional.of(waitMs);
         }
         queue.add(waiting);
         return Optional.empty();
     }
 
+    private boolean isFullFor(final WaitingCall waiting) {
+        int free = slots * MAXIMUM_WAITING_PER_SLOT - queue.size();
+        if (!fairSharesInForce.getAsBoolean()) {
+            return free <= 0;
+        }
+        FairShares.Flow flow = FairShares.Flow.of(waiting);
+        return queue.stream()
+                        .filter(other -> FairShares.Flow.of(other).equals(flow))
+                        .count()
+                >= free;
+    }
+
+    /**
+     * Estimates how long a call waits for a slot.
+     *
+     * @param call the call, not null.
+     * @param nowMs the time, in milliseconds.
+     * @return the wait in milliseconds, zero if a slot is free.
+     */
+    public long expectedWaitMs(final WaitingCall call, final long nowMs) {
+        if (!fairSharesInForce.getAsBoolean()) {
+            return expectedWaitMs(call.request().urgency().rank());
+        }
+        double aheadMs = fairShares.slotTimeAheadMs(queue, call, nowMs);
+        return Math.max(0, Math.round(((running + 1 - slots) * meanMs + aheadMs) / slots));
+    }
+
     /**
      * Estimates how long a call of a rank waits for a slot.
      *
@@ -96,16 +151,19 @@
         if (running >= slots || queue.isEmpty()) {
             return Optional.empty();
         }
-        WaitingCall next = queue.first();
+        WaitingCall next = fairSharesInForce.getAsBoolean() ? fairShares.takeNext(queue, nowMs) : firstInTime(nowMs);
+        queue.remove(next);
+        running++;
+        return Optional.of(next);
+    }
+
+    private WaitingCall firstInTime(final long nowMs) {
         for (WaitingCall candidate : queue) {
             if (candidate.latestStartMs() >= nowMs) {
-                next = candidate;
-                break;
+                return candidate;
             }
         }
-        queue.remove(next);
-        running++;
-        return Optional.of(next);
+        return queue.first();
     }
 
     /**
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/WaitingCall.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/WaitingCall.java
@@ -10,9 +10,11 @@
  *
  * @param request the call, not null.
  * @param latestStartMs the latest useful start, after which other calls go first, in milliseconds of the local clock.
+ * @param expectedServiceMs how long the call is expected to hold a slot, in milliseconds, not negative.
  * @param result completed with the result of the call, not null.
  */
-public record WaitingCall(CallRequest request, long latestStartMs, CompletableFuture<CallResult> result) {
+public record WaitingCall(
+        CallRequest request, long latestStartMs, long expectedServiceMs, CompletableFuture<CallResult> result) {
 
     /**
      * Checks the components.
@@ -23,4 +25,16 @@
         Objects.requireNonNull(request, "request");
         Objects.requireNonNull(result, "result");
     }
+
+    /**
+     * Creates a call that is expected to hold a slot as long as a typical short request.
+     *
+     * @param request the call, not null.
+     * @param latestStartMs the latest useful start, in milliseconds of the local clock.
+     * @param result completed with the result of the call, not null.
+     */
+    public WaitingCall(
+            final CallRequest request, final long latestStartMs, final CompletableFuture<CallResult> result) {
+        this(request, latestStartMs, SlotQueue.INITIAL_MEAN_MS, result);
+    }
 }
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/GateReporter.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/GateReporter.java
@@ -40,6 +40,8 @@
     @Override
     public void callRefused(final TargetAnnouncement target, final CallRequest request, final CallResult result) {
         metrics.count("gate_refused{service=\"" + target.service() + "\",reason=\"" + result.reason() + "\"}");
+        metrics.count("gate_refused_flows{service=\"" + target.service() + "\",flow=\""
+                + (request.organisation().isEmpty() ? "route" : "organisation") + "\"}");
         log.log(
                 LogKind.GATE_REFUSED,
                 "request",
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
@@ -199,7 +199,16 @@
                 metrics));
         GateReporter reporter = new GateReporter(
                 platformComponents.headerNames().requestId(), answerCounters, crashGuard, log, metrics);
-        gates = new SlotGates(registry, new SlotGate.Dependencies(clock, targets, reporter));
+        gates = new SlotGates(
+                registry,
+                new SlotGate.Dependencies(
+                        clock,
+                        targets,
+                        reporter,
+                        () -> configuration
+                                .current()
+                                .map(MeshConfiguration::usesFairShares)
+                                .orElse(false)));
         guardedGates = crashGuard.guard(gates);
     }
 
