--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/mesh/MeshConfigurationTest.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/mesh/MeshConfigurationTest.java
@@ -1,12 +1,18 @@
 package org.sequoiashunt.mesh;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.sequoiashunt.organisation.Organisation;
+import org.sequoiashunt.organisation.OrganisationDirectory;
 
 class MeshConfigurationTest {
 
@@ -50,4 +56,25 @@
                 IllegalArgumentException.class,
                 () -> new MeshRoute("r", "h", "/", List.of(new WeightedService("desk", 0)), true, 1, 1, 0, 1));
     }
+
+    /** Guards against fair shares in deployments that do not call for them. */
+    @Test
+    void onlyOrganisationsAndLargeBodiesCallForFairShares() {
+        assertFalse(of(route("r", "/", "desk")).usesFairShares());
+        for (RequestKind kind : RequestKind.values()) {
+            MeshRoute route = new MeshRoute(
+                    "r", "h", "/", List.of(new WeightedService("desk", 1)), kind, 1, 1, 0, 1, false, Set.of());
+            assertEquals(kind.hasLargeBodies(), of(route).usesFairShares(), kind.name());
+        }
+        OrganisationDirectory.Builder builder = new OrganisationDirectory.Builder();
+        builder.add(new Organisation("o-1", OptionalInt.empty(), Optional.empty(), Set.of()), Set.of("key"));
+        assertTrue(MeshConfiguration.of(
+                        1,
+                        List.of(),
+                        Map.of(),
+                        CallerLimits.defaults(),
+                        builder.build(),
+                        MeshConfiguration.Omissions.NONE)
+                .usesFairShares());
+    }
 }
