--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/FairShares.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/FairShares.java
@@ -20,8 +20,8 @@
 final class FairShares {
 
     /**
-     * Largest share of the slot time in which calls without an organisation overtake less urgent ranks. Calls of
-     * running requests need 0.17 to 0.43 of the slots of the services that they share with callers' requests.
+     * Largest share of the slot time in which calls without an organisation overtake others. With 0.2 the calls of
+     * running requests fail at a burst of uploads, with 0.8 a flood of them crowds out long requests.
      */
     static final double OVERTAKING_SHARE = 0.5;
 
