--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/SlotGate.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/SlotGate.java
@@ -5,6 +5,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import org.sequoiashunt.call.CallRequest;
 import org.sequoiashunt.call.CallResponse;
@@ -51,7 +52,7 @@
     public SlotGate(final TargetAnnouncement target, final Dependencies dependencies) {
         this.target = Objects.requireNonNull(target, "target");
         this.dependencies = Objects.requireNonNull(dependencies, "dependencies");
-        this.queue = new SlotQueue(target.slots());
+        this.queue = new SlotQueue(target.slots(), dependencies.fairSharesInForce());
         long nowMs = dependencies.clock().nowMs();
         this.warmup = new WarmupLimiter(nowMs, target.sequence());
         this.warmup.apply(dependencies.warmupRules().apply(target.service()), nowMs);
@@ -92,7 +93,7 @@
         if (request.deadlineMs() <= nowMs) {
             return refuse(request, CallResult.notRun(Reason.DEADLINE));
         }
-        WaitingCall waiting = new WaitingCall(request, latestStartMs(request, nowMs), result);
+        WaitingCall waiting = waitingCall(request, nowMs, result);
         Optional<CallResult> refusal = enqueue(waiting, nowMs);
         if (refusal.isPresent()) {
             return refuse(request, refusal.get());
@@ -106,9 +107,12 @@
         return result;
     }
 
-    private synchronized long latestStartMs(final CallRequest request, final long nowMs) {
-        return Math.max(
+    private synchronized WaitingCall waitingCall(
+            final CallRequest request, final long nowMs, final CompletableFuture<CallResult> result) {
+        long latestStartMs = Math.max(
                 nowMs, Math.min(request.urgency().objectiveMs(), request.deadlineMs()) - likelyServiceMs(request));
+        long expectedServiceMs = movingAverages.meanMs(request.route(), queue.meanMs());
+        return new WaitingCall(request, latestStartMs, expectedServiceMs, result);
     }
 
     private long likelyServiceMs(final CallRequest request) {
@@ -128,10 +132,7 @@
             return Optional.of(CallResult.notRun(Reason.EVACUATED));
         }
         long coldWaitMs = warmupWaitMs(queue.waiting(), nowMs);
-        long earliestStartMs = nowMs
-                + Math.max(
-                        coldWaitMs,
-                        queue.expectedWaitMs(waiting.request().urgency().rank()));
+        long earliestStartMs = nowMs + Math.max(coldWaitMs, queue.expectedWaitMs(waiting, nowMs));
         if (outlastsStop(waiting.request(), earliestStartMs)) {
             return Optional.of(CallResult.notRun(Reason.DRAINING));
         }
@@ -390,19 +391,24 @@
      * @param targets sends calls to targets.
      * @param observer receives the gate's decisions.
      * @param warmupRules returns the limit on cold targets of a service.
+     * @param fairSharesInForce whether the flows of a rank share the slots of a target.
      */
     public record Dependencies(
-            Clock clock, TargetCaller targetCaller, GateObserver observer, Function<String, WarmupRule> warmupRules) {
+            Clock clock,
+            TargetCaller targetCaller,
+            GateObserver observer,
+            Function<String, WarmupRule> warmupRules,
+            BooleanSupplier fairSharesInForce) {
 
         /**
-         * Creates the dependencies of gates that do not limit cold targets.
+         * Creates the dependencies of gates without a limit on cold targets and without fair shares.
          *
          * @param clock the clock.
          * @param targetCaller sends calls to targets.
          * @param observer receives the gate's decisions.
          */
         public Dependencies(final Clock clock, final TargetCaller targetCaller, final GateObserver observer) {
-            this(clock, targetCaller, observer, service -> WarmupRule.NONE);
+            this(clock, targetCaller, observer, service -> WarmupRule.NONE, () -> false);
         }
     }
 }
--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/slot/ColdTargetTest.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/slot/ColdTargetTest.java
@@ -41,7 +41,8 @@
                             return running.get(running.size() - 1);
                         },
                         GateObserver.NO_OP,
-                        service -> rule));
+                        service -> rule,
+                        () -> false));
     }
 
     private static TargetAnnouncement announcement(final long sequence, final long warmupLeftMs) {
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/ActiveConfiguration.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/ActiveConfiguration.java
@@ -96,6 +96,11 @@
         return snapshot == null ? Optional.empty() : Optional.of(snapshot.configuration());
     }
 
+    /** Returns whether the active configuration calls for fair shares of the slots of targets. */
+    boolean usesFairShares() {
+        return current().map(MeshConfiguration::usesFairShares).orElse(false);
+    }
+
     /** Returns the document of the active configuration, or empty before the first activation. */
     Optional<Body> document() {
         ActiveVersion snapshot = active;
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
@@ -203,7 +203,9 @@
         GateReporter reporter = new GateReporter(
                 platformComponents.headerNames().requestId(), answerCounters, crashGuard, log, metrics);
         gates = new SlotGates(
-                registry, new SlotGate.Dependencies(clock, targets, reporter, configuration::warmupRuleOf));
+                registry,
+                new SlotGate.Dependencies(
+                        clock, targets, reporter, configuration::warmupRuleOf, configuration::usesFairShares));
         evacuations = new EvacuationControl(settings.location().failureDomain(), evacuationTable, gates, log, metrics);
         guardedGates = crashGuard.guard(gates);
     }
