Idempotent requests that arrive behind one being served run ahead

Cause: the server serves one request of a connection at a time, so that a pipelined request waits unread until those in front have been answered, and the connection is no longer watched for a disconnect once such bytes have come.

Calls are cancelled when the caller leaves, when a response closes the connection, or when the request differs. The connection is watched until the bytes behind a request fill one buffer.

--- /dev/null
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/pipeline/ReadAheadCalls.java
@@ -0,0 +1,250 @@
+package org.sequoiashunt.pipeline;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.sequoiashunt.call.CallResult;
+import org.sequoiashunt.call.HeaderField;
+import org.sequoiashunt.mesh.MeshCall;
+import org.sequoiashunt.mesh.MeshRoute;
+import org.sequoiashunt.mesh.RequestKind;
+
+/**
+ * Calls of one connection that run before the requests in front of them have been answered.
+ *
+ * <p>Decides which pipelined requests run ahead, and whether a request that the server reaches takes the call that runs
+ * already. Answers the load pattern of callers that send several idempotent requests on a connection, where one slow
+ * request delays all behind it.
+ *
+ * <p>Thread-safe: guarded by this object's monitor, which is not held while a call is dispatched or cancelled.
+ * Invariants: the calls are those of the first requests behind the current one, without a gap; each call is taken once
+ * or cancelled; nothing is dispatched after the end of the connection.
+ */
+public final class ReadAheadCalls {
+
+    /** A result is held in memory until its turn; eight requests of 100 ms cover most of the time a caller waits. */
+    static final int MAXIMUM_CALLS = 8;
+
+    private final ReadAheadBudget budget;
+    private final Observer observer;
+    private final Deque<Entry> waiting = new ArrayDeque<>();
+    private Entry current;
+    private boolean closed;
+
+    /**
+     * Creates an empty list of calls.
+     *
+     * @param budget the budget of all connections, not null.
+     * @param observer receives each decision, not null.
+     */
+    public ReadAheadCalls(final ReadAheadBudget budget, final Observer observer) {
+        this.budget = Objects.requireNonNull(budget, "budget");
+        this.observer = Objects.requireNonNull(observer, "observer");
+    }
+
+    /** What becomes of a request that is read ahead. */
+    public enum Step {
+        /** Its call was dispatched ahead. */
+        READ,
+        /** The request was reached and took the call. */
+        USED,
+        /** The call was cancelled or its result dropped. */
+        DISCARDED
+    }
+
+    /** Receives the decisions. */
+    public interface Observer {
+
+        /** Receives one decision on a request of a route; must not block. */
+        void observe(MeshRoute route, Step step);
+    }
+
+    /** Creates and dispatches calls. */
+    public interface Dispatcher {
+
+        /** Returns the request that a head stands for; empty if it is not permitted or has no route. */
+        Optional<Request> prepare(RequestHead head);
+
+        /** Dispatches the call of a request. */
+        CompletableFuture<CallResult> dispatch(Request request);
+    }
+
+    /**
+     * Request with its route. Immutable and thread-safe.
+     *
+     * @param call the call.
+     * @param route the route.
+     */
+    public record Request(MeshCall call, MeshRoute route) {}
+
+    /**
+     * Call that runs or has ended.
+     *
+     * @param call the call.
+     * @param result its result.
+     */
+    public record RunningCall(MeshCall call, CompletableFuture<CallResult> result) {}
+
+    /** Call that runs ahead, with the length of the head of its request. */
+    private record Entry(Request request, CompletableFuture<CallResult> result, int lengthBytes) {}
+
+    /**
+     * Dispatches the calls of requests that have arrived behind the current one, in order, until one may not run ahead.
+     * Called by one thread at a time.
+     *
+     * @param bytes all bytes that have arrived behind the current request, not null.
+     * @param maximumHeadBytes the largest length of a head, in bytes.
+     * @param dispatcher creates and dispatches the calls, not null.
+     */
+    public void advance(final byte[] bytes, final int maximumHeadBytes, final Dispatcher dispatcher) {
+        int offset = waitingBytes();
+        while (offset < bytes.length && hasRoom()) {
+            Optional<RequestHead> head = RequestHeadParser.parse(bytes, offset, maximumHeadBytes);
+            Optional<Request> request = head.flatMap(dispatcher::prepare).filter(ReadAheadCalls::mayRunAhead);
+            if (request.isEmpty() || !budget.tryAcquire()) {
+                return;
+            }
+            int lengthBytes = head.get().lengthBytes();
+            add(new Entry(request.get(), dispatcher.dispatch(request.get()), lengthBytes));
+            offset += lengthBytes;
+        }
+    }
+
+    /** Large responses would be held in memory until their turn, so downloads do not run ahead. */
+    private static boolean mayRunAhead(final Request request) {
+        return request.route().kind() == RequestKind.IDEMPOTENT;
+    }
+
+    private synchronized boolean hasRoom() {
+        return !closed && waiting.size() < MAXIMUM_CALLS;
+    }
+
+    private synchronized int waitingBytes() {
+        return waiting.stream().mapToInt(Entry::lengthBytes).sum();
+    }
+
+    private void add(final Entry entry) {
+        observer.observe(entry.request().route(), Step.READ);
+        boolean late;
+        synchronized (this) {
+            late = closed;
+            if (!late) {
+                waiting.add(entry);
+            }
+        }
+        if (late) {
+            discard(List.of(entry));
+        }
+    }
+
+    /**
+     * Starts the next request of the connection. Its call becomes the current one if the identity of the request
+     * matches; otherwise the order is unknown and all calls are cancelled.
+     *
+     * @param requestId the identity of the request, null if it has none.
+     */
+    public void begin(final String requestId) {
+        endCurrent();
+        boolean matches;
+        synchronized (this) {
+            Entry first = waiting.peek();
+            matches = first == null || first.request().call().requestId().equals(requestId);
+            if (matches) {
+                current = waiting.poll();
+            }
+        }
+        if (!matches) {
+            discardAll();
+        }
+    }
+
+    /**
+     * Takes the call that runs for the current request. The caller answers for it from then on.
+     *
+     * @param request the request as the server read it, not null.
+     * @return the call with the time at which it was read; empty if there is none or it differs.
+     */
+    public Optional<RunningCall> take(final Request request) {
+        Entry taken;
+        synchronized (this) {
+            if (current == null || !isSame(current.request(), request)) {
+                return Optional.empty();
+            }
+            taken = current;
+            current = null;
+        }
+        budget.release();
+        observer.observe(taken.request().route(), Step.USED);
+        return Optional.of(new RunningCall(taken.request().call(), taken.result()));
+    }
+
+    /** Compares everything that a target gets or that decides who may send it, but not the times. */
+    private static boolean isSame(final Request ahead, final Request reached) {
+        MeshCall first = ahead.call();
+        MeshCall second = reached.call();
+        return ahead.route().equals(reached.route())
+                && first.requestId().equals(second.requestId())
+                && first.method().equals(second.method())
+                && first.uri().equals(second.uri())
+                && second.body().bytes().length == 0
+                && first.organisation().equals(second.organisation())
+                && first.organisationRank() == second.organisationRank()
+                && isSame(first.headers(), second.headers());
+    }
+
+    private static boolean isSame(final List<HeaderField> first, final List<HeaderField> second) {
+        if (first.size() != second.size()) {
+            return false;
+        }
+        for (int index = 0; index < first.size(); index++) {
+            if (!first.get(index).name().equalsIgnoreCase(second.get(index).name())
+                    || !first.get(index).value().equals(second.get(index).value())) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Ends the current request: its call is cancelled unless it was taken. */
+    public void endCurrent() {
+        Entry ended;
+        synchronized (this) {
+            ended = current;
+            current = null;
+        }
+        if (ended != null) {
+            discard(List.of(ended));
+        }
+    }
+
+    /** Cancels all calls that were not taken. */
+    public void discardAll() {
+        List<Entry> ended;
+        synchronized (this) {
+            ended = new ArrayList<>(waiting);
+            waiting.clear();
+        }
+        endCurrent();
+        discard(ended);
+    }
+
+    /** Cancels all calls that were not taken; later requests do not run ahead. */
+    public void close() {
+        synchronized (this) {
+            closed = true;
+        }
+        discardAll();
+    }
+
+    private void discard(final List<Entry> entries) {
+        for (Entry entry : entries) {
+            entry.result().cancel(true);
+            budget.release();
+            observer.observe(entry.request().route(), Step.DISCARDED);
+        }
+    }
+}
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshCallerHandler.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshCallerHandler.java
@@ -6,12 +6,14 @@
 import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
+import io.undertow.util.Methods;
 import io.undertow.util.SameThreadExecutor;
 import io.undertow.util.StatusCodes;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
@@ -29,6 +31,8 @@
 import org.sequoiashunt.mesh.MeshCall;
 import org.sequoiashunt.mesh.MeshDispatcher;
 import org.sequoiashunt.mesh.MeshRoute;
+import org.sequoiashunt.pipeline.ReadAheadCalls;
+import org.sequoiashunt.pipeline.RequestHead;
 import org.sequoiashunt.time.Clock;
 import org.xnio.IoUtils;
 
@@ -51,9 +55,14 @@
 
     private final Dependencies dependencies;
     private final AtomicInteger activeRequests = new AtomicInteger();
+    private final PipelinedRequests pipelinedRequests;
 
     MeshCallerHandler(final Dependencies dependencies) {
         this.dependencies = Objects.requireNonNull(dependencies, "dependencies");
+        pipelinedRequests = new PipelinedRequests(
+                new ReadAheadDispatcher(),
+                () -> dependencies.limits().get().maximumHeaderBytes(),
+                dependencies.metrics());
     }
 
     /** Returns the number of requests that are being served. */
@@ -69,6 +78,7 @@
         }
         HeaderValues requestIds =
                 exchange.getRequestHeaders().get(dependencies.headerNames().requestId());
+        pipelinedRequests.begin(exchange, requestIds == null ? null : requestIds.getFirst());
         if (requestIds == null || requestIds.size() != 1) {
             refuse(
                     exchange,
@@ -144,24 +154,42 @@
         });
     }
 
-    private void serve(final HttpServerExchange exchange, final MeshRoute route, final MeshCall call) {
-        long arrivedMs = call.arrivedMs();
+    private void serve(final HttpServerExchange exchange, final MeshRoute route, final MeshCall reachedCall) {
         if (CallerDisconnectDetector.hasDisconnected(exchange)) {
-            handleCallerDisconnect(exchange, call, route);
+            handleCallerDisconnect(exchange, reachedCall, route);
             dependencies.metrics().countCallerDisconnect(route);
             return;
         }
         if (dependencies.refusingRequests().getAsBoolean()) {
-            refuse(exchange, call.requestId(), route, arrivedMs, CallResult.notRun(Reason.DRAINING));
+            refuse(
+                    exchange,
+                    reachedCall.requestId(),
+                    route,
+                    reachedCall.arrivedMs(),
+                    CallResult.notRun(Reason.DRAINING));
             return;
         }
-        CompletableFuture<CallResult> result = dependencies.dispatcher().dispatch(call, route);
-        if (!result.isDone()) {
-            CallerDisconnectDetector.start(exchange, () -> {
-                result.cancel(true);
-                handleCallerDisconnect(exchange, call, route);
-            });
-        }
+        ReadAheadCalls.RunningCall running = pipelinedRequests
+                .take(exchange, new ReadAheadCalls.Request(reachedCall, route))
+                .orElseGet(() -> new ReadAheadCalls.RunningCall(reachedCall, dispatch(reachedCall, route)));
+        serve(exchange, route, running.call(), running.result());
+    }
+
+    /** Dispatches a call, whether the server has reached its request or the request is read ahead. */
+    private CompletableFuture<CallResult> dispatch(final MeshCall call, final MeshRoute route) {
+        return dependencies.dispatcher().dispatch(call, route);
+    }
+
+    private void serve(
+            final HttpServerExchange exchange,
+            final MeshRoute route,
+            final MeshCall call,
+            final CompletableFuture<CallResult> result) {
+        long arrivedMs = call.arrivedMs();
+        pipelinedRequests.watch(exchange, route.idempotent(), result, () -> {
+            result.cancel(true);
+            handleCallerDisconnect(exchange, call, route);
+        });
         exchange.addExchangeCompleteListener((completed, next) -> {
             result.cancel(true);
             next.proceed();
@@ -198,12 +226,29 @@
             final long arrivedMs) {
         String query = exchange.getQueryString();
         String path = exchange.getRequestURI();
-        HeaderMap headers = exchange.getRequestHeaders();
-        return new MeshCall(
-                headers.getFirst(dependencies.headerNames().requestId()),
+        return createCall(
                 exchange.getRequestMethod().toString(),
                 query.isEmpty() ? path : path + "?" + query,
-                forwardedHeaders(exchange, identification),
+                exchange.getRequestHeaders(),
+                route,
+                identification,
+                body,
+                arrivedMs);
+    }
+
+    private MeshCall createCall(
+            final String method,
+            final String uri,
+            final HeaderMap headers,
+            final MeshRoute route,
+            final CallerIdentification identification,
+            final byte[] body,
+            final long arrivedMs) {
+        return new MeshCall(
+                headers.getFirst(dependencies.headerNames().requestId()),
+                method,
+                uri,
+                forwardedHeaders(headers, identification),
                 Body.of(body),
                 identification.organisation(),
                 identification.rank(),
@@ -213,6 +258,37 @@
                                 headers.getFirst(dependencies.headerNames().remainingMs()), route));
     }
 
+    /** Creates and dispatches the calls of requests that are read ahead, by the rules that apply once it is reached. */
+    private final class ReadAheadDispatcher implements ReadAheadCalls.Dispatcher {
+
+        @Override
+        public Optional<ReadAheadCalls.Request> prepare(final RequestHead head) {
+            HeaderMap headers = new HeaderMap();
+            head.fields().forEach(field -> headers.add(new HttpString(field.name()), field.value()));
+            MeshDispatcher.Match match = dependencies.dispatcher().match(headers.getFirst(Headers.HOST), head.path());
+            if (match.route().isEmpty()
+                    || !headers.contains(dependencies.headerNames().requestId())
+                    || dependencies.draining().getAsBoolean()
+                    || activeRequests.get() >= MAXIMUM_ACTIVE_REQUESTS) {
+                return Optional.empty();
+            }
+            MeshRoute route = match.route().get();
+            CallerIdentification identification = CallerIdentification.of(headers, route, match.organisations());
+            if (!identification.permitted()) {
+                return Optional.empty();
+            }
+            long arrivedMs = dependencies.clock().nowMs();
+            MeshCall call =
+                    createCall(Methods.GET_STRING, head.uri(), headers, route, identification, new byte[0], arrivedMs);
+            return Optional.of(new ReadAheadCalls.Request(call, route));
+        }
+
+        @Override
+        public CompletableFuture<CallResult> dispatch(final ReadAheadCalls.Request request) {
+            return MeshCallerHandler.this.dispatch(request.call(), request.route());
+        }
+    }
+
     /** Returns the time that the caller states, or the route's timeout if it states none or an invalid one. */
     private static long remainingMs(final String statedRemainingMs, final MeshRoute route) {
         if (statedRemainingMs == null
@@ -222,11 +298,10 @@
         return Long.parseLong(statedRemainingMs);
     }
 
-    private List<HeaderField> forwardedHeaders(
-            final HttpServerExchange exchange, final CallerIdentification identification) {
+    private List<HeaderField> forwardedHeaders(final HeaderMap headers, final CallerIdentification identification) {
         String organisationHeader = dependencies.headerNames().organisation();
         List<HeaderField> fields = new ArrayList<>();
-        for (HeaderValues values : exchange.getRequestHeaders()) {
+        for (HeaderValues values : headers) {
             String name = values.getHeaderName().toString();
             if (!isSetByNode(name) && !identification.removesHeader(name, organisationHeader)) {
                 values.forEach(value -> fields.add(new HeaderField(name, value)));
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshMetrics.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshMetrics.java
@@ -45,6 +45,11 @@
         count("callers_left{route=\"" + route.name() + "\"}");
     }
 
+    /** Counts a step of a request that is read ahead: read, used or discarded. */
+    void countReadAhead(final MeshRoute route, final String step) {
+        count("requests_read_ahead{route=\"" + route.name() + "\",step=\"" + step + "\"}");
+    }
+
     void countUnmatched(final Reason reason) {
         count("requests_unmatched{reason=\"" + labelValue(reason) + "\"}");
     }
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/ScriptedTarget.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/ScriptedTarget.java
@@ -53,6 +53,11 @@
         return requests;
     }
 
+    /** Adds a step to the script; requests wait for their step. */
+    void add(final String step) {
+        script.add(step);
+    }
+
     /** Returns the number of bytes that were sent in endless answers. */
     long endlessBytes() {
         return endlessBytes.get();
