--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/limit/RetryAfterPolicy.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/limit/RetryAfterPolicy.java
@@ -55,7 +55,23 @@
         double expectedDelayMs = expectedWaitMs == 0
                 ? DELAY_WITHOUT_TARGET_MS
                 : Math.max(MINIMUM_EXPECTED_DELAY_MS, expectedWaitMs * QUEUE_WAIT_FACTOR);
+        return bounded(expectedDelayMs * jitterFactor, remainingMs);
+    }
+
+    /**
+     * Computes the delay until a caller whose organisation has used up its limit should retry. It is not shorter than
+     * the expected wait, since a caller that comes back sooner is refused again.
+     *
+     * @param expectedWaitMs the time after which the limit is expected to have room, in milliseconds.
+     * @param remainingMs the caller's remaining time, in milliseconds; a negative time counts as zero.
+     * @return the delay in milliseconds, positive.
+     */
+    public long quotaDelayMs(final long expectedWaitMs, final long remainingMs) {
+        return bounded(expectedWaitMs * (1 + JITTER_RATIO * random.nextDouble()), remainingMs);
+    }
+
+    private static long bounded(final double delayMs, final long remainingMs) {
         double maximumDelayMs = Math.max(0, remainingMs) * MAXIMUM_PART_OF_REMAINING;
-        return Math.max(1, Math.round(Math.min(expectedDelayMs * jitterFactor, maximumDelayMs)));
+        return Math.max(1, Math.round(Math.min(delayMs, maximumDelayMs)));
     }
 }
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/organisation/OrganisationDirectory.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/organisation/OrganisationDirectory.java
@@ -6,6 +6,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * Finds the organisation that holds a key.
@@ -24,6 +25,7 @@
     private final boolean keysRequired;
     private final Map<String, Organisation> organisationsByKey;
     private final Map<String, Organisation> organisationsByName;
+    private final Map<String, RateLimit> limits;
     private final int mostUrgentRank;
 
     private OrganisationDirectory(
@@ -33,6 +35,10 @@
         this.keysRequired = keysRequired;
         this.organisationsByKey = Map.copyOf(organisationsByKey);
         this.organisationsByName = Map.copyOf(organisationsByName);
+        this.limits = organisationsByName.values().stream()
+                .filter(organisation -> organisation.quota().isPresent())
+                .collect(Collectors.toUnmodifiableMap(
+                        Organisation::name, organisation -> organisation.quota().get()));
         this.mostUrgentRank = organisationsByName.values().stream()
                 .mapToInt(OrganisationDirectory::rankOf)
                 .min()
@@ -84,6 +90,15 @@
         return organisation.map(OrganisationDirectory::rankOf).orElse(mostUrgentRank);
     }
 
+    /**
+     * Returns the limits of the organisations that have one.
+     *
+     * @return the limits by the names of the organisations, the same map at each call; never null.
+     */
+    public Map<String, RateLimit> limits() {
+        return limits;
+    }
+
     /**
      * Counts the organisations.
      *
--- /dev/null
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/quota/QuotaFleetTest.java
@@ -0,0 +1,178 @@
+package org.sequoiashunt.quota;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.sequoiashunt.organisation.RateLimit;
+
+/** Guards against windows above the bound of an organisation, and against refusals below its entitlement. */
+class QuotaFleetTest {
+
+    private static final int NODES = 64;
+    private static final double[] RATES = {5, 5, 8, 12, 20, 40, 80, 400};
+    private static final int STEPS_PER_SECOND = 1_000 / SimulatedFleet.STEP_MS;
+    private static final int CONFIGURATION_MS = 3_000;
+
+    private static SimulatedFleet fleet(final long seed, final SimulatedFleet.Rule rule) {
+        SimulatedFleet fleet = new SimulatedFleet(NODES, seed, rule);
+        Random demand = new Random(seed);
+        for (int index = 0; index < RATES.length; index++) {
+            fleet.add(RATES[index], weights(index, demand));
+        }
+        fleet.start();
+        run(fleet, 5);
+        return fleet;
+    }
+
+    /** Demand of some organisations is equal at all nodes, of some uneven, and of some at three nodes only. */
+    private static double[] weights(final int index, final Random random) {
+        double[] weights = new double[NODES];
+        for (int node = 0; node < NODES; node++) {
+            weights[node] = index % 3 == 1 ? Math.pow(random.nextDouble(), 3) : 1;
+        }
+        if (index % 5 == 3) {
+            Arrays.fill(weights, 0);
+            random.ints(3, 0, NODES).forEach(node -> weights[node] += 1);
+        }
+        double sum = Arrays.stream(weights).sum();
+        return Arrays.stream(weights).map(weight -> weight / sum).toArray();
+    }
+
+    private static void run(final SimulatedFleet fleet, final double seconds) {
+        for (int step = 0; step < seconds * STEPS_PER_SECOND; step++) {
+            fleet.step();
+        }
+    }
+
+    private static void assertBounds(final SimulatedFleet fleet, final long seed) {
+        for (SimulatedFleet.Load load : fleet.loads) {
+            assertTrue(
+                    load.worstExcess <= 0,
+                    () -> load.name + " at " + load.limit + ", seed " + seed + ": above the bound by "
+                            + load.worstExcess);
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
+    void noWindowIsAboveTheBoundUnderFaults(final long seed) {
+        SimulatedFleet fleet = fleet(seed, SimulatedFleet.Rule.COORDINATED);
+        Random faults = new Random(seed);
+        for (int second = 0; second < 40; second++) {
+            injectFault(fleet, faults);
+            for (SimulatedFleet.Load load : fleet.loads) {
+                if (faults.nextInt(8) == 0) {
+                    load.factor = faults.nextBoolean() ? 0.6 : 3 + 1.5 * faults.nextDouble();
+                }
+            }
+            run(fleet, 1);
+        }
+        assertBounds(fleet, seed);
+    }
+
+    private static void injectFault(final SimulatedFleet fleet, final Random faults) {
+        SimulatedFleet.Node node = fleet.nodes.get(faults.nextInt(NODES));
+        switch (faults.nextInt(10)) {
+            case 0 -> node.live = false;
+            case 1 ->
+                fleet.nodes.stream()
+                        .filter(strong -> strong.live && strong.capacity > 1_000)
+                        .findFirst()
+                        .ifPresent(strong -> strong.live = false);
+            case 2 -> fleet.nodes.forEach(other -> other.side = other.index % 2);
+            case 3 -> fleet.nodes.forEach(other -> other.side = faults.nextInt(2));
+            case 4 -> node.side = 2 + node.index;
+            case 5, 6 -> fleet.nodes.forEach(other -> other.side = 0);
+            default -> fleet.nodes.stream().filter(other -> !other.live).forEach(SimulatedFleet.Node::start);
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {21, 22, 23})
+    void loweredLimitBindsOneWindowAfterAllNodesHaveIt(final long seed) {
+        SimulatedFleet fleet = fleet(seed, SimulatedFleet.Rule.COORDINATED);
+        fleet.loads.forEach(load -> load.factor = 4.5);
+        run(fleet, 8);
+        Random delays = new Random(seed);
+        int[] delaySteps =
+                delays.ints(NODES, 0, CONFIGURATION_MS / SimulatedFleet.STEP_MS).toArray();
+        for (int step = 0; step < CONFIGURATION_MS / SimulatedFleet.STEP_MS; step++) {
+            for (int node = 0; node < NODES; node++) {
+                if (delaySteps[node] == step) {
+                    lowerAll(fleet, fleet.nodes.get(node));
+                }
+            }
+            fleet.step();
+        }
+        run(fleet, 5);
+        fleet.loads.forEach(load -> load.bind(lowered(load.limit)));
+        run(fleet, 10);
+        assertBounds(fleet, seed);
+    }
+
+    private static void lowerAll(final SimulatedFleet fleet, final SimulatedFleet.Node node) {
+        fleet.loads.forEach(load -> node.lower(load.name, lowered(load.limit)));
+    }
+
+    private static RateLimit lowered(final RateLimit limit) {
+        return new RateLimit(limit.ratePerSecond() / 2, limit.burst() / 2);
+    }
+
+    /** Prints what is refused below the entitlement, by the ways to limit; docs/design/quota.md has the table. */
+    @Test
+    void refusesFarLessBelowTheEntitlementThanStaticShares() {
+        double[][] refused = new double[SimulatedFleet.Rule.values().length][];
+        System.out.println(
+                "rule, phase | offered | first refusals below | final refusals | lost of the due | last fill");
+        for (SimulatedFleet.Rule rule : SimulatedFleet.Rule.values()) {
+            refused[rule.ordinal()] = new double[] {
+                measure(rule, "usual", 0.6, false),
+                measure(rule, "hot", 3.5, false),
+                measure(rule, "coordinator lost", 0.6, true)
+            };
+        }
+        double[] coordinated = refused[SimulatedFleet.Rule.COORDINATED.ordinal()];
+        double[] shares = refused[SimulatedFleet.Rule.STATIC_SHARES.ordinal()];
+        for (int phase = 0; phase < coordinated.length; phase++) {
+            assertTrue(coordinated[phase] < shares[phase] / 10, Arrays.toString(coordinated));
+        }
+        assertEquals(0, refused[SimulatedFleet.Rule.PERFECT.ordinal()][0], 1);
+    }
+
+    private static double measure(
+            final SimulatedFleet.Rule rule, final String phase, final double factor, final boolean coordinatorLost) {
+        SimulatedFleet fleet = fleet(7, rule);
+        fleet.loads.forEach(load -> {
+            load.factor = factor;
+            load.offered = 0;
+            load.admitted = 0;
+            load.firstRefusalsBelow = 0;
+            load.finalRefusals = 0;
+            load.lost = 0;
+        });
+        fleet.nodes.get(3).live = !coordinatorLost;
+        run(fleet, 20);
+        List<SimulatedFleet.Load> loads = fleet.loads;
+        double lost = loads.stream().mapToDouble(load -> load.lost).sum();
+        System.out.printf(
+                Locale.ROOT,
+                "%s, %s | %d | %d | %d | %.0f | %s%n",
+                rule,
+                phase,
+                loads.stream().mapToInt(load -> load.offered).sum(),
+                loads.stream().mapToInt(load -> load.firstRefusalsBelow).sum(),
+                loads.stream().mapToInt(load -> load.finalRefusals).sum(),
+                lost,
+                loads.stream()
+                        .map(load -> String.format(Locale.ROOT, "%.2f", load.fill))
+                        .toList());
+        return lost;
+    }
+}
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/FleetCodec.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/FleetCodec.java
@@ -24,11 +24,13 @@
 import org.sequoiashunt.fleet.VersionVerdict;
 import org.sequoiashunt.link.wire.FleetProto;
 import org.sequoiashunt.peer.ControlMessage;
+import org.sequoiashunt.quota.QuotaGrant;
+import org.sequoiashunt.quota.QuotaReport;
 import org.sequoiashunt.target.TargetDeparture;
 
 /**
- * Codec of node reports, batches of them, and requests for and copies of configuration documents. Stateless and
- * thread-safe.
+ * Codec of node reports, batches of them, requests for and copies of configuration documents, and reports and grants of
+ * limited requests. Stateless and thread-safe.
  */
 public final class FleetCodec implements ControlCodec {
 
@@ -47,7 +49,9 @@
                 || message instanceof ReportBatch
                 || message instanceof ReportRequest
                 || message instanceof DepartureNotice
-                || message instanceof DepartureReceipt;
+                || message instanceof DepartureReceipt
+                || message instanceof QuotaReport
+                || message instanceof QuotaGrant;
     }
 
     @Override
@@ -73,6 +77,10 @@
         } else if (message instanceof DepartureReceipt receipt) {
             builder.setDepartureReceipt(
                     FleetProto.DepartureReceipt.newBuilder().addAllDepartures(encodeDepartures(receipt.departures())));
+        } else if (message instanceof QuotaReport report) {
+            builder.setQuotaReport(QuotaCodec.encode(report));
+        } else if (message instanceof QuotaGrant grant) {
+            builder.setQuotaGrant(QuotaCodec.encode(grant));
         } else {
             ConfigurationCopy copy = (ConfigurationCopy) message;
             builder.setConfigurationCopy(FleetProto.ConfigurationCopy.newBuilder()
@@ -110,6 +118,8 @@
             case DEPARTURE_RECEIPT ->
                 new DepartureReceipt(
                         decodeDepartures(message.getDepartureReceipt().getDeparturesList()));
+            case QUOTA_REPORT -> QuotaCodec.decode(message.getQuotaReport());
+            case QUOTA_GRANT -> QuotaCodec.decode(message.getQuotaGrant());
             default -> throw new IllegalArgumentException("fleet payload has no message or one of an unknown type");
         };
     }
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/wire/FleetProto.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/wire/FleetProto.java
@@ -135,6 +135,36 @@
      */
     org.sequoiashunt.link.wire.FleetProto.DepartureReceiptOrBuilder getDepartureReceiptOrBuilder();
 
+    /**
+     * <code>.sequoiashunt.link.QuotaReport quota_report = 8;</code>
+     * @return Whether the quotaReport field is set.
+     */
+    boolean hasQuotaReport();
+    /**
+     * <code>.sequoiashunt.link.QuotaReport quota_report = 8;</code>
+     * @return The quotaReport.
+     */
+    org.sequoiashunt.link.wire.FleetProto.QuotaReport getQuotaReport();
+    /**
+     * <code>.sequoiashunt.link.QuotaReport quota_report = 8;</code>
+     */
+    org.sequoiashunt.link.wire.FleetProto.QuotaReportOrBuilder getQuotaReportOrBuilder();
+
+    /**
+     * <code>.sequoiashunt.link.QuotaGrant quota_grant = 9;</code>
+     * @return Whether the quotaGrant field is set.
+     */
+    boolean hasQuotaGrant();
+    /**
+     * <code>.sequoiashunt.link.QuotaGrant quota_grant = 9;</code>
+     * @return The quotaGrant.
+     */
+    org.sequoiashunt.link.wire.FleetProto.QuotaGrant getQuotaGrant();
+    /**
+     * <code>.sequoiashunt.link.QuotaGrant quota_grant = 9;</code>
+     */
+    org.sequoiashunt.link.wire.FleetProto.QuotaGrantOrBuilder getQuotaGrantOrBuilder();
+
     org.sequoiashunt.link.wire.FleetProto.Fleet.ContentCase getContentCase();
   }
   /**
@@ -192,6 +222,8 @@
       REPORT_REQUEST(5),
       DEPARTURE_NOTICE(6),
       DEPARTURE_RECEIPT(7),
+      QUOTA_REPORT(8),
+      QUOTA_GRANT(9),
       CONTENT_NOT_SET(0);
       private final int value;
       private ContentCase(int value) {
@@ -216,6 +248,8 @@
           case 5: return REPORT_REQUEST;
           case 6: return DEPARTURE_NOTICE;
           case 7: return DEPARTURE_RECEIPT;
+          case 8: return QUOTA_REPORT;
+          case 9: return QUOTA_GRANT;
           case 0: return CONTENT_NOT_SET;
           default: return null;
         }
@@ -448,6 +482,68 @@
       return org.sequoiashunt.link.wire.FleetProto.DepartureReceipt.getDefaultInstance();
     }
 
+    public static final int QUOTA_REPORT_FIELD_NUMBER = 8;
+    /**
+     * <code>.sequoiashunt.link.QuotaReport quota_report = 8;</code>
+     * @return Whether the quotaReport field is set.
+     */
+    @java.lang.Override
+    public boolean hasQuotaReport() {
+      return contentCase_ == 8;
+    }
+    /**
+     * <code>.sequoiashunt.link.QuotaReport quota_report = 8;</code>
+     * @return The quotaReport.
+     */
+    @java.lang.Override
+    public org.sequoiashunt.link.wire.FleetProto.QuotaReport getQuotaReport() {
+      if (contentCase_ == 8) {
+         return (org.sequoiashunt.link.wire.FleetProto.QuotaReport) content_;
+      }
+      return org.sequoiashunt.link.wire.FleetProto.QuotaReport.getDefaultInstance();
+    }
+    /**
+     * <code>.sequoiashunt.link.QuotaReport quota_report = 8;</code>
+     */
+    @java.lang.Override
+    public org.sequoiashunt.link.wire.FleetProto.QuotaReportOrBuilder getQuotaReportOrBuilder() {
+      if (contentCase_ == 8) {
+         return (org.sequoiashunt.link.wire.FleetProto.QuotaReport) content_;
+      }
+      return org.sequoiashunt.link.wire.FleetProto.QuotaReport.getDefaultInstance();
+    }
+
+    public static final int QUOTA_GRANT_FIELD_NUMBER = 9;
+    /**
+     * <code>.sequoiashunt.link.QuotaGrant quota_grant = 9;</code>
+     * @return Whether the quotaGrant field is set.
+     */
+    @java.lang.Override
+    public boolean hasQuotaGrant() {
+      return contentCase_ == 9;
+    }
+    /**
+     * <code>.sequoiashunt.link.QuotaGrant quota_grant = 9;</code>
+     * @return The quotaGrant.
+     */
+    @java.lang.Override
+    public org.sequoiashunt.link.wire.FleetProto.QuotaGrant getQuotaGrant() {
+      if (contentCase_ == 9) {
+         return (org.sequoiashunt.link.wire.FleetProto.QuotaGrant) content_;
+      }
+      return org.sequoiashunt.link.wire.FleetProto.QuotaGrant.getDefaultInstance();
+    }
+    /**
+     * <code>.sequoiashunt.link.QuotaGrant quota_grant = 9;</code>
+     */
+    @java.lang.Override
+    public org.sequoiashunt.link.wire.FleetProto.QuotaGrantOrBuilder getQuotaGrantOrBuilder() {
+      if (contentCase_ == 9) {
+         return (org.sequoiashunt.link.wire.FleetProto.QuotaGrant) content_;
+      }
+      return org.sequoiashunt.link.wire.FleetProto.QuotaGrant.getDefaultInstance();
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -483,6 +579,12 @@
       if (contentCase_ == 7) {
         output.writeMessage(7, (org.sequoiashunt.link.wire.FleetProto.DepartureReceipt) content_);
       }
+      if (contentCase_ == 8) {
+        output.writeMessage(8, (org.sequoiashunt.link.wire.FleetProto.QuotaReport) content_);
+      }
+      if (contentCase_ == 9) {
+        output.writeMessage(9, (org.sequoiashunt.link.wire.FleetProto.QuotaGrant) content_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -515,6 +617,14 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(7, (org.sequoiashunt.link.wire.FleetProto.DepartureReceipt) content_);
       }
+      if (contentCase_ == 8) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(8, (org.sequoiashunt.link.wire.FleetProto.QuotaReport) content_);
+      }
+      if (contentCase_ == 9) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(9, (org.sequoiashunt.link.wire.FleetProto.QuotaGrant) content_);
+      }
       return size;
     }
     @java.lang.Override
@@ -569,6 +679,14 @@
           if (!getDepartureReceipt()
               .equals(other.getDepartureReceipt())) return false;
           break;
+        case 8:
+          if (!getQuotaReport()
+              .equals(other.getQuotaReport())) return false;
+          break;
+        case 9:
+          if (!getQuotaGrant()
+              .equals(other.getQuotaGrant())) return false;
+          break;
         case 0:
         default:
       }
@@ -612,6 +730,14 @@
           hash = (37 * hash) + DEPARTURE_RECEIPT_FIELD_NUMBER;
           hash = (53 * hash) + getDepartureReceipt().hashCode();
           break;
+        case 8:
+          hash = (37 * hash) + QUOTA_REPORT_FIELD_NUMBER;
+          hash = (53 * hash) + getQuotaReport().hashCode();
+          break;
+        case 9:
+          hash = (37 * hash) + QUOTA_GRANT_FIELD_NUMBER;
+          hash = (53 * hash) + getQuotaGrant().hashCode();
+          break;
         case 0:
         default:
       }
@@ -767,6 +893,12 @@
         if (departureReceiptBuilder_ != null) {
           departureReceiptBuilder_.clear();
         }
+        if (quotaReportBuilder_ != null) {
+          quotaReportBuilder_.clear();
+        }
+        if (quotaGrantBuilder_ != null) {
+          quotaGrantBuilder_.clear();
+        }
         contentCase_ = 0;
         content_ = null;
         return this;
@@ -836,6 +968,14 @@
             departureReceiptBuilder_ != null) {
           result.content_ = departureReceiptBuilder_.build();
         }
+        if (contentCase_ == 8 &&
+            quotaReportBuilder_ != null) {
+          result.content_ = quotaReportBuilder_.build();
+        }
+        if (contentCase_ == 9 &&
+            quotaGrantBuilder_ != null) {
+          result.content_ = quotaGrantBuilder_.build();
+        }
       }
 
       @java.lang.Override
@@ -879,6 +1019,14 @@
             mergeDepartureReceipt(other.getDepartureReceipt());
             break;
           }
+          case QUOTA_REPORT: {
+            mergeQuotaReport(other.getQuotaReport());
+            break;
+          }
+          case QUOTA_GRANT: {
+            mergeQuotaGrant(other.getQuotaGrant());
+            break;
+          }
           case CONTENT_NOT_SET: {
             break;
           }
@@ -956,6 +1104,20 @@
                 contentCase_ = 7;
                 break;
               } // case 58
+              case 66: {
+                input.readMessage(
+                    internalGetQuotaReportFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                contentCase_ = 8;
+                break;
+              } // case 66
+              case 74: {
+                input.readMessage(
+                    internalGetQuotaGrantFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                contentCase_ = 9;
+                break;
+              } // case 74
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -1787,204 +1949,4529 @@
         return this;
       }
       /**
-       * <code>.sequoiashunt.link.DepartureNotice departure_notice = 6;</code>
+       * <code>.sequoiashunt.link.DepartureNotice departure_notice = 6;</code>
+       */
+      public org.sequoiashunt.link.wire.FleetProto.DepartureNotice.Builder getDepartureNoticeBuilder() {
+        return internalGetDepartureNoticeFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.sequoiashunt.link.DepartureNotice departure_notice = 6;</code>
+       */
+      @java.lang.Override
+      public org.sequoiashunt.link.wire.FleetProto.DepartureNoticeOrBuilder getDepartureNoticeOrBuilder() {
+        if ((contentCase_ == 6) && (departureNoticeBuilder_ != null)) {
+          return departureNoticeBuilder_.getMessageOrBuilder();
+        } else {
+          if (contentCase_ == 6) {
+            return (org.sequoiashunt.link.wire.FleetProto.DepartureNotice) content_;
+          }
+          return org.sequoiashunt.link.wire.FleetProto.DepartureNotice.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.sequoiashunt.link.DepartureNotice departure_notice = 6;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.sequoiashunt.link.wire.FleetProto.DepartureNotice, org.sequoiashunt.link.wire.FleetProto.DepartureNotice.Builder, org.sequoiashunt.link.wire.FleetProto.DepartureNoticeOrBuilder> 
+          internalGetDepartureNoticeFieldBuilder() {
+        if (departureNoticeBuilder_ == null) {
+          if (!(contentCase_ == 6)) {
+            content_ = org.sequoiashunt.link.wire.FleetProto.DepartureNotice.getDefaultInstance();
+          }
+          departureNoticeBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.sequoiashunt.link.wire.FleetProto.DepartureNotice, org.sequoiashunt.link.wire.FleetProto.DepartureNotice.Builder, org.sequoiashunt.link.wire.FleetProto.DepartureNoticeOrBuilder>(
+                  (org.sequoiashunt.link.wire.FleetProto.DepartureNotice) content_,
+                  getParentForChildren(),
+                  isClean());
+          content_ = null;
+        }
+        contentCase_ = 6;
+        onChanged();
+        return departureNoticeBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          org.sequoiashunt.link.wire.FleetProto.DepartureReceipt, org.sequoiashunt.link.wire.FleetProto.DepartureReceipt.Builder, org.sequoiashunt.link.wire.FleetProto.DepartureReceiptOrBuilder> departureReceiptBuilder_;
+      /**
+       * <code>.sequoiashunt.link.DepartureReceipt departure_receipt = 7;</code>
+       * @return Whether the departureReceipt field is set.
+       */
+      @java.lang.Override
+      public boolean hasDepartureReceipt() {
+        return contentCase_ == 7;
+      }
+      /**
+       * <code>.sequoiashunt.link.DepartureReceipt departure_receipt = 7;</code>
+       * @return The departureReceipt.
+       */
+      @java.lang.Override
+      public org.sequoiashunt.link.wire.FleetProto.DepartureReceipt getDepartureReceipt() {
+        if (departureReceiptBuilder_ == null) {
+          if (contentCase_ == 7) {
+            return (org.sequoiashunt.link.wire.FleetProto.DepartureReceipt) content_;
+          }
+          return org.sequoiashunt.link.wire.FleetProto.DepartureReceipt.getDefaultInstance();
+        } else {
+          if (contentCase_ == 7) {
+            return departureReceiptBuilder_.getMessage();
+          }
+          return org.sequoiashunt.link.wire.FleetProto.DepartureReceipt.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.sequoiashunt.link.DepartureReceipt departure_receipt = 7;</code>
+       */
+      public Builder setDepartureReceipt(org.sequoiashunt.link.wire.FleetProto.DepartureReceipt value) {
+        if (departureReceiptBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          content_ = value;
+          onChanged();
+        } else {
+          departureReceiptBuilder_.setMessage(value);
+        }
+        contentCase_ = 7;
+        return this;
+      }
+      /**
+       * <code>.sequoiashunt.link.DepartureReceipt departure_receipt = 7;</code>
+       */
+      public Builder setDepartureReceipt(
+          org.sequoiashunt.link.wire.FleetProto.DepartureReceipt.Builder builderForValue) {
+        if (departureReceiptBuilder_ == null) {
+          content_ = builderForValue.build();
+          onChanged();
+        } else {
+          departureReceiptBuilder_.setMessage(builderForValue.build());
+        }
+        contentCase_ = 7;
+        return this;
+      }
+      /**
+       * <code>.sequoiashunt.link.DepartureReceipt departure_receipt = 7;</code>
+       */
+      public Builder mergeDepartureReceipt(org.sequoiashunt.link.wire.FleetProto.DepartureReceipt value) {
+        if (departureReceiptBuilder_ == null) {
+          if (contentCase_ == 7 &&
+              content_ != org.sequoiashunt.link.wire.FleetProto.DepartureReceipt.getDefaultInstance()) {
+            content_ = org.sequoiashunt.link.wire.FleetProto.DepartureReceipt.newBuilder((org.sequoiashunt.link.wire.FleetProto.DepartureReceipt) content_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            content_ = value;
+          }
+          onChanged();
+        } else {
+          if (contentCase_ == 7) {
+            departureReceiptBuilder_.mergeFrom(value);
+          } else {
+            departureReceiptBuilder_.setMessage(value);
+          }
+        }
+        contentCase_ = 7;
+        return this;
+      }
+      /**
+       * <code>.sequoiashunt.link.DepartureReceipt departure_receipt = 7;</code>
+       */
+      public Builder clearDepartureReceipt() {
+        if (departureReceiptBuilder_ == null) {
+          if (contentCase_ == 7) {
+            contentCase_ = 0;
+            content_ = null;
+            onChanged();
+          }
+        } else {
+          if (contentCase_ == 7) {
+            contentCase_ = 0;
+            content_ = null;
+          }
+          departureReceiptBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.sequoiashunt.link.DepartureReceipt departure_receipt = 7;</code>
+       */
+      public org.sequoiashunt.link.wire.FleetProto.DepartureReceipt.Builder getDepartureReceiptBuilder() {
+        return internalGetDepartureReceiptFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.sequoiashunt.link.DepartureReceipt departure_receipt = 7;</code>
+       */
+      @java.lang.Override
+      public org.sequoiashunt.link.wire.FleetProto.DepartureReceiptOrBuilder getDepartureReceiptOrBuilder() {
+        if ((contentCase_ == 7) && (departureReceiptBuilder_ != null)) {
+          return departureReceiptBuilder_.getMessageOrBuilder();
+        } else {
+          if (contentCase_ == 7) {
+            return (org.sequoiashunt.link.wire.FleetProto.DepartureReceipt) content_;
+          }
+          return org.sequoiashunt.link.wire.FleetProto.DepartureReceipt.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.sequoiashunt.link.DepartureReceipt departure_receipt = 7;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.sequoiashunt.link.wire.FleetProto.DepartureReceipt, org.sequoiashunt.link.wire.FleetProto.DepartureReceipt.Builder, org.sequoiashunt.link.wire.FleetProto.DepartureReceiptOrBuilder> 
+          internalGetDepartureReceiptFieldBuilder() {
+        if (departureReceiptBuilder_ == null) {
+          if (!(contentCase_ == 7)) {
+            content_ = org.sequoiashunt.link.wire.FleetProto.DepartureReceipt.getDefaultInstance();
+          }
+          departureReceiptBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.sequoiashunt.link.wire.FleetProto.DepartureReceipt, org.sequoiashunt.link.wire.FleetProto.DepartureReceipt.Builder, org.sequoiashunt.link.wire.FleetProto.DepartureReceiptOrBuilder>(
+                  (org.sequoiashunt.link.wire.FleetProto.DepartureReceipt) content_,
+                  getParentForChildren(),
+                  isClean());
+          content_ = null;
+        }
+        contentCase_ = 7;
+        onChanged();
+        return departureReceiptBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          org.sequoiashunt.link.wire.FleetProto.QuotaReport, org.sequoiashunt.link.wire.FleetProto.QuotaReport.Builder, org.sequoiashunt.link.wire.FleetProto.QuotaReportOrBuilder> quotaReportBuilder_;
+      /**
+       * <code>.sequoiashunt.link.QuotaReport quota_report = 8;</code>
+       * @return Whether the quotaReport field is set.
+       */
+      @java.lang.Override
+      public boolean hasQuotaReport() {
+        return contentCase_ == 8;
+      }
+      /**
+       * <code>.sequoiashunt.link.QuotaReport quota_report = 8;</code>
+       * @return The quotaReport.
+       */
+      @java.lang.Override
+      public org.sequoiashunt.link.wire.FleetProto.QuotaReport getQuotaReport() {
+        if (quotaReportBuilder_ == null) {
+          if (contentCase_ == 8) {
+            return (org.sequoiashunt.link.wire.FleetProto.QuotaReport) content_;
+          }
+          return org.sequoiashunt.link.wire.FleetProto.QuotaReport.getDefaultInstance();
+        } else {
+          if (contentCase_ == 8) {
+            return quotaReportBuilder_.getMessage();
+          }
+          return org.sequoiashunt.link.wire.FleetProto.QuotaReport.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.sequoiashunt.link.QuotaReport quota_report = 8;</code>
+       */
+      public Builder setQuotaReport(org.sequoiashunt.link.wire.FleetProto.QuotaReport value) {
+        if (quotaReportBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          content_ = value;
+          onChanged();
+        } else {
+          quotaReportBuilder_.setMessage(value);
+        }
+        contentCase_ = 8;
+        return this;
+      }
+      /**
+       * <code>.sequoiashunt.link.QuotaReport quota_report = 8;</code>
+       */
+      public Builder setQuotaReport(
+          org.sequoiashunt.link.wire.FleetProto.QuotaReport.Builder builderForValue) {
+        if (quotaReportBuilder_ == null) {
+          content_ = builderForValue.build();
+          onChanged();
+        } else {
+          quotaReportBuilder_.setMessage(builderForValue.build());
+        }
+        contentCase_ = 8;
+        return this;
+      }
+      /**
+       * <code>.sequoiashunt.link.QuotaReport quota_report = 8;</code>
+       */
+      public Builder mergeQuotaReport(org.sequoiashunt.link.wire.FleetProto.QuotaReport value) {
+        if (quotaReportBuilder_ == null) {
+          if (contentCase_ == 8 &&
+              content_ != org.sequoiashunt.link.wire.FleetProto.QuotaReport.getDefaultInstance()) {
+            content_ = org.sequoiashunt.link.wire.FleetProto.QuotaReport.newBuilder((org.sequoiashunt.link.wire.FleetProto.QuotaReport) content_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            content_ = value;
+          }
+          onChanged();
+        } else {
+          if (contentCase_ == 8) {
+            quotaReportBuilder_.mergeFrom(value);
+          } else {
+            quotaReportBuilder_.setMessage(value);
+          }
+        }
+        contentCase_ = 8;
+        return this;
+      }
+      /**
+       * <code>.sequoiashunt.link.QuotaReport quota_report = 8;</code>
+       */
+      public Builder clearQuotaReport() {
+        if (quotaReportBuilder_ == null) {
+          if (contentCase_ == 8) {
+            contentCase_ = 0;
+            content_ = null;
+            onChanged();
+          }
+        } else {
+          if (contentCase_ == 8) {
+            contentCase_ = 0;
+            content_ = null;
+          }
+          quotaReportBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.sequoiashunt.link.QuotaReport quota_report = 8;</code>
+       */
+      public org.sequoiashunt.link.wire.FleetProto.QuotaReport.Builder getQuotaReportBuilder() {
+        return internalGetQuotaReportFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.sequoiashunt.link.QuotaReport quota_report = 8;</code>
+       */
+      @java.lang.Override
+      public org.sequoiashunt.link.wire.FleetProto.QuotaReportOrBuilder getQuotaReportOrBuilder() {
+        if ((contentCase_ == 8) && (quotaReportBuilder_ != null)) {
+          return quotaReportBuilder_.getMessageOrBuilder();
+        } else {
+          if (contentCase_ == 8) {
+            return (org.sequoiashunt.link.wire.FleetProto.QuotaReport) content_;
+          }
+          return org.sequoiashunt.link.wire.FleetProto.QuotaReport.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.sequoiashunt.link.QuotaReport quota_report = 8;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.sequoiashunt.link.wire.FleetProto.QuotaReport, org.sequoiashunt.link.wire.FleetProto.QuotaReport.Builder, org.sequoiashunt.link.wire.FleetProto.QuotaReportOrBuilder> 
+          internalGetQuotaReportFieldBuilder() {
+        if (quotaReportBuilder_ == null) {
+          if (!(contentCase_ == 8)) {
+            content_ = org.sequoiashunt.link.wire.FleetProto.QuotaReport.getDefaultInstance();
+          }
+          quotaReportBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.sequoiashunt.link.wire.FleetProto.QuotaReport, org.sequoiashunt.link.wire.FleetProto.QuotaReport.Builder, org.sequoiashunt.link.wire.FleetProto.QuotaReportOrBuilder>(
+                  (org.sequoiashunt.link.wire.FleetProto.QuotaReport) content_,
+                  getParentForChildren(),
+                  isClean());
+          content_ = null;
+        }
+        contentCase_ = 8;
+        onChanged();
+        return quotaReportBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          org.sequoiashunt.link.wire.FleetProto.QuotaGrant, org.sequoiashunt.link.wire.FleetProto.QuotaGrant.Builder, org.sequoiashunt.link.wire.FleetProto.QuotaGrantOrBuilder> quotaGrantBuilder_;
+      /**
+       * <code>.sequoiashunt.link.QuotaGrant quota_grant = 9;</code>
+       * @return Whether the quotaGrant field is set.
+       */
+      @java.lang.Override
+      public boolean hasQuotaGrant() {
+        return contentCase_ == 9;
+      }
+      /**
+       * <code>.sequoiashunt.link.QuotaGrant quota_grant = 9;</code>
+       * @return The quotaGrant.
+       */
+      @java.lang.Override
+      public org.sequoiashunt.link.wire.FleetProto.QuotaGrant getQuotaGrant() {
+        if (quotaGrantBuilder_ == null) {
+          if (contentCase_ == 9) {
+            return (org.sequoiashunt.link.wire.FleetProto.QuotaGrant) content_;
+          }
+          return org.sequoiashunt.link.wire.FleetProto.QuotaGrant.getDefaultInstance();
+        } else {
+          if (contentCase_ == 9) {
+            return quotaGrantBuilder_.getMessage();
+          }
+          return org.sequoiashunt.link.wire.FleetProto.QuotaGrant.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.sequoiashunt.link.QuotaGrant quota_grant = 9;</code>
+       */
+      public Builder setQuotaGrant(org.sequoiashunt.link.wire.FleetProto.QuotaGrant value) {
+        if (quotaGrantBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          content_ = value;
+          onChanged();
+        } else {
+          quotaGrantBuilder_.setMessage(value);
+        }
+        contentCase_ = 9;
+        return this;
+      }
+      /**
+       * <code>.sequoiashunt.link.QuotaGrant quota_grant = 9;</code>
+       */
+      public Builder setQuotaGrant(
+          org.sequoiashunt.link.wire.FleetProto.QuotaGrant.Builder builderForValue) {
+        if (quotaGrantBuilder_ == null) {
+          content_ = builderForValue.build();
+          onChanged();
+        } else {
+          quotaGrantBuilder_.setMessage(builderForValue.build());
+        }
+        contentCase_ = 9;
+        return this;
+      }
+      /**
+       * <code>.sequoiashunt.link.QuotaGrant quota_grant = 9;</code>
+       */
+      public Builder mergeQuotaGrant(org.sequoiashunt.link.wire.FleetProto.QuotaGrant value) {
+        if (quotaGrantBuilder_ == null) {
+          if (contentCase_ == 9 &&
+              content_ != org.sequoiashunt.link.wire.FleetProto.QuotaGrant.getDefaultInstance()) {
+            content_ = org.sequoiashunt.link.wire.FleetProto.QuotaGrant.newBuilder((org.sequoiashunt.link.wire.FleetProto.QuotaGrant) content_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            content_ = value;
+          }
+          onChanged();
+        } else {
+          if (contentCase_ == 9) {
+            quotaGrantBuilder_.mergeFrom(value);
+          } else {
+            quotaGrantBuilder_.setMessage(value);
+          }
+        }
+        contentCase_ = 9;
+        return this;
+      }
+      /**
+       * <code>.sequoiashunt.link.QuotaGrant quota_grant = 9;</code>
+       */
+      public Builder clearQuotaGrant() {
+        if (quotaGrantBuilder_ == null) {
+          if (contentCase_ == 9) {
+            contentCase_ = 0;
+            content_ = null;
+            onChanged();
+          }
+        } else {
+          if (contentCase_ == 9) {
+            contentCase_ = 0;
+            content_ = null;
+          }
+          quotaGrantBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.sequoiashunt.link.QuotaGrant quota_grant = 9;</code>
+       */
+      public org.sequoiashunt.link.wire.FleetProto.QuotaGrant.Builder getQuotaGrantBuilder() {
+        return internalGetQuotaGrantFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.sequoiashunt.link.QuotaGrant quota_grant = 9;</code>
+       */
+      @java.lang.Override
+      public org.sequoiashunt.link.wire.FleetProto.QuotaGrantOrBuilder getQuotaGrantOrBuilder() {
+        if ((contentCase_ == 9) && (quotaGrantBuilder_ != null)) {
+          return quotaGrantBuilder_.getMessageOrBuilder();
+        } else {
+          if (contentCase_ == 9) {
+            return (org.sequoiashunt.link.wire.FleetProto.QuotaGrant) content_;
+          }
+          return org.sequoiashunt.link.wire.FleetProto.QuotaGrant.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.sequoiashunt.link.QuotaGrant quota_grant = 9;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.sequoiashunt.link.wire.FleetProto.QuotaGrant, org.sequoiashunt.link.wire.FleetProto.QuotaGrant.Builder, org.sequoiashunt.link.wire.FleetProto.QuotaGrantOrBuilder> 
+          internalGetQuotaGrantFieldBuilder() {
+        if (quotaGrantBuilder_ == null) {
+          if (!(contentCase_ == 9)) {
+            content_ = org.sequoiashunt.link.wire.FleetProto.QuotaGrant.getDefaultInstance();
+          }
+          quotaGrantBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.sequoiashunt.link.wire.FleetProto.QuotaGrant, org.sequoiashunt.link.wire.FleetProto.QuotaGrant.Builder, org.sequoiashunt.link.wire.FleetProto.QuotaGrantOrBuilder>(
+                  (org.sequoiashunt.link.wire.FleetProto.QuotaGrant) content_,
+                  getParentForChildren(),
+                  isClean());
+          content_ = null;
+        }
+        contentCase_ = 9;
+        onChanged();
+        return quotaGrantBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:sequoiashunt.link.Fleet)
+    }
+
+    // @@protoc_insertion_point(class_scope:sequoiashunt.link.Fleet)
+    private static final org.sequoiashunt.link.wire.FleetProto.Fleet DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.sequoiashunt.link.wire.FleetProto.Fleet();
+    }
+
+    public static org.sequoiashunt.link.wire.FleetProto.Fleet getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<Fleet>
+        PARSER = new com.google.protobuf.AbstractParser<Fleet>() {
+      @java.lang.Override
+      public Fleet parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<Fleet> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<Fleet> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.sequoiashunt.link.wire.FleetProto.Fleet getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface QuotaReportOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:sequoiashunt.link.QuotaReport)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>.sequoiashunt.link.NodeAddress reply_to = 1;</code>
+     * @return Whether the replyTo field is set.
+     */
+    boolean hasReplyTo();
+    /**
+     * <code>.sequoiashunt.link.NodeAddress reply_to = 1;</code>
+     * @return The replyTo.
+     */
+    org.sequoiashunt.link.wire.EntryProto.NodeAddress getReplyTo();
+    /**
+     * <code>.sequoiashunt.link.NodeAddress reply_to = 1;</code>
+     */
+    org.sequoiashunt.link.wire.EntryProto.NodeAddressOrBuilder getReplyToOrBuilder();
+
+    /**
+     * <code>fixed64 session = 2;</code>
+     * @return The session.
+     */
+    long getSession();
+
+    /**
+     * <code>uint64 sequence = 3;</code>
+     * @return The sequence.
+     */
+    long getSequence();
+
+    /**
+     * <code>uint64 grant_sequence = 4;</code>
+     * @return The grantSequence.
+     */
+    long getGrantSequence();
+
+    /**
+     * <code>uint32 nodes = 5;</code>
+     * @return The nodes.
+     */
+    int getNodes();
+
+    /**
+     * <code>bool leaving = 6;</code>
+     * @return The leaving.
+     */
+    boolean getLeaving();
+
+    /**
+     * <code>repeated .sequoiashunt.link.QuotaUsage usages = 7;</code>
+     */
+    java.util.List<org.sequoiashunt.link.wire.FleetProto.QuotaUsage> 
+        getUsagesList();
+    /**
+     * <code>repeated .sequoiashunt.link.QuotaUsage usages = 7;</code>
+     */
+    org.sequoiashunt.link.wire.FleetProto.QuotaUsage getUsages(int index);
+    /**
+     * <code>repeated .sequoiashunt.link.QuotaUsage usages = 7;</code>
+     */
+    int getUsagesCount();
+    /**
+     * <code>repeated .sequoiashunt.link.QuotaUsage usages = 7;</code>
+     */
+    java.util.List<? extends org.sequoiashunt.link.wire.FleetProto.QuotaUsageOrBuilder> 
+        getUsagesOrBuilderList();
+    /**
+     * <code>repeated .sequoiashunt.link.QuotaUsage usages = 7;</code>
+     */
+    org.sequoiashunt.link.wire.FleetProto.QuotaUsageOrBuilder getUsagesOrBuilder(
+        int index);
+  }
+  /**
+   * <pre>
+   * Requests of organisations with limits that a node has admitted and refused, sent to the coordinator.
+   * </pre>
+   *
+   * Protobuf type {@code sequoiashunt.link.QuotaReport}
+   */
+  public static final class QuotaReport extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:sequoiashunt.link.QuotaReport)
+      QuotaReportOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 1,
+        /* suffix= */ "",
+        "QuotaReport");
+    }
+    // Use QuotaReport.newBuilder() to construct.
+    private QuotaReport(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private QuotaReport() {
+      usages_ = java.util.Collections.emptyList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_QuotaReport_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_QuotaReport_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_QuotaReport_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.sequoiashunt.link.wire.FleetProto.QuotaReport.class, org.sequoiashunt.link.wire.FleetProto.QuotaReport.Builder.class);
+    }
+
+    private int bitField0_;
+    public static final int REPLY_TO_FIELD_NUMBER = 1;
+    private org.sequoiashunt.link.wire.EntryProto.NodeAddress replyTo_;
+    /**
+     * <code>.sequoiashunt.link.NodeAddress reply_to = 1;</code>
+     * @return Whether the replyTo field is set.
+     */
+    @java.lang.Override
+    public boolean hasReplyTo() {
+      return ((bitField0_ & 0x00000001) != 0);
+    }
+    /**
+     * <code>.sequoiashunt.link.NodeAddress reply_to = 1;</code>
+     * @return The replyTo.
+     */
+    @java.lang.Override
+    public org.sequoiashunt.link.wire.EntryProto.NodeAddress getReplyTo() {
+      return replyTo_ == null ? org.sequoiashunt.link.wire.EntryProto.NodeAddress.getDefaultInstance() : replyTo_;
+    }
+    /**
+     * <code>.sequoiashunt.link.NodeAddress reply_to = 1;</code>
+     */
+    @java.lang.Override
+    public org.sequoiashunt.link.wire.EntryProto.NodeAddressOrBuilder getReplyToOrBuilder() {
+      return replyTo_ == null ? org.sequoiashunt.link.wire.EntryProto.NodeAddress.getDefaultInstance() : replyTo_;
+    }
+
+    public static final int SESSION_FIELD_NUMBER = 2;
+    private long session_ = 0L;
+    /**
+     * <code>fixed64 session = 2;</code>
+     * @return The session.
+     */
+    @java.lang.Override
+    public long getSession() {
+      return session_;
+    }
+
+    public static final int SEQUENCE_FIELD_NUMBER = 3;
+    private long sequence_ = 0L;
+    /**
+     * <code>uint64 sequence = 3;</code>
+     * @return The sequence.
+     */
+    @java.lang.Override
+    public long getSequence() {
+      return sequence_;
+    }
+
+    public static final int GRANT_SEQUENCE_FIELD_NUMBER = 4;
+    private long grantSequence_ = 0L;
+    /**
+     * <code>uint64 grant_sequence = 4;</code>
+     * @return The grantSequence.
+     */
+    @java.lang.Override
+    public long getGrantSequence() {
+      return grantSequence_;
+    }
+
+    public static final int NODES_FIELD_NUMBER = 5;
+    private int nodes_ = 0;
+    /**
+     * <code>uint32 nodes = 5;</code>
+     * @return The nodes.
+     */
+    @java.lang.Override
+    public int getNodes() {
+      return nodes_;
+    }
+
+    public static final int LEAVING_FIELD_NUMBER = 6;
+    private boolean leaving_ = false;
+    /**
+     * <code>bool leaving = 6;</code>
+     * @return The leaving.
+     */
+    @java.lang.Override
+    public boolean getLeaving() {
+      return leaving_;
+    }
+
+    public static final int USAGES_FIELD_NUMBER = 7;
+    @SuppressWarnings("serial")
+    private java.util.List<org.sequoiashunt.link.wire.FleetProto.QuotaUsage> usages_;
+    /**
+     * <code>repeated .sequoiashunt.link.QuotaUsage usages = 7;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.sequoiashunt.link.wire.FleetProto.QuotaUsage> getUsagesList() {
+      return usages_;
+    }
+    /**
+     * <code>repeated .sequoiashunt.link.QuotaUsage usages = 7;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.sequoiashunt.link.wire.FleetProto.QuotaUsageOrBuilder> 
+        getUsagesOrBuilderList() {
+      return usages_;
+    }
+    /**
+     * <code>repeated .sequoiashunt.link.QuotaUsage usages = 7;</code>
+     */
+    @java.lang.Override
+    public int getUsagesCount() {
+      return usages_.size();
+    }
+    /**
+     * <code>repeated .sequoiashunt.link.QuotaUsage usages = 7;</code>
+     */
+    @java.lang.Override
+    public org.sequoiashunt.link.wire.FleetProto.QuotaUsage getUsages(int index) {
+      return usages_.get(index);
+    }
+    /**
+     * <code>repeated .sequoiashunt.link.QuotaUsage usages = 7;</code>
+     */
+    @java.lang.Override
+    public org.sequoiashunt.link.wire.FleetProto.QuotaUsageOrBuilder getUsagesOrBuilder(
+        int index) {
+      return usages_.get(index);
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (((bitField0_ & 0x00000001) != 0)) {
+        output.writeMessage(1, getReplyTo());
+      }
+      if (session_ != 0L) {
+        output.writeFixed64(2, session_);
+      }
+      if (sequence_ != 0L) {
+        output.writeUInt64(3, sequence_);
+      }
+      if (grantSequence_ != 0L) {
+        output.writeUInt64(4, grantSequence_);
+      }
+      if (nodes_ != 0) {
+        output.writeUInt32(5, nodes_);
+      }
+      if (leaving_ != false) {
+        output.writeBool(6, leaving_);
+      }
+      for (int i = 0; i < usages_.size(); i++) {
+        output.writeMessage(7, usages_.get(i));
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (((bitField0_ & 0x00000001) != 0)) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(1, getReplyTo());
+      }
+      if (session_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFixed64Size(2, session_);
+      }
+      if (sequence_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(3, sequence_);
+      }
+      if (grantSequence_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(4, grantSequence_);
+      }
+      if (nodes_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(5, nodes_);
+      }
+      if (leaving_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(6, leaving_);
+      }
+
+          {
+            final int count = usages_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(usages_.get(i));
+            }
+            size += 1 * count;
+          }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.sequoiashunt.link.wire.FleetProto.QuotaReport)) {
+        return super.equals(obj);
+      }
+      org.sequoiashunt.link.wire.FleetProto.QuotaReport other = (org.sequoiashunt.link.wire.FleetProto.QuotaReport) obj;
+
+      if (hasReplyTo() != other.hasReplyTo()) return false;
+      if (hasReplyTo()) {
+        if (!getReplyTo()
+            .equals(other.getReplyTo())) return false;
+      }
+      if (getSession()
+          != other.getSession()) return false;
+      if (getSequence()
+          != other.getSequence()) return false;
+      if (getGrantSequence()
+          != other.getGrantSequence()) return false;
+      if (getNodes()
+          != other.getNodes()) return false;
+      if (getLeaving()
+          != other.getLeaving()) return false;
+      if (!getUsagesList()
+          .equals(other.getUsagesList())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      if (hasReplyTo()) {
+        hash = (37 * hash) + REPLY_TO_FIELD_NUMBER;
+        hash = (53 * hash) + getReplyTo().hashCode();
+      }
+      hash = (37 * hash) + SESSION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getSession());
+      hash = (37 * hash) + SEQUENCE_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getSequence());
+      hash = (37 * hash) + GRANT_SEQUENCE_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getGrantSequence());
+      hash = (37 * hash) + NODES_FIELD_NUMBER;
+      hash = (53 * hash) + getNodes();
+      hash = (37 * hash) + LEAVING_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getLeaving());
+      if (getUsagesCount() > 0) {
+        hash = (37 * hash) + USAGES_FIELD_NUMBER;
+        hash = (53 * hash) + getUsagesList().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.sequoiashunt.link.wire.FleetProto.QuotaReport parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.QuotaReport parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.QuotaReport parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.QuotaReport parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.QuotaReport parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.QuotaReport parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.QuotaReport parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.QuotaReport parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.sequoiashunt.link.wire.FleetProto.QuotaReport parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.sequoiashunt.link.wire.FleetProto.QuotaReport parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.QuotaReport parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.QuotaReport parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.sequoiashunt.link.wire.FleetProto.QuotaReport prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * Requests of organisations with limits that a node has admitted and refused, sent to the coordinator.
+     * </pre>
+     *
+     * Protobuf type {@code sequoiashunt.link.QuotaReport}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:sequoiashunt.link.QuotaReport)
+        org.sequoiashunt.link.wire.FleetProto.QuotaReportOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_QuotaReport_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_QuotaReport_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.sequoiashunt.link.wire.FleetProto.QuotaReport.class, org.sequoiashunt.link.wire.FleetProto.QuotaReport.Builder.class);
+      }
+
+      // Construct using org.sequoiashunt.link.wire.FleetProto.QuotaReport.newBuilder()
+      private Builder() {
+        maybeForceBuilderInitialization();
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+        maybeForceBuilderInitialization();
+      }
+      private void maybeForceBuilderInitialization() {
+        if (com.google.protobuf.GeneratedMessage
+                .alwaysUseFieldBuilders) {
+          internalGetReplyToFieldBuilder();
+          internalGetUsagesFieldBuilder();
+        }
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        replyTo_ = null;
+        if (replyToBuilder_ != null) {
+          replyToBuilder_.dispose();
+          replyToBuilder_ = null;
+        }
+        session_ = 0L;
+        sequence_ = 0L;
+        grantSequence_ = 0L;
+        nodes_ = 0;
+        leaving_ = false;
+        if (usagesBuilder_ == null) {
+          usages_ = java.util.Collections.emptyList();
+        } else {
+          usages_ = null;
+          usagesBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000040);
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_QuotaReport_descriptor;
+      }
+
+      @java.lang.Override
+      public org.sequoiashunt.link.wire.FleetProto.QuotaReport getDefaultInstanceForType() {
+        return org.sequoiashunt.link.wire.FleetProto.QuotaReport.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.sequoiashunt.link.wire.FleetProto.QuotaReport build() {
+        org.sequoiashunt.link.wire.FleetProto.QuotaReport result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.sequoiashunt.link.wire.FleetProto.QuotaReport buildPartial() {
+        org.sequoiashunt.link.wire.FleetProto.QuotaReport result = new org.sequoiashunt.link.wire.FleetProto.QuotaReport(this);
+        buildPartialRepeatedFields(result);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartialRepeatedFields(org.sequoiashunt.link.wire.FleetProto.QuotaReport result) {
+        if (usagesBuilder_ == null) {
+          if (((bitField0_ & 0x00000040) != 0)) {
+            usages_ = java.util.Collections.unmodifiableList(usages_);
+            bitField0_ = (bitField0_ & ~0x00000040);
+          }
+          result.usages_ = usages_;
+        } else {
+          result.usages_ = usagesBuilder_.build();
+        }
+      }
+
+      private void buildPartial0(org.sequoiashunt.link.wire.FleetProto.QuotaReport result) {
+        int from_bitField0_ = bitField0_;
+        int to_bitField0_ = 0;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.replyTo_ = replyToBuilder_ == null
+              ? replyTo_
+              : replyToBuilder_.build();
+          to_bitField0_ |= 0x00000001;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.session_ = session_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.sequence_ = sequence_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.grantSequence_ = grantSequence_;
+        }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.nodes_ = nodes_;
+        }
+        if (((from_bitField0_ & 0x00000020) != 0)) {
+          result.leaving_ = leaving_;
+        }
+        result.bitField0_ |= to_bitField0_;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.sequoiashunt.link.wire.FleetProto.QuotaReport) {
+          return mergeFrom((org.sequoiashunt.link.wire.FleetProto.QuotaReport)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.sequoiashunt.link.wire.FleetProto.QuotaReport other) {
+        if (other == org.sequoiashunt.link.wire.FleetProto.QuotaReport.getDefaultInstance()) return this;
+        if (other.hasReplyTo()) {
+          mergeReplyTo(other.getReplyTo());
+        }
+        if (other.getSession() != 0L) {
+          setSession(other.getSession());
+        }
+        if (other.getSequence() != 0L) {
+          setSequence(other.getSequence());
+        }
+        if (other.getGrantSequence() != 0L) {
+          setGrantSequence(other.getGrantSequence());
+        }
+        if (other.getNodes() != 0) {
+          setNodes(other.getNodes());
+        }
+        if (other.getLeaving() != false) {
+          setLeaving(other.getLeaving());
+        }
+        if (usagesBuilder_ == null) {
+          if (!other.usages_.isEmpty()) {
+            if (usages_.isEmpty()) {
+              usages_ = other.usages_;
+              bitField0_ = (bitField0_ & ~0x00000040);
+            } else {
+              ensureUsagesIsMutable();
+              usages_.addAll(other.usages_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.usages_.isEmpty()) {
+            if (usagesBuilder_.isEmpty()) {
+              usagesBuilder_.dispose();
+              usagesBuilder_ = null;
+              usages_ = other.usages_;
+              bitField0_ = (bitField0_ & ~0x00000040);
+              usagesBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetUsagesFieldBuilder() : null;
+            } else {
+              usagesBuilder_.addAllMessages(other.usages_);
+            }
+          }
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                input.readMessage(
+                    internalGetReplyToFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 17: {
+                session_ = input.readFixed64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 17
+              case 24: {
+                sequence_ = input.readUInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              case 32: {
+                grantSequence_ = input.readUInt64();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
+              case 40: {
+                nodes_ = input.readUInt32();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 40
+              case 48: {
+                leaving_ = input.readBool();
+                bitField0_ |= 0x00000020;
+                break;
+              } // case 48
+              case 58: {
+                org.sequoiashunt.link.wire.FleetProto.QuotaUsage m =
+                    input.readMessage(
+                        org.sequoiashunt.link.wire.FleetProto.QuotaUsage.parser(),
+                        extensionRegistry);
+                if (usagesBuilder_ == null) {
+                  ensureUsagesIsMutable();
+                  usages_.add(m);
+                } else {
+                  usagesBuilder_.addMessage(m);
+                }
+                break;
+              } // case 58
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private org.sequoiashunt.link.wire.EntryProto.NodeAddress replyTo_;
+      private com.google.protobuf.SingleFieldBuilder<
+          org.sequoiashunt.link.wire.EntryProto.NodeAddress, org.sequoiashunt.link.wire.EntryProto.NodeAddress.Builder, org.sequoiashunt.link.wire.EntryProto.NodeAddressOrBuilder> replyToBuilder_;
+      /**
+       * <code>.sequoiashunt.link.NodeAddress reply_to = 1;</code>
+       * @return Whether the replyTo field is set.
+       */
+      public boolean hasReplyTo() {
+        return ((bitField0_ & 0x00000001) != 0);
+      }
+      /**
+       * <code>.sequoiashunt.link.NodeAddress reply_to = 1;</code>
+       * @return The replyTo.
+       */
+      public org.sequoiashunt.link.wire.EntryProto.NodeAddress getReplyTo() {
+        if (replyToBuilder_ == null) {
+          return replyTo_ == null ? org.sequoiashunt.link.wire.EntryProto.NodeAddress.getDefaultInstance() : replyTo_;
+        } else {
+          return replyToBuilder_.getMessage();
+        }
+      }
+      /**
+       * <code>.sequoiashunt.link.NodeAddress reply_to = 1;</code>
+       */
+      public Builder setReplyTo(org.sequoiashunt.link.wire.EntryProto.NodeAddress value) {
+        if (replyToBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          replyTo_ = value;
+        } else {
+          replyToBuilder_.setMessage(value);
+        }
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.sequoiashunt.link.NodeAddress reply_to = 1;</code>
+       */
+      public Builder setReplyTo(
+          org.sequoiashunt.link.wire.EntryProto.NodeAddress.Builder builderForValue) {
+        if (replyToBuilder_ == null) {
+          replyTo_ = builderForValue.build();
+        } else {
+          replyToBuilder_.setMessage(builderForValue.build());
+        }
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.sequoiashunt.link.NodeAddress reply_to = 1;</code>
+       */
+      public Builder mergeReplyTo(org.sequoiashunt.link.wire.EntryProto.NodeAddress value) {
+        if (replyToBuilder_ == null) {
+          if (((bitField0_ & 0x00000001) != 0) &&
+            replyTo_ != null &&
+            replyTo_ != org.sequoiashunt.link.wire.EntryProto.NodeAddress.getDefaultInstance()) {
+            getReplyToBuilder().mergeFrom(value);
+          } else {
+            replyTo_ = value;
+          }
+        } else {
+          replyToBuilder_.mergeFrom(value);
+        }
+        if (replyTo_ != null) {
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        return this;
+      }
+      /**
+       * <code>.sequoiashunt.link.NodeAddress reply_to = 1;</code>
+       */
+      public Builder clearReplyTo() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        replyTo_ = null;
+        if (replyToBuilder_ != null) {
+          replyToBuilder_.dispose();
+          replyToBuilder_ = null;
+        }
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.sequoiashunt.link.NodeAddress reply_to = 1;</code>
+       */
+      public org.sequoiashunt.link.wire.EntryProto.NodeAddress.Builder getReplyToBuilder() {
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return internalGetReplyToFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.sequoiashunt.link.NodeAddress reply_to = 1;</code>
+       */
+      public org.sequoiashunt.link.wire.EntryProto.NodeAddressOrBuilder getReplyToOrBuilder() {
+        if (replyToBuilder_ != null) {
+          return replyToBuilder_.getMessageOrBuilder();
+        } else {
+          return replyTo_ == null ?
+              org.sequoiashunt.link.wire.EntryProto.NodeAddress.getDefaultInstance() : replyTo_;
+        }
+      }
+      /**
+       * <code>.sequoiashunt.link.NodeAddress reply_to = 1;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.sequoiashunt.link.wire.EntryProto.NodeAddress, org.sequoiashunt.link.wire.EntryProto.NodeAddress.Builder, org.sequoiashunt.link.wire.EntryProto.NodeAddressOrBuilder> 
+          internalGetReplyToFieldBuilder() {
+        if (replyToBuilder_ == null) {
+          replyToBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.sequoiashunt.link.wire.EntryProto.NodeAddress, org.sequoiashunt.link.wire.EntryProto.NodeAddress.Builder, org.sequoiashunt.link.wire.EntryProto.NodeAddressOrBuilder>(
+                  getReplyTo(),
+                  getParentForChildren(),
+                  isClean());
+          replyTo_ = null;
+        }
+        return replyToBuilder_;
+      }
+
+      private long session_ ;
+      /**
+       * <code>fixed64 session = 2;</code>
+       * @return The session.
+       */
+      @java.lang.Override
+      public long getSession() {
+        return session_;
+      }
+      /**
+       * <code>fixed64 session = 2;</code>
+       * @param value The session to set.
+       * @return This builder for chaining.
+       */
+      public Builder setSession(long value) {
+
+        session_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>fixed64 session = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearSession() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        session_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long sequence_ ;
+      /**
+       * <code>uint64 sequence = 3;</code>
+       * @return The sequence.
+       */
+      @java.lang.Override
+      public long getSequence() {
+        return sequence_;
+      }
+      /**
+       * <code>uint64 sequence = 3;</code>
+       * @param value The sequence to set.
+       * @return This builder for chaining.
+       */
+      public Builder setSequence(long value) {
+
+        sequence_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 sequence = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearSequence() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        sequence_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long grantSequence_ ;
+      /**
+       * <code>uint64 grant_sequence = 4;</code>
+       * @return The grantSequence.
+       */
+      @java.lang.Override
+      public long getGrantSequence() {
+        return grantSequence_;
+      }
+      /**
+       * <code>uint64 grant_sequence = 4;</code>
+       * @param value The grantSequence to set.
+       * @return This builder for chaining.
+       */
+      public Builder setGrantSequence(long value) {
+
+        grantSequence_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 grant_sequence = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearGrantSequence() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        grantSequence_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private int nodes_ ;
+      /**
+       * <code>uint32 nodes = 5;</code>
+       * @return The nodes.
+       */
+      @java.lang.Override
+      public int getNodes() {
+        return nodes_;
+      }
+      /**
+       * <code>uint32 nodes = 5;</code>
+       * @param value The nodes to set.
+       * @return This builder for chaining.
+       */
+      public Builder setNodes(int value) {
+
+        nodes_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint32 nodes = 5;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearNodes() {
+        bitField0_ = (bitField0_ & ~0x00000010);
+        nodes_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private boolean leaving_ ;
+      /**
+       * <code>bool leaving = 6;</code>
+       * @return The leaving.
+       */
+      @java.lang.Override
+      public boolean getLeaving() {
+        return leaving_;
+      }
+      /**
+       * <code>bool leaving = 6;</code>
+       * @param value The leaving to set.
+       * @return This builder for chaining.
+       */
+      public Builder setLeaving(boolean value) {
+
+        leaving_ = value;
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>bool leaving = 6;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearLeaving() {
+        bitField0_ = (bitField0_ & ~0x00000020);
+        leaving_ = false;
+        onChanged();
+        return this;
+      }
+
+      private java.util.List<org.sequoiashunt.link.wire.FleetProto.QuotaUsage> usages_ =
+        java.util.Collections.emptyList();
+      private void ensureUsagesIsMutable() {
+        if (!((bitField0_ & 0x00000040) != 0)) {
+          usages_ = new java.util.ArrayList<org.sequoiashunt.link.wire.FleetProto.QuotaUsage>(usages_);
+          bitField0_ |= 0x00000040;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.sequoiashunt.link.wire.FleetProto.QuotaUsage, org.sequoiashunt.link.wire.FleetProto.QuotaUsage.Builder, org.sequoiashunt.link.wire.FleetProto.QuotaUsageOrBuilder> usagesBuilder_;
+
+      /**
+       * <code>repeated .sequoiashunt.link.QuotaUsage usages = 7;</code>
+       */
+      public java.util.List<org.sequoiashunt.link.wire.FleetProto.QuotaUsage> getUsagesList() {
+        if (usagesBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(usages_);
+        } else {
+          return usagesBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.QuotaUsage usages = 7;</code>
+       */
+      public int getUsagesCount() {
+        if (usagesBuilder_ == null) {
+          return usages_.size();
+        } else {
+          return usagesBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.QuotaUsage usages = 7;</code>
+       */
+      public org.sequoiashunt.link.wire.FleetProto.QuotaUsage getUsages(int index) {
+        if (usagesBuilder_ == null) {
+          return usages_.get(index);
+        } else {
+          return usagesBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.QuotaUsage usages = 7;</code>
+       */
+      public Builder setUsages(
+          int index, org.sequoiashunt.link.wire.FleetProto.QuotaUsage value) {
+        if (usagesBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureUsagesIsMutable();
+          usages_.set(index, value);
+          onChanged();
+        } else {
+          usagesBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.QuotaUsage usages = 7;</code>
+       */
+      public Builder setUsages(
+          int index, org.sequoiashunt.link.wire.FleetProto.QuotaUsage.Builder builderForValue) {
+        if (usagesBuilder_ == null) {
+          ensureUsagesIsMutable();
+          usages_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          usagesBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.QuotaUsage usages = 7;</code>
+       */
+      public Builder addUsages(org.sequoiashunt.link.wire.FleetProto.QuotaUsage value) {
+        if (usagesBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureUsagesIsMutable();
+          usages_.add(value);
+          onChanged();
+        } else {
+          usagesBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.QuotaUsage usages = 7;</code>
+       */
+      public Builder addUsages(
+          int index, org.sequoiashunt.link.wire.FleetProto.QuotaUsage value) {
+        if (usagesBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureUsagesIsMutable();
+          usages_.add(index, value);
+          onChanged();
+        } else {
+          usagesBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.QuotaUsage usages = 7;</code>
+       */
+      public Builder addUsages(
+          org.sequoiashunt.link.wire.FleetProto.QuotaUsage.Builder builderForValue) {
+        if (usagesBuilder_ == null) {
+          ensureUsagesIsMutable();
+          usages_.add(builderForValue.build());
+          onChanged();
+        } else {
+          usagesBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.QuotaUsage usages = 7;</code>
+       */
+      public Builder addUsages(
+          int index, org.sequoiashunt.link.wire.FleetProto.QuotaUsage.Builder builderForValue) {
+        if (usagesBuilder_ == null) {
+          ensureUsagesIsMutable();
+          usages_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          usagesBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.QuotaUsage usages = 7;</code>
+       */
+      public Builder addAllUsages(
+          java.lang.Iterable<? extends org.sequoiashunt.link.wire.FleetProto.QuotaUsage> values) {
+        if (usagesBuilder_ == null) {
+          ensureUsagesIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, usages_);
+          onChanged();
+        } else {
+          usagesBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.QuotaUsage usages = 7;</code>
+       */
+      public Builder clearUsages() {
+        if (usagesBuilder_ == null) {
+          usages_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000040);
+          onChanged();
+        } else {
+          usagesBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.QuotaUsage usages = 7;</code>
+       */
+      public Builder removeUsages(int index) {
+        if (usagesBuilder_ == null) {
+          ensureUsagesIsMutable();
+          usages_.remove(index);
+          onChanged();
+        } else {
+          usagesBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.QuotaUsage usages = 7;</code>
+       */
+      public org.sequoiashunt.link.wire.FleetProto.QuotaUsage.Builder getUsagesBuilder(
+          int index) {
+        return internalGetUsagesFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.QuotaUsage usages = 7;</code>
+       */
+      public org.sequoiashunt.link.wire.FleetProto.QuotaUsageOrBuilder getUsagesOrBuilder(
+          int index) {
+        if (usagesBuilder_ == null) {
+          return usages_.get(index);  } else {
+          return usagesBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.QuotaUsage usages = 7;</code>
+       */
+      public java.util.List<? extends org.sequoiashunt.link.wire.FleetProto.QuotaUsageOrBuilder> 
+           getUsagesOrBuilderList() {
+        if (usagesBuilder_ != null) {
+          return usagesBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(usages_);
+        }
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.QuotaUsage usages = 7;</code>
+       */
+      public org.sequoiashunt.link.wire.FleetProto.QuotaUsage.Builder addUsagesBuilder() {
+        return internalGetUsagesFieldBuilder().addBuilder(
+            org.sequoiashunt.link.wire.FleetProto.QuotaUsage.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.QuotaUsage usages = 7;</code>
+       */
+      public org.sequoiashunt.link.wire.FleetProto.QuotaUsage.Builder addUsagesBuilder(
+          int index) {
+        return internalGetUsagesFieldBuilder().addBuilder(
+            index, org.sequoiashunt.link.wire.FleetProto.QuotaUsage.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.QuotaUsage usages = 7;</code>
+       */
+      public java.util.List<org.sequoiashunt.link.wire.FleetProto.QuotaUsage.Builder> 
+           getUsagesBuilderList() {
+        return internalGetUsagesFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.sequoiashunt.link.wire.FleetProto.QuotaUsage, org.sequoiashunt.link.wire.FleetProto.QuotaUsage.Builder, org.sequoiashunt.link.wire.FleetProto.QuotaUsageOrBuilder> 
+          internalGetUsagesFieldBuilder() {
+        if (usagesBuilder_ == null) {
+          usagesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.sequoiashunt.link.wire.FleetProto.QuotaUsage, org.sequoiashunt.link.wire.FleetProto.QuotaUsage.Builder, org.sequoiashunt.link.wire.FleetProto.QuotaUsageOrBuilder>(
+                  usages_,
+                  ((bitField0_ & 0x00000040) != 0),
+                  getParentForChildren(),
+                  isClean());
+          usages_ = null;
+        }
+        return usagesBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:sequoiashunt.link.QuotaReport)
+    }
+
+    // @@protoc_insertion_point(class_scope:sequoiashunt.link.QuotaReport)
+    private static final org.sequoiashunt.link.wire.FleetProto.QuotaReport DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.sequoiashunt.link.wire.FleetProto.QuotaReport();
+    }
+
+    public static org.sequoiashunt.link.wire.FleetProto.QuotaReport getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<QuotaReport>
+        PARSER = new com.google.protobuf.AbstractParser<QuotaReport>() {
+      @java.lang.Override
+      public QuotaReport parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<QuotaReport> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<QuotaReport> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.sequoiashunt.link.wire.FleetProto.QuotaReport getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface QuotaUsageOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:sequoiashunt.link.QuotaUsage)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <pre>
+     * Hash of the name.
+     * </pre>
+     *
+     * <code>fixed64 organisation = 1;</code>
+     * @return The organisation.
+     */
+    long getOrganisation();
+
+    /**
+     * <code>uint64 admitted = 2;</code>
+     * @return The admitted.
+     */
+    long getAdmitted();
+
+    /**
+     * <code>uint32 refused = 3;</code>
+     * @return The refused.
+     */
+    int getRefused();
+
+    /**
+     * <code>uint32 fill_percent = 4;</code>
+     * @return The fillPercent.
+     */
+    int getFillPercent();
+
+    /**
+     * <pre>
+     * Requests admitted before the session, by fifths of the window, the latest first.
+     * </pre>
+     *
+     * <code>repeated uint32 earlier = 5;</code>
+     * @return A list containing the earlier.
+     */
+    java.util.List<java.lang.Integer> getEarlierList();
+    /**
+     * <pre>
+     * Requests admitted before the session, by fifths of the window, the latest first.
+     * </pre>
+     *
+     * <code>repeated uint32 earlier = 5;</code>
+     * @return The count of earlier.
+     */
+    int getEarlierCount();
+    /**
+     * <pre>
+     * Requests admitted before the session, by fifths of the window, the latest first.
+     * </pre>
+     *
+     * <code>repeated uint32 earlier = 5;</code>
+     * @param index The index of the element to return.
+     * @return The earlier at the given index.
+     */
+    int getEarlier(int index);
+  }
+  /**
+   * Protobuf type {@code sequoiashunt.link.QuotaUsage}
+   */
+  public static final class QuotaUsage extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:sequoiashunt.link.QuotaUsage)
+      QuotaUsageOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 1,
+        /* suffix= */ "",
+        "QuotaUsage");
+    }
+    // Use QuotaUsage.newBuilder() to construct.
+    private QuotaUsage(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private QuotaUsage() {
+      earlier_ = emptyIntList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_QuotaUsage_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_QuotaUsage_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_QuotaUsage_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.sequoiashunt.link.wire.FleetProto.QuotaUsage.class, org.sequoiashunt.link.wire.FleetProto.QuotaUsage.Builder.class);
+    }
+
+    public static final int ORGANISATION_FIELD_NUMBER = 1;
+    private long organisation_ = 0L;
+    /**
+     * <pre>
+     * Hash of the name.
+     * </pre>
+     *
+     * <code>fixed64 organisation = 1;</code>
+     * @return The organisation.
+     */
+    @java.lang.Override
+    public long getOrganisation() {
+      return organisation_;
+    }
+
+    public static final int ADMITTED_FIELD_NUMBER = 2;
+    private long admitted_ = 0L;
+    /**
+     * <code>uint64 admitted = 2;</code>
+     * @return The admitted.
+     */
+    @java.lang.Override
+    public long getAdmitted() {
+      return admitted_;
+    }
+
+    public static final int REFUSED_FIELD_NUMBER = 3;
+    private int refused_ = 0;
+    /**
+     * <code>uint32 refused = 3;</code>
+     * @return The refused.
+     */
+    @java.lang.Override
+    public int getRefused() {
+      return refused_;
+    }
+
+    public static final int FILL_PERCENT_FIELD_NUMBER = 4;
+    private int fillPercent_ = 0;
+    /**
+     * <code>uint32 fill_percent = 4;</code>
+     * @return The fillPercent.
+     */
+    @java.lang.Override
+    public int getFillPercent() {
+      return fillPercent_;
+    }
+
+    public static final int EARLIER_FIELD_NUMBER = 5;
+    @SuppressWarnings("serial")
+    private com.google.protobuf.Internal.IntList earlier_ =
+        emptyIntList();
+    /**
+     * <pre>
+     * Requests admitted before the session, by fifths of the window, the latest first.
+     * </pre>
+     *
+     * <code>repeated uint32 earlier = 5;</code>
+     * @return A list containing the earlier.
+     */
+    @java.lang.Override
+    public java.util.List<java.lang.Integer>
+        getEarlierList() {
+      return earlier_;
+    }
+    /**
+     * <pre>
+     * Requests admitted before the session, by fifths of the window, the latest first.
+     * </pre>
+     *
+     * <code>repeated uint32 earlier = 5;</code>
+     * @return The count of earlier.
+     */
+    public int getEarlierCount() {
+      return earlier_.size();
+    }
+    /**
+     * <pre>
+     * Requests admitted before the session, by fifths of the window, the latest first.
+     * </pre>
+     *
+     * <code>repeated uint32 earlier = 5;</code>
+     * @param index The index of the element to return.
+     * @return The earlier at the given index.
+     */
+    public int getEarlier(int index) {
+      return earlier_.getInt(index);
+    }
+    private int earlierMemoizedSerializedSize = -1;
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      getSerializedSize();
+      if (organisation_ != 0L) {
+        output.writeFixed64(1, organisation_);
+      }
+      if (admitted_ != 0L) {
+        output.writeUInt64(2, admitted_);
+      }
+      if (refused_ != 0) {
+        output.writeUInt32(3, refused_);
+      }
+      if (fillPercent_ != 0) {
+        output.writeUInt32(4, fillPercent_);
+      }
+      if (getEarlierList().size() > 0) {
+        output.writeUInt32NoTag(42);
+        output.writeUInt32NoTag(earlierMemoizedSerializedSize);
+      }
+      for (int i = 0; i < earlier_.size(); i++) {
+        output.writeUInt32NoTag(earlier_.getInt(i));
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (organisation_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFixed64Size(1, organisation_);
+      }
+      if (admitted_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(2, admitted_);
+      }
+      if (refused_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(3, refused_);
+      }
+      if (fillPercent_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(4, fillPercent_);
+      }
+      {
+        int dataSize = 0;
+        for (int i = 0; i < earlier_.size(); i++) {
+          dataSize += com.google.protobuf.CodedOutputStream
+            .computeUInt32SizeNoTag(earlier_.getInt(i));
+        }
+        size += dataSize;
+        if (!getEarlierList().isEmpty()) {
+          size += 1;
+          size += com.google.protobuf.CodedOutputStream
+              .computeInt32SizeNoTag(dataSize);
+        }
+        earlierMemoizedSerializedSize = dataSize;
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.sequoiashunt.link.wire.FleetProto.QuotaUsage)) {
+        return super.equals(obj);
+      }
+      org.sequoiashunt.link.wire.FleetProto.QuotaUsage other = (org.sequoiashunt.link.wire.FleetProto.QuotaUsage) obj;
+
+      if (getOrganisation()
+          != other.getOrganisation()) return false;
+      if (getAdmitted()
+          != other.getAdmitted()) return false;
+      if (getRefused()
+          != other.getRefused()) return false;
+      if (getFillPercent()
+          != other.getFillPercent()) return false;
+      if (!getEarlierList()
+          .equals(other.getEarlierList())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + ORGANISATION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getOrganisation());
+      hash = (37 * hash) + ADMITTED_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getAdmitted());
+      hash = (37 * hash) + REFUSED_FIELD_NUMBER;
+      hash = (53 * hash) + getRefused();
+      hash = (37 * hash) + FILL_PERCENT_FIELD_NUMBER;
+      hash = (53 * hash) + getFillPercent();
+      if (getEarlierCount() > 0) {
+        hash = (37 * hash) + EARLIER_FIELD_NUMBER;
+        hash = (53 * hash) + getEarlierList().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.sequoiashunt.link.wire.FleetProto.QuotaUsage parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.QuotaUsage parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.QuotaUsage parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.QuotaUsage parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.QuotaUsage parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.QuotaUsage parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.QuotaUsage parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.QuotaUsage parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.sequoiashunt.link.wire.FleetProto.QuotaUsage parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.sequoiashunt.link.wire.FleetProto.QuotaUsage parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.QuotaUsage parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.QuotaUsage parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.sequoiashunt.link.wire.FleetProto.QuotaUsage prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code sequoiashunt.link.QuotaUsage}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:sequoiashunt.link.QuotaUsage)
+        org.sequoiashunt.link.wire.FleetProto.QuotaUsageOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_QuotaUsage_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_QuotaUsage_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.sequoiashunt.link.wire.FleetProto.QuotaUsage.class, org.sequoiashunt.link.wire.FleetProto.QuotaUsage.Builder.class);
+      }
+
+      // Construct using org.sequoiashunt.link.wire.FleetProto.QuotaUsage.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        organisation_ = 0L;
+        admitted_ = 0L;
+        refused_ = 0;
+        fillPercent_ = 0;
+        earlier_ = emptyIntList();
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_QuotaUsage_descriptor;
+      }
+
+      @java.lang.Override
+      public org.sequoiashunt.link.wire.FleetProto.QuotaUsage getDefaultInstanceForType() {
+        return org.sequoiashunt.link.wire.FleetProto.QuotaUsage.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.sequoiashunt.link.wire.FleetProto.QuotaUsage build() {
+        org.sequoiashunt.link.wire.FleetProto.QuotaUsage result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.sequoiashunt.link.wire.FleetProto.QuotaUsage buildPartial() {
+        org.sequoiashunt.link.wire.FleetProto.QuotaUsage result = new org.sequoiashunt.link.wire.FleetProto.QuotaUsage(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.sequoiashunt.link.wire.FleetProto.QuotaUsage result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.organisation_ = organisation_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.admitted_ = admitted_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.refused_ = refused_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.fillPercent_ = fillPercent_;
+        }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          earlier_.makeImmutable();
+          result.earlier_ = earlier_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.sequoiashunt.link.wire.FleetProto.QuotaUsage) {
+          return mergeFrom((org.sequoiashunt.link.wire.FleetProto.QuotaUsage)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.sequoiashunt.link.wire.FleetProto.QuotaUsage other) {
+        if (other == org.sequoiashunt.link.wire.FleetProto.QuotaUsage.getDefaultInstance()) return this;
+        if (other.getOrganisation() != 0L) {
+          setOrganisation(other.getOrganisation());
+        }
+        if (other.getAdmitted() != 0L) {
+          setAdmitted(other.getAdmitted());
+        }
+        if (other.getRefused() != 0) {
+          setRefused(other.getRefused());
+        }
+        if (other.getFillPercent() != 0) {
+          setFillPercent(other.getFillPercent());
+        }
+        if (!other.earlier_.isEmpty()) {
+          if (earlier_.isEmpty()) {
+            earlier_ = other.earlier_;
+            earlier_.makeImmutable();
+            bitField0_ |= 0x00000010;
+          } else {
+            ensureEarlierIsMutable();
+            earlier_.addAll(other.earlier_);
+          }
+          onChanged();
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 9: {
+                organisation_ = input.readFixed64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 9
+              case 16: {
+                admitted_ = input.readUInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 24: {
+                refused_ = input.readUInt32();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              case 32: {
+                fillPercent_ = input.readUInt32();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
+              case 40: {
+                int v = input.readUInt32();
+                ensureEarlierIsMutable();
+                earlier_.addInt(v);
+                break;
+              } // case 40
+              case 42: {
+                int length = input.readRawVarint32();
+                int limit = input.pushLimit(length);
+                ensureEarlierIsMutable();
+                while (input.getBytesUntilLimit() > 0) {
+                  earlier_.addInt(input.readUInt32());
+                }
+                input.popLimit(limit);
+                break;
+              } // case 42
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private long organisation_ ;
+      /**
+       * <pre>
+       * Hash of the name.
+       * </pre>
+       *
+       * <code>fixed64 organisation = 1;</code>
+       * @return The organisation.
+       */
+      @java.lang.Override
+      public long getOrganisation() {
+        return organisation_;
+      }
+      /**
+       * <pre>
+       * Hash of the name.
+       * </pre>
+       *
+       * <code>fixed64 organisation = 1;</code>
+       * @param value The organisation to set.
+       * @return This builder for chaining.
+       */
+      public Builder setOrganisation(long value) {
+
+        organisation_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Hash of the name.
+       * </pre>
+       *
+       * <code>fixed64 organisation = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearOrganisation() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        organisation_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long admitted_ ;
+      /**
+       * <code>uint64 admitted = 2;</code>
+       * @return The admitted.
+       */
+      @java.lang.Override
+      public long getAdmitted() {
+        return admitted_;
+      }
+      /**
+       * <code>uint64 admitted = 2;</code>
+       * @param value The admitted to set.
+       * @return This builder for chaining.
+       */
+      public Builder setAdmitted(long value) {
+
+        admitted_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 admitted = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearAdmitted() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        admitted_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private int refused_ ;
+      /**
+       * <code>uint32 refused = 3;</code>
+       * @return The refused.
+       */
+      @java.lang.Override
+      public int getRefused() {
+        return refused_;
+      }
+      /**
+       * <code>uint32 refused = 3;</code>
+       * @param value The refused to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRefused(int value) {
+
+        refused_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint32 refused = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRefused() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        refused_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private int fillPercent_ ;
+      /**
+       * <code>uint32 fill_percent = 4;</code>
+       * @return The fillPercent.
+       */
+      @java.lang.Override
+      public int getFillPercent() {
+        return fillPercent_;
+      }
+      /**
+       * <code>uint32 fill_percent = 4;</code>
+       * @param value The fillPercent to set.
+       * @return This builder for chaining.
+       */
+      public Builder setFillPercent(int value) {
+
+        fillPercent_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint32 fill_percent = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearFillPercent() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        fillPercent_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private com.google.protobuf.Internal.IntList earlier_ = emptyIntList();
+      private void ensureEarlierIsMutable() {
+        if (!earlier_.isModifiable()) {
+          earlier_ = makeMutableCopy(earlier_);
+        }
+        bitField0_ |= 0x00000010;
+      }
+      /**
+       * <pre>
+       * Requests admitted before the session, by fifths of the window, the latest first.
+       * </pre>
+       *
+       * <code>repeated uint32 earlier = 5;</code>
+       * @return A list containing the earlier.
+       */
+      public java.util.List<java.lang.Integer>
+          getEarlierList() {
+        earlier_.makeImmutable();
+        return earlier_;
+      }
+      /**
+       * <pre>
+       * Requests admitted before the session, by fifths of the window, the latest first.
+       * </pre>
+       *
+       * <code>repeated uint32 earlier = 5;</code>
+       * @return The count of earlier.
+       */
+      public int getEarlierCount() {
+        return earlier_.size();
+      }
+      /**
+       * <pre>
+       * Requests admitted before the session, by fifths of the window, the latest first.
+       * </pre>
+       *
+       * <code>repeated uint32 earlier = 5;</code>
+       * @param index The index of the element to return.
+       * @return The earlier at the given index.
+       */
+      public int getEarlier(int index) {
+        return earlier_.getInt(index);
+      }
+      /**
+       * <pre>
+       * Requests admitted before the session, by fifths of the window, the latest first.
+       * </pre>
+       *
+       * <code>repeated uint32 earlier = 5;</code>
+       * @param index The index to set the value at.
+       * @param value The earlier to set.
+       * @return This builder for chaining.
+       */
+      public Builder setEarlier(
+          int index, int value) {
+
+        ensureEarlierIsMutable();
+        earlier_.setInt(index, value);
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Requests admitted before the session, by fifths of the window, the latest first.
+       * </pre>
+       *
+       * <code>repeated uint32 earlier = 5;</code>
+       * @param value The earlier to add.
+       * @return This builder for chaining.
+       */
+      public Builder addEarlier(int value) {
+
+        ensureEarlierIsMutable();
+        earlier_.addInt(value);
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Requests admitted before the session, by fifths of the window, the latest first.
+       * </pre>
+       *
+       * <code>repeated uint32 earlier = 5;</code>
+       * @param values The earlier to add.
+       * @return This builder for chaining.
+       */
+      public Builder addAllEarlier(
+          java.lang.Iterable<? extends java.lang.Integer> values) {
+        ensureEarlierIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, earlier_);
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Requests admitted before the session, by fifths of the window, the latest first.
+       * </pre>
+       *
+       * <code>repeated uint32 earlier = 5;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearEarlier() {
+        earlier_ = emptyIntList();
+        bitField0_ = (bitField0_ & ~0x00000010);
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:sequoiashunt.link.QuotaUsage)
+    }
+
+    // @@protoc_insertion_point(class_scope:sequoiashunt.link.QuotaUsage)
+    private static final org.sequoiashunt.link.wire.FleetProto.QuotaUsage DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.sequoiashunt.link.wire.FleetProto.QuotaUsage();
+    }
+
+    public static org.sequoiashunt.link.wire.FleetProto.QuotaUsage getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<QuotaUsage>
+        PARSER = new com.google.protobuf.AbstractParser<QuotaUsage>() {
+      @java.lang.Override
+      public QuotaUsage parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<QuotaUsage> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<QuotaUsage> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.sequoiashunt.link.wire.FleetProto.QuotaUsage getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface QuotaGrantOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:sequoiashunt.link.QuotaGrant)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>fixed64 session = 1;</code>
+     * @return The session.
+     */
+    long getSession();
+
+    /**
+     * <code>uint64 report_sequence = 2;</code>
+     * @return The reportSequence.
+     */
+    long getReportSequence();
+
+    /**
+     * <code>uint64 sequence = 3;</code>
+     * @return The sequence.
+     */
+    long getSequence();
+
+    /**
+     * <code>bool known = 4;</code>
+     * @return The known.
+     */
+    boolean getKnown();
+
+    /**
+     * <code>uint32 period_ms = 5;</code>
+     * @return The periodMs.
+     */
+    int getPeriodMs();
+
+    /**
+     * <code>repeated .sequoiashunt.link.QuotaAllowance allowances = 6;</code>
+     */
+    java.util.List<org.sequoiashunt.link.wire.FleetProto.QuotaAllowance> 
+        getAllowancesList();
+    /**
+     * <code>repeated .sequoiashunt.link.QuotaAllowance allowances = 6;</code>
+     */
+    org.sequoiashunt.link.wire.FleetProto.QuotaAllowance getAllowances(int index);
+    /**
+     * <code>repeated .sequoiashunt.link.QuotaAllowance allowances = 6;</code>
+     */
+    int getAllowancesCount();
+    /**
+     * <code>repeated .sequoiashunt.link.QuotaAllowance allowances = 6;</code>
+     */
+    java.util.List<? extends org.sequoiashunt.link.wire.FleetProto.QuotaAllowanceOrBuilder> 
+        getAllowancesOrBuilderList();
+    /**
+     * <code>repeated .sequoiashunt.link.QuotaAllowance allowances = 6;</code>
+     */
+    org.sequoiashunt.link.wire.FleetProto.QuotaAllowanceOrBuilder getAllowancesOrBuilder(
+        int index);
+  }
+  /**
+   * <pre>
+   * Reply of the coordinator to a QuotaReport.
+   * </pre>
+   *
+   * Protobuf type {@code sequoiashunt.link.QuotaGrant}
+   */
+  public static final class QuotaGrant extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:sequoiashunt.link.QuotaGrant)
+      QuotaGrantOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 1,
+        /* suffix= */ "",
+        "QuotaGrant");
+    }
+    // Use QuotaGrant.newBuilder() to construct.
+    private QuotaGrant(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private QuotaGrant() {
+      allowances_ = java.util.Collections.emptyList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_QuotaGrant_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_QuotaGrant_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_QuotaGrant_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.sequoiashunt.link.wire.FleetProto.QuotaGrant.class, org.sequoiashunt.link.wire.FleetProto.QuotaGrant.Builder.class);
+    }
+
+    public static final int SESSION_FIELD_NUMBER = 1;
+    private long session_ = 0L;
+    /**
+     * <code>fixed64 session = 1;</code>
+     * @return The session.
+     */
+    @java.lang.Override
+    public long getSession() {
+      return session_;
+    }
+
+    public static final int REPORT_SEQUENCE_FIELD_NUMBER = 2;
+    private long reportSequence_ = 0L;
+    /**
+     * <code>uint64 report_sequence = 2;</code>
+     * @return The reportSequence.
+     */
+    @java.lang.Override
+    public long getReportSequence() {
+      return reportSequence_;
+    }
+
+    public static final int SEQUENCE_FIELD_NUMBER = 3;
+    private long sequence_ = 0L;
+    /**
+     * <code>uint64 sequence = 3;</code>
+     * @return The sequence.
+     */
+    @java.lang.Override
+    public long getSequence() {
+      return sequence_;
+    }
+
+    public static final int KNOWN_FIELD_NUMBER = 4;
+    private boolean known_ = false;
+    /**
+     * <code>bool known = 4;</code>
+     * @return The known.
+     */
+    @java.lang.Override
+    public boolean getKnown() {
+      return known_;
+    }
+
+    public static final int PERIOD_MS_FIELD_NUMBER = 5;
+    private int periodMs_ = 0;
+    /**
+     * <code>uint32 period_ms = 5;</code>
+     * @return The periodMs.
+     */
+    @java.lang.Override
+    public int getPeriodMs() {
+      return periodMs_;
+    }
+
+    public static final int ALLOWANCES_FIELD_NUMBER = 6;
+    @SuppressWarnings("serial")
+    private java.util.List<org.sequoiashunt.link.wire.FleetProto.QuotaAllowance> allowances_;
+    /**
+     * <code>repeated .sequoiashunt.link.QuotaAllowance allowances = 6;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.sequoiashunt.link.wire.FleetProto.QuotaAllowance> getAllowancesList() {
+      return allowances_;
+    }
+    /**
+     * <code>repeated .sequoiashunt.link.QuotaAllowance allowances = 6;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.sequoiashunt.link.wire.FleetProto.QuotaAllowanceOrBuilder> 
+        getAllowancesOrBuilderList() {
+      return allowances_;
+    }
+    /**
+     * <code>repeated .sequoiashunt.link.QuotaAllowance allowances = 6;</code>
+     */
+    @java.lang.Override
+    public int getAllowancesCount() {
+      return allowances_.size();
+    }
+    /**
+     * <code>repeated .sequoiashunt.link.QuotaAllowance allowances = 6;</code>
+     */
+    @java.lang.Override
+    public org.sequoiashunt.link.wire.FleetProto.QuotaAllowance getAllowances(int index) {
+      return allowances_.get(index);
+    }
+    /**
+     * <code>repeated .sequoiashunt.link.QuotaAllowance allowances = 6;</code>
+     */
+    @java.lang.Override
+    public org.sequoiashunt.link.wire.FleetProto.QuotaAllowanceOrBuilder getAllowancesOrBuilder(
+        int index) {
+      return allowances_.get(index);
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (session_ != 0L) {
+        output.writeFixed64(1, session_);
+      }
+      if (reportSequence_ != 0L) {
+        output.writeUInt64(2, reportSequence_);
+      }
+      if (sequence_ != 0L) {
+        output.writeUInt64(3, sequence_);
+      }
+      if (known_ != false) {
+        output.writeBool(4, known_);
+      }
+      if (periodMs_ != 0) {
+        output.writeUInt32(5, periodMs_);
+      }
+      for (int i = 0; i < allowances_.size(); i++) {
+        output.writeMessage(6, allowances_.get(i));
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (session_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFixed64Size(1, session_);
+      }
+      if (reportSequence_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(2, reportSequence_);
+      }
+      if (sequence_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(3, sequence_);
+      }
+      if (known_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(4, known_);
+      }
+      if (periodMs_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(5, periodMs_);
+      }
+
+          {
+            final int count = allowances_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(allowances_.get(i));
+            }
+            size += 1 * count;
+          }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.sequoiashunt.link.wire.FleetProto.QuotaGrant)) {
+        return super.equals(obj);
+      }
+      org.sequoiashunt.link.wire.FleetProto.QuotaGrant other = (org.sequoiashunt.link.wire.FleetProto.QuotaGrant) obj;
+
+      if (getSession()
+          != other.getSession()) return false;
+      if (getReportSequence()
+          != other.getReportSequence()) return false;
+      if (getSequence()
+          != other.getSequence()) return false;
+      if (getKnown()
+          != other.getKnown()) return false;
+      if (getPeriodMs()
+          != other.getPeriodMs()) return false;
+      if (!getAllowancesList()
+          .equals(other.getAllowancesList())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + SESSION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getSession());
+      hash = (37 * hash) + REPORT_SEQUENCE_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getReportSequence());
+      hash = (37 * hash) + SEQUENCE_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getSequence());
+      hash = (37 * hash) + KNOWN_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getKnown());
+      hash = (37 * hash) + PERIOD_MS_FIELD_NUMBER;
+      hash = (53 * hash) + getPeriodMs();
+      if (getAllowancesCount() > 0) {
+        hash = (37 * hash) + ALLOWANCES_FIELD_NUMBER;
+        hash = (53 * hash) + getAllowancesList().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.sequoiashunt.link.wire.FleetProto.QuotaGrant parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.QuotaGrant parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.QuotaGrant parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.QuotaGrant parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.QuotaGrant parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.QuotaGrant parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.QuotaGrant parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.QuotaGrant parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.sequoiashunt.link.wire.FleetProto.QuotaGrant parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.sequoiashunt.link.wire.FleetProto.QuotaGrant parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.QuotaGrant parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.QuotaGrant parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.sequoiashunt.link.wire.FleetProto.QuotaGrant prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * Reply of the coordinator to a QuotaReport.
+     * </pre>
+     *
+     * Protobuf type {@code sequoiashunt.link.QuotaGrant}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:sequoiashunt.link.QuotaGrant)
+        org.sequoiashunt.link.wire.FleetProto.QuotaGrantOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_QuotaGrant_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_QuotaGrant_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.sequoiashunt.link.wire.FleetProto.QuotaGrant.class, org.sequoiashunt.link.wire.FleetProto.QuotaGrant.Builder.class);
+      }
+
+      // Construct using org.sequoiashunt.link.wire.FleetProto.QuotaGrant.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        session_ = 0L;
+        reportSequence_ = 0L;
+        sequence_ = 0L;
+        known_ = false;
+        periodMs_ = 0;
+        if (allowancesBuilder_ == null) {
+          allowances_ = java.util.Collections.emptyList();
+        } else {
+          allowances_ = null;
+          allowancesBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000020);
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_QuotaGrant_descriptor;
+      }
+
+      @java.lang.Override
+      public org.sequoiashunt.link.wire.FleetProto.QuotaGrant getDefaultInstanceForType() {
+        return org.sequoiashunt.link.wire.FleetProto.QuotaGrant.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.sequoiashunt.link.wire.FleetProto.QuotaGrant build() {
+        org.sequoiashunt.link.wire.FleetProto.QuotaGrant result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.sequoiashunt.link.wire.FleetProto.QuotaGrant buildPartial() {
+        org.sequoiashunt.link.wire.FleetProto.QuotaGrant result = new org.sequoiashunt.link.wire.FleetProto.QuotaGrant(this);
+        buildPartialRepeatedFields(result);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartialRepeatedFields(org.sequoiashunt.link.wire.FleetProto.QuotaGrant result) {
+        if (allowancesBuilder_ == null) {
+          if (((bitField0_ & 0x00000020) != 0)) {
+            allowances_ = java.util.Collections.unmodifiableList(allowances_);
+            bitField0_ = (bitField0_ & ~0x00000020);
+          }
+          result.allowances_ = allowances_;
+        } else {
+          result.allowances_ = allowancesBuilder_.build();
+        }
+      }
+
+      private void buildPartial0(org.sequoiashunt.link.wire.FleetProto.QuotaGrant result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.session_ = session_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.reportSequence_ = reportSequence_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.sequence_ = sequence_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.known_ = known_;
+        }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.periodMs_ = periodMs_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.sequoiashunt.link.wire.FleetProto.QuotaGrant) {
+          return mergeFrom((org.sequoiashunt.link.wire.FleetProto.QuotaGrant)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.sequoiashunt.link.wire.FleetProto.QuotaGrant other) {
+        if (other == org.sequoiashunt.link.wire.FleetProto.QuotaGrant.getDefaultInstance()) return this;
+        if (other.getSession() != 0L) {
+          setSession(other.getSession());
+        }
+        if (other.getReportSequence() != 0L) {
+          setReportSequence(other.getReportSequence());
+        }
+        if (other.getSequence() != 0L) {
+          setSequence(other.getSequence());
+        }
+        if (other.getKnown() != false) {
+          setKnown(other.getKnown());
+        }
+        if (other.getPeriodMs() != 0) {
+          setPeriodMs(other.getPeriodMs());
+        }
+        if (allowancesBuilder_ == null) {
+          if (!other.allowances_.isEmpty()) {
+            if (allowances_.isEmpty()) {
+              allowances_ = other.allowances_;
+              bitField0_ = (bitField0_ & ~0x00000020);
+            } else {
+              ensureAllowancesIsMutable();
+              allowances_.addAll(other.allowances_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.allowances_.isEmpty()) {
+            if (allowancesBuilder_.isEmpty()) {
+              allowancesBuilder_.dispose();
+              allowancesBuilder_ = null;
+              allowances_ = other.allowances_;
+              bitField0_ = (bitField0_ & ~0x00000020);
+              allowancesBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetAllowancesFieldBuilder() : null;
+            } else {
+              allowancesBuilder_.addAllMessages(other.allowances_);
+            }
+          }
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 9: {
+                session_ = input.readFixed64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 9
+              case 16: {
+                reportSequence_ = input.readUInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 24: {
+                sequence_ = input.readUInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              case 32: {
+                known_ = input.readBool();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
+              case 40: {
+                periodMs_ = input.readUInt32();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 40
+              case 50: {
+                org.sequoiashunt.link.wire.FleetProto.QuotaAllowance m =
+                    input.readMessage(
+                        org.sequoiashunt.link.wire.FleetProto.QuotaAllowance.parser(),
+                        extensionRegistry);
+                if (allowancesBuilder_ == null) {
+                  ensureAllowancesIsMutable();
+                  allowances_.add(m);
+                } else {
+                  allowancesBuilder_.addMessage(m);
+                }
+                break;
+              } // case 50
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private long session_ ;
+      /**
+       * <code>fixed64 session = 1;</code>
+       * @return The session.
+       */
+      @java.lang.Override
+      public long getSession() {
+        return session_;
+      }
+      /**
+       * <code>fixed64 session = 1;</code>
+       * @param value The session to set.
+       * @return This builder for chaining.
+       */
+      public Builder setSession(long value) {
+
+        session_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>fixed64 session = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearSession() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        session_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long reportSequence_ ;
+      /**
+       * <code>uint64 report_sequence = 2;</code>
+       * @return The reportSequence.
+       */
+      @java.lang.Override
+      public long getReportSequence() {
+        return reportSequence_;
+      }
+      /**
+       * <code>uint64 report_sequence = 2;</code>
+       * @param value The reportSequence to set.
+       * @return This builder for chaining.
+       */
+      public Builder setReportSequence(long value) {
+
+        reportSequence_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 report_sequence = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearReportSequence() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        reportSequence_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long sequence_ ;
+      /**
+       * <code>uint64 sequence = 3;</code>
+       * @return The sequence.
+       */
+      @java.lang.Override
+      public long getSequence() {
+        return sequence_;
+      }
+      /**
+       * <code>uint64 sequence = 3;</code>
+       * @param value The sequence to set.
+       * @return This builder for chaining.
+       */
+      public Builder setSequence(long value) {
+
+        sequence_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 sequence = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearSequence() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        sequence_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private boolean known_ ;
+      /**
+       * <code>bool known = 4;</code>
+       * @return The known.
+       */
+      @java.lang.Override
+      public boolean getKnown() {
+        return known_;
+      }
+      /**
+       * <code>bool known = 4;</code>
+       * @param value The known to set.
+       * @return This builder for chaining.
+       */
+      public Builder setKnown(boolean value) {
+
+        known_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>bool known = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearKnown() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        known_ = false;
+        onChanged();
+        return this;
+      }
+
+      private int periodMs_ ;
+      /**
+       * <code>uint32 period_ms = 5;</code>
+       * @return The periodMs.
+       */
+      @java.lang.Override
+      public int getPeriodMs() {
+        return periodMs_;
+      }
+      /**
+       * <code>uint32 period_ms = 5;</code>
+       * @param value The periodMs to set.
+       * @return This builder for chaining.
+       */
+      public Builder setPeriodMs(int value) {
+
+        periodMs_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint32 period_ms = 5;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearPeriodMs() {
+        bitField0_ = (bitField0_ & ~0x00000010);
+        periodMs_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private java.util.List<org.sequoiashunt.link.wire.FleetProto.QuotaAllowance> allowances_ =
+        java.util.Collections.emptyList();
+      private void ensureAllowancesIsMutable() {
+        if (!((bitField0_ & 0x00000020) != 0)) {
+          allowances_ = new java.util.ArrayList<org.sequoiashunt.link.wire.FleetProto.QuotaAllowance>(allowances_);
+          bitField0_ |= 0x00000020;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.sequoiashunt.link.wire.FleetProto.QuotaAllowance, org.sequoiashunt.link.wire.FleetProto.QuotaAllowance.Builder, org.sequoiashunt.link.wire.FleetProto.QuotaAllowanceOrBuilder> allowancesBuilder_;
+
+      /**
+       * <code>repeated .sequoiashunt.link.QuotaAllowance allowances = 6;</code>
+       */
+      public java.util.List<org.sequoiashunt.link.wire.FleetProto.QuotaAllowance> getAllowancesList() {
+        if (allowancesBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(allowances_);
+        } else {
+          return allowancesBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.QuotaAllowance allowances = 6;</code>
+       */
+      public int getAllowancesCount() {
+        if (allowancesBuilder_ == null) {
+          return allowances_.size();
+        } else {
+          return allowancesBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.QuotaAllowance allowances = 6;</code>
+       */
+      public org.sequoiashunt.link.wire.FleetProto.QuotaAllowance getAllowances(int index) {
+        if (allowancesBuilder_ == null) {
+          return allowances_.get(index);
+        } else {
+          return allowancesBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.QuotaAllowance allowances = 6;</code>
+       */
+      public Builder setAllowances(
+          int index, org.sequoiashunt.link.wire.FleetProto.QuotaAllowance value) {
+        if (allowancesBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureAllowancesIsMutable();
+          allowances_.set(index, value);
+          onChanged();
+        } else {
+          allowancesBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.QuotaAllowance allowances = 6;</code>
+       */
+      public Builder setAllowances(
+          int index, org.sequoiashunt.link.wire.FleetProto.QuotaAllowance.Builder builderForValue) {
+        if (allowancesBuilder_ == null) {
+          ensureAllowancesIsMutable();
+          allowances_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          allowancesBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.QuotaAllowance allowances = 6;</code>
+       */
+      public Builder addAllowances(org.sequoiashunt.link.wire.FleetProto.QuotaAllowance value) {
+        if (allowancesBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureAllowancesIsMutable();
+          allowances_.add(value);
+          onChanged();
+        } else {
+          allowancesBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.QuotaAllowance allowances = 6;</code>
+       */
+      public Builder addAllowances(
+          int index, org.sequoiashunt.link.wire.FleetProto.QuotaAllowance value) {
+        if (allowancesBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureAllowancesIsMutable();
+          allowances_.add(index, value);
+          onChanged();
+        } else {
+          allowancesBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.QuotaAllowance allowances = 6;</code>
+       */
+      public Builder addAllowances(
+          org.sequoiashunt.link.wire.FleetProto.QuotaAllowance.Builder builderForValue) {
+        if (allowancesBuilder_ == null) {
+          ensureAllowancesIsMutable();
+          allowances_.add(builderForValue.build());
+          onChanged();
+        } else {
+          allowancesBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.QuotaAllowance allowances = 6;</code>
+       */
+      public Builder addAllowances(
+          int index, org.sequoiashunt.link.wire.FleetProto.QuotaAllowance.Builder builderForValue) {
+        if (allowancesBuilder_ == null) {
+          ensureAllowancesIsMutable();
+          allowances_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          allowancesBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.QuotaAllowance allowances = 6;</code>
+       */
+      public Builder addAllAllowances(
+          java.lang.Iterable<? extends org.sequoiashunt.link.wire.FleetProto.QuotaAllowance> values) {
+        if (allowancesBuilder_ == null) {
+          ensureAllowancesIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, allowances_);
+          onChanged();
+        } else {
+          allowancesBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.QuotaAllowance allowances = 6;</code>
+       */
+      public Builder clearAllowances() {
+        if (allowancesBuilder_ == null) {
+          allowances_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000020);
+          onChanged();
+        } else {
+          allowancesBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.QuotaAllowance allowances = 6;</code>
+       */
+      public Builder removeAllowances(int index) {
+        if (allowancesBuilder_ == null) {
+          ensureAllowancesIsMutable();
+          allowances_.remove(index);
+          onChanged();
+        } else {
+          allowancesBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.QuotaAllowance allowances = 6;</code>
+       */
+      public org.sequoiashunt.link.wire.FleetProto.QuotaAllowance.Builder getAllowancesBuilder(
+          int index) {
+        return internalGetAllowancesFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.QuotaAllowance allowances = 6;</code>
+       */
+      public org.sequoiashunt.link.wire.FleetProto.QuotaAllowanceOrBuilder getAllowancesOrBuilder(
+          int index) {
+        if (allowancesBuilder_ == null) {
+          return allowances_.get(index);  } else {
+          return allowancesBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.QuotaAllowance allowances = 6;</code>
+       */
+      public java.util.List<? extends org.sequoiashunt.link.wire.FleetProto.QuotaAllowanceOrBuilder> 
+           getAllowancesOrBuilderList() {
+        if (allowancesBuilder_ != null) {
+          return allowancesBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(allowances_);
+        }
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.QuotaAllowance allowances = 6;</code>
+       */
+      public org.sequoiashunt.link.wire.FleetProto.QuotaAllowance.Builder addAllowancesBuilder() {
+        return internalGetAllowancesFieldBuilder().addBuilder(
+            org.sequoiashunt.link.wire.FleetProto.QuotaAllowance.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.QuotaAllowance allowances = 6;</code>
+       */
+      public org.sequoiashunt.link.wire.FleetProto.QuotaAllowance.Builder addAllowancesBuilder(
+          int index) {
+        return internalGetAllowancesFieldBuilder().addBuilder(
+            index, org.sequoiashunt.link.wire.FleetProto.QuotaAllowance.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .sequoiashunt.link.QuotaAllowance allowances = 6;</code>
+       */
+      public java.util.List<org.sequoiashunt.link.wire.FleetProto.QuotaAllowance.Builder> 
+           getAllowancesBuilderList() {
+        return internalGetAllowancesFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.sequoiashunt.link.wire.FleetProto.QuotaAllowance, org.sequoiashunt.link.wire.FleetProto.QuotaAllowance.Builder, org.sequoiashunt.link.wire.FleetProto.QuotaAllowanceOrBuilder> 
+          internalGetAllowancesFieldBuilder() {
+        if (allowancesBuilder_ == null) {
+          allowancesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.sequoiashunt.link.wire.FleetProto.QuotaAllowance, org.sequoiashunt.link.wire.FleetProto.QuotaAllowance.Builder, org.sequoiashunt.link.wire.FleetProto.QuotaAllowanceOrBuilder>(
+                  allowances_,
+                  ((bitField0_ & 0x00000020) != 0),
+                  getParentForChildren(),
+                  isClean());
+          allowances_ = null;
+        }
+        return allowancesBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:sequoiashunt.link.QuotaGrant)
+    }
+
+    // @@protoc_insertion_point(class_scope:sequoiashunt.link.QuotaGrant)
+    private static final org.sequoiashunt.link.wire.FleetProto.QuotaGrant DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.sequoiashunt.link.wire.FleetProto.QuotaGrant();
+    }
+
+    public static org.sequoiashunt.link.wire.FleetProto.QuotaGrant getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<QuotaGrant>
+        PARSER = new com.google.protobuf.AbstractParser<QuotaGrant>() {
+      @java.lang.Override
+      public QuotaGrant parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<QuotaGrant> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<QuotaGrant> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.sequoiashunt.link.wire.FleetProto.QuotaGrant getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface QuotaAllowanceOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:sequoiashunt.link.QuotaAllowance)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <pre>
+     * Hash of the name.
+     * </pre>
+     *
+     * <code>fixed64 organisation = 1;</code>
+     * @return The organisation.
+     */
+    long getOrganisation();
+
+    /**
+     * <code>uint64 ceiling = 2;</code>
+     * @return The ceiling.
+     */
+    long getCeiling();
+
+    /**
+     * <code>uint32 wait_ms = 3;</code>
+     * @return The waitMs.
+     */
+    int getWaitMs();
+
+    /**
+     * <code>uint32 fill_percent = 4;</code>
+     * @return The fillPercent.
+     */
+    int getFillPercent();
+  }
+  /**
+   * Protobuf type {@code sequoiashunt.link.QuotaAllowance}
+   */
+  public static final class QuotaAllowance extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:sequoiashunt.link.QuotaAllowance)
+      QuotaAllowanceOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 1,
+        /* suffix= */ "",
+        "QuotaAllowance");
+    }
+    // Use QuotaAllowance.newBuilder() to construct.
+    private QuotaAllowance(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private QuotaAllowance() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_QuotaAllowance_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_QuotaAllowance_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_QuotaAllowance_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.sequoiashunt.link.wire.FleetProto.QuotaAllowance.class, org.sequoiashunt.link.wire.FleetProto.QuotaAllowance.Builder.class);
+    }
+
+    public static final int ORGANISATION_FIELD_NUMBER = 1;
+    private long organisation_ = 0L;
+    /**
+     * <pre>
+     * Hash of the name.
+     * </pre>
+     *
+     * <code>fixed64 organisation = 1;</code>
+     * @return The organisation.
+     */
+    @java.lang.Override
+    public long getOrganisation() {
+      return organisation_;
+    }
+
+    public static final int CEILING_FIELD_NUMBER = 2;
+    private long ceiling_ = 0L;
+    /**
+     * <code>uint64 ceiling = 2;</code>
+     * @return The ceiling.
+     */
+    @java.lang.Override
+    public long getCeiling() {
+      return ceiling_;
+    }
+
+    public static final int WAIT_MS_FIELD_NUMBER = 3;
+    private int waitMs_ = 0;
+    /**
+     * <code>uint32 wait_ms = 3;</code>
+     * @return The waitMs.
+     */
+    @java.lang.Override
+    public int getWaitMs() {
+      return waitMs_;
+    }
+
+    public static final int FILL_PERCENT_FIELD_NUMBER = 4;
+    private int fillPercent_ = 0;
+    /**
+     * <code>uint32 fill_percent = 4;</code>
+     * @return The fillPercent.
+     */
+    @java.lang.Override
+    public int getFillPercent() {
+      return fillPercent_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (organisation_ != 0L) {
+        output.writeFixed64(1, organisation_);
+      }
+      if (ceiling_ != 0L) {
+        output.writeUInt64(2, ceiling_);
+      }
+      if (waitMs_ != 0) {
+        output.writeUInt32(3, waitMs_);
+      }
+      if (fillPercent_ != 0) {
+        output.writeUInt32(4, fillPercent_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (organisation_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFixed64Size(1, organisation_);
+      }
+      if (ceiling_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(2, ceiling_);
+      }
+      if (waitMs_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(3, waitMs_);
+      }
+      if (fillPercent_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(4, fillPercent_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.sequoiashunt.link.wire.FleetProto.QuotaAllowance)) {
+        return super.equals(obj);
+      }
+      org.sequoiashunt.link.wire.FleetProto.QuotaAllowance other = (org.sequoiashunt.link.wire.FleetProto.QuotaAllowance) obj;
+
+      if (getOrganisation()
+          != other.getOrganisation()) return false;
+      if (getCeiling()
+          != other.getCeiling()) return false;
+      if (getWaitMs()
+          != other.getWaitMs()) return false;
+      if (getFillPercent()
+          != other.getFillPercent()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + ORGANISATION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getOrganisation());
+      hash = (37 * hash) + CEILING_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getCeiling());
+      hash = (37 * hash) + WAIT_MS_FIELD_NUMBER;
+      hash = (53 * hash) + getWaitMs();
+      hash = (37 * hash) + FILL_PERCENT_FIELD_NUMBER;
+      hash = (53 * hash) + getFillPercent();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.sequoiashunt.link.wire.FleetProto.QuotaAllowance parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.QuotaAllowance parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.QuotaAllowance parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.QuotaAllowance parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.QuotaAllowance parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.QuotaAllowance parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.QuotaAllowance parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.QuotaAllowance parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.sequoiashunt.link.wire.FleetProto.QuotaAllowance parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.sequoiashunt.link.wire.FleetProto.QuotaAllowance parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.QuotaAllowance parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.sequoiashunt.link.wire.FleetProto.QuotaAllowance parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.sequoiashunt.link.wire.FleetProto.QuotaAllowance prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code sequoiashunt.link.QuotaAllowance}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:sequoiashunt.link.QuotaAllowance)
+        org.sequoiashunt.link.wire.FleetProto.QuotaAllowanceOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_QuotaAllowance_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_QuotaAllowance_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.sequoiashunt.link.wire.FleetProto.QuotaAllowance.class, org.sequoiashunt.link.wire.FleetProto.QuotaAllowance.Builder.class);
+      }
+
+      // Construct using org.sequoiashunt.link.wire.FleetProto.QuotaAllowance.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        organisation_ = 0L;
+        ceiling_ = 0L;
+        waitMs_ = 0;
+        fillPercent_ = 0;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.sequoiashunt.link.wire.FleetProto.internal_static_sequoiashunt_link_QuotaAllowance_descriptor;
+      }
+
+      @java.lang.Override
+      public org.sequoiashunt.link.wire.FleetProto.QuotaAllowance getDefaultInstanceForType() {
+        return org.sequoiashunt.link.wire.FleetProto.QuotaAllowance.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.sequoiashunt.link.wire.FleetProto.QuotaAllowance build() {
+        org.sequoiashunt.link.wire.FleetProto.QuotaAllowance result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.sequoiashunt.link.wire.FleetProto.QuotaAllowance buildPartial() {
+        org.sequoiashunt.link.wire.FleetProto.QuotaAllowance result = new org.sequoiashunt.link.wire.FleetProto.QuotaAllowance(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.sequoiashunt.link.wire.FleetProto.QuotaAllowance result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.organisation_ = organisation_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.ceiling_ = ceiling_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.waitMs_ = waitMs_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.fillPercent_ = fillPercent_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.sequoiashunt.link.wire.FleetProto.QuotaAllowance) {
+          return mergeFrom((org.sequoiashunt.link.wire.FleetProto.QuotaAllowance)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.sequoiashunt.link.wire.FleetProto.QuotaAllowance other) {
+        if (other == org.sequoiashunt.link.wire.FleetProto.QuotaAllowance.getDefaultInstance()) return this;
+        if (other.getOrganisation() != 0L) {
+          setOrganisation(other.getOrganisation());
+        }
+        if (other.getCeiling() != 0L) {
+          setCeiling(other.getCeiling());
+        }
+        if (other.getWaitMs() != 0) {
+          setWaitMs(other.getWaitMs());
+        }
+        if (other.getFillPercent() != 0) {
+          setFillPercent(other.getFillPercent());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 9: {
+                organisation_ = input.readFixed64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 9
+              case 16: {
+                ceiling_ = input.readUInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 24: {
+                waitMs_ = input.readUInt32();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              case 32: {
+                fillPercent_ = input.readUInt32();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private long organisation_ ;
+      /**
+       * <pre>
+       * Hash of the name.
+       * </pre>
+       *
+       * <code>fixed64 organisation = 1;</code>
+       * @return The organisation.
        */
-      public org.sequoiashunt.link.wire.FleetProto.DepartureNotice.Builder getDepartureNoticeBuilder() {
-        return internalGetDepartureNoticeFieldBuilder().getBuilder();
+      @java.lang.Override
+      public long getOrganisation() {
+        return organisation_;
       }
       /**
-       * <code>.sequoiashunt.link.DepartureNotice departure_notice = 6;</code>
+       * <pre>
+       * Hash of the name.
+       * </pre>
+       *
+       * <code>fixed64 organisation = 1;</code>
+       * @param value The organisation to set.
+       * @return This builder for chaining.
        */
-      @java.lang.Override
-      public org.sequoiashunt.link.wire.FleetProto.DepartureNoticeOrBuilder getDepartureNoticeOrBuilder() {
-        if ((contentCase_ == 6) && (departureNoticeBuilder_ != null)) {
-          return departureNoticeBuilder_.getMessageOrBuilder();
-        } else {
-          if (contentCase_ == 6) {
-            return (org.sequoiashunt.link.wire.FleetProto.DepartureNotice) content_;
-          }
-          return org.sequoiashunt.link.wire.FleetProto.DepartureNotice.getDefaultInstance();
-        }
+      public Builder setOrganisation(long value) {
+
+        organisation_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
       }
       /**
-       * <code>.sequoiashunt.link.DepartureNotice departure_notice = 6;</code>
+       * <pre>
+       * Hash of the name.
+       * </pre>
+       *
+       * <code>fixed64 organisation = 1;</code>
+       * @return This builder for chaining.
        */
-      private com.google.protobuf.SingleFieldBuilder<
-          org.sequoiashunt.link.wire.FleetProto.DepartureNotice, org.sequoiashunt.link.wire.FleetProto.DepartureNotice.Builder, org.sequoiashunt.link.wire.FleetProto.DepartureNoticeOrBuilder> 
-          internalGetDepartureNoticeFieldBuilder() {
-        if (departureNoticeBuilder_ == null) {
-          if (!(contentCase_ == 6)) {
-            content_ = org.sequoiashunt.link.wire.FleetProto.DepartureNotice.getDefaultInstance();
-          }
-          departureNoticeBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-              org.sequoiashunt.link.wire.FleetProto.DepartureNotice, org.sequoiashunt.link.wire.FleetProto.DepartureNotice.Builder, org.sequoiashunt.link.wire.FleetProto.DepartureNoticeOrBuilder>(
-                  (org.sequoiashunt.link.wire.FleetProto.DepartureNotice) content_,
-                  getParentForChildren(),
-                  isClean());
-          content_ = null;
-        }
-        contentCase_ = 6;
+      public Builder clearOrganisation() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        organisation_ = 0L;
         onChanged();
-        return departureNoticeBuilder_;
+        return this;
       }
 
-      private com.google.protobuf.SingleFieldBuilder<
-          org.sequoiashunt.link.wire.FleetProto.DepartureReceipt, org.sequoiashunt.link.wire.FleetProto.DepartureReceipt.Builder, org.sequoiashunt.link.wire.FleetProto.DepartureReceiptOrBuilder> departureReceiptBuilder_;
+      private long ceiling_ ;
       /**
-       * <code>.sequoiashunt.link.DepartureReceipt departure_receipt = 7;</code>
-       * @return Whether the departureReceipt field is set.
+       * <code>uint64 ceiling = 2;</code>
+       * @return The ceiling.
        */
       @java.lang.Override
-      public boolean hasDepartureReceipt() {
-        return contentCase_ == 7;
+      public long getCeiling() {
+        return ceiling_;
       }
       /**
-       * <code>.sequoiashunt.link.DepartureReceipt departure_receipt = 7;</code>
-       * @return The departureReceipt.
+       * <code>uint64 ceiling = 2;</code>
+       * @param value The ceiling to set.
+       * @return This builder for chaining.
        */
-      @java.lang.Override
-      public org.sequoiashunt.link.wire.FleetProto.DepartureReceipt getDepartureReceipt() {
-        if (departureReceiptBuilder_ == null) {
-          if (contentCase_ == 7) {
-            return (org.sequoiashunt.link.wire.FleetProto.DepartureReceipt) content_;
-          }
-          return org.sequoiashunt.link.wire.FleetProto.DepartureReceipt.getDefaultInstance();
-        } else {
-          if (contentCase_ == 7) {
-            return departureReceiptBuilder_.getMessage();
-          }
-          return org.sequoiashunt.link.wire.FleetProto.DepartureReceipt.getDefaultInstance();
-        }
+      public Builder setCeiling(long value) {
+
+        ceiling_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
       }
       /**
-       * <code>.sequoiashunt.link.DepartureReceipt departure_receipt = 7;</code>
+       * <code>uint64 ceiling = 2;</code>
+       * @return This builder for chaining.
        */
-      public Builder setDepartureReceipt(org.sequoiashunt.link.wire.FleetProto.DepartureReceipt value) {
-        if (departureReceiptBuilder_ == null) {
-          java.util.Objects.requireNonNull(value);
-          content_ = value;
-          onChanged();
-        } else {
-          departureReceiptBuilder_.setMessage(value);
-        }
-        contentCase_ = 7;
+      public Builder clearCeiling() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        ceiling_ = 0L;
+        onChanged();
         return this;
       }
+
+      private int waitMs_ ;
       /**
-       * <code>.sequoiashunt.link.DepartureReceipt departure_receipt = 7;</code>
+       * <code>uint32 wait_ms = 3;</code>
+       * @return The waitMs.
        */
-      public Builder setDepartureReceipt(
-          org.sequoiashunt.link.wire.FleetProto.DepartureReceipt.Builder builderForValue) {
-        if (departureReceiptBuilder_ == null) {
-          content_ = builderForValue.build();
-          onChanged();
-        } else {
-          departureReceiptBuilder_.setMessage(builderForValue.build());
-        }
-        contentCase_ = 7;
-        return this;
+      @java.lang.Override
+      public int getWaitMs() {
+        return waitMs_;
       }
       /**
-       * <code>.sequoiashunt.link.DepartureReceipt departure_receipt = 7;</code>
+       * <code>uint32 wait_ms = 3;</code>
+       * @param value The waitMs to set.
+       * @return This builder for chaining.
        */
-      public Builder mergeDepartureReceipt(org.sequoiashunt.link.wire.FleetProto.DepartureReceipt value) {
-        if (departureReceiptBuilder_ == null) {
-          if (contentCase_ == 7 &&
-              content_ != org.sequoiashunt.link.wire.FleetProto.DepartureReceipt.getDefaultInstance()) {
-            content_ = org.sequoiashunt.link.wire.FleetProto.DepartureReceipt.newBuilder((org.sequoiashunt.link.wire.FleetProto.DepartureReceipt) content_)
-                .mergeFrom(value).buildPartial();
-          } else {
-            content_ = value;
-          }
-          onChanged();
-        } else {
-          if (contentCase_ == 7) {
-            departureReceiptBuilder_.mergeFrom(value);
-          } else {
-            departureReceiptBuilder_.setMessage(value);
-          }
-        }
-        contentCase_ = 7;
+      public Builder setWaitMs(int value) {
+
+        waitMs_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
         return this;
       }
       /**
-       * <code>.sequoiashunt.link.DepartureReceipt departure_receipt = 7;</code>
+       * <code>uint32 wait_ms = 3;</code>
+       * @return This builder for chaining.
        */
-      public Builder clearDepartureReceipt() {
-        if (departureReceiptBuilder_ == null) {
-          if (contentCase_ == 7) {
-            contentCase_ = 0;
-            content_ = null;
-            onChanged();
-          }
-        } else {
-          if (contentCase_ == 7) {
-            contentCase_ = 0;
-            content_ = null;
-          }
-          departureReceiptBuilder_.clear();
-        }
+      public Builder clearWaitMs() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        waitMs_ = 0;
+        onChanged();
         return this;
       }
+
+      private int fillPercent_ ;
       /**
-       * <code>.sequoiashunt.link.DepartureReceipt departure_receipt = 7;</code>
+       * <code>uint32 fill_percent = 4;</code>
+       * @return The fillPercent.
        */
-      public org.sequoiashunt.link.wire.FleetProto.DepartureReceipt.Builder getDepartureReceiptBuilder() {
-        return internalGetDepartureReceiptFieldBuilder().getBuilder();
+      @java.lang.Override
+      public int getFillPercent() {
+        return fillPercent_;
       }
       /**
-       * <code>.sequoiashunt.link.DepartureReceipt departure_receipt = 7;</code>
+       * <code>uint32 fill_percent = 4;</code>
+       * @param value The fillPercent to set.
+       * @return This builder for chaining.
        */
-      @java.lang.Override
-      public org.sequoiashunt.link.wire.FleetProto.DepartureReceiptOrBuilder getDepartureReceiptOrBuilder() {
-        if ((contentCase_ == 7) && (departureReceiptBuilder_ != null)) {
-          return departureReceiptBuilder_.getMessageOrBuilder();
-        } else {
-          if (contentCase_ == 7) {
-            return (org.sequoiashunt.link.wire.FleetProto.DepartureReceipt) content_;
-          }
-          return org.sequoiashunt.link.wire.FleetProto.DepartureReceipt.getDefaultInstance();
-        }
+      public Builder setFillPercent(int value) {
+
+        fillPercent_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
       }
       /**
-       * <code>.sequoiashunt.link.DepartureReceipt departure_receipt = 7;</code>
+       * <code>uint32 fill_percent = 4;</code>
+       * @return This builder for chaining.
        */
-      private com.google.protobuf.SingleFieldBuilder<
-          org.sequoiashunt.link.wire.FleetProto.DepartureReceipt, org.sequoiashunt.link.wire.FleetProto.DepartureReceipt.Builder, org.sequoiashunt.link.wire.FleetProto.DepartureReceiptOrBuilder> 
-          internalGetDepartureReceiptFieldBuilder() {
-        if (departureReceiptBuilder_ == null) {
-          if (!(contentCase_ == 7)) {
-            content_ = org.sequoiashunt.link.wire.FleetProto.DepartureReceipt.getDefaultInstance();
-          }
-          departureReceiptBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-              org.sequoiashunt.link.wire.FleetProto.DepartureReceipt, org.sequoiashunt.link.wire.FleetProto.DepartureReceipt.Builder, org.sequoiashunt.link.wire.FleetProto.DepartureReceiptOrBuilder>(
-                  (org.sequoiashunt.link.wire.FleetProto.DepartureReceipt) content_,
-                  getParentForChildren(),
-                  isClean());
-          content_ = null;
-        }
-        contentCase_ = 7;
+      public Builder clearFillPercent() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        fillPercent_ = 0;
         onChanged();
-        return departureReceiptBuilder_;
+        return this;
       }
 
-      // @@protoc_insertion_point(builder_scope:sequoiashunt.link.Fleet)
+      // @@protoc_insertion_point(builder_scope:sequoiashunt.link.QuotaAllowance)
     }
 
-    // @@protoc_insertion_point(class_scope:sequoiashunt.link.Fleet)
-    private static final org.sequoiashunt.link.wire.FleetProto.Fleet DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:sequoiashunt.link.QuotaAllowance)
+    private static final org.sequoiashunt.link.wire.FleetProto.QuotaAllowance DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new org.sequoiashunt.link.wire.FleetProto.Fleet();
+      DEFAULT_INSTANCE = new org.sequoiashunt.link.wire.FleetProto.QuotaAllowance();
     }
 
-    public static org.sequoiashunt.link.wire.FleetProto.Fleet getDefaultInstance() {
+    public static org.sequoiashunt.link.wire.FleetProto.QuotaAllowance getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<Fleet>
-        PARSER = new com.google.protobuf.AbstractParser<Fleet>() {
+    private static final com.google.protobuf.Parser<QuotaAllowance>
+        PARSER = new com.google.protobuf.AbstractParser<QuotaAllowance>() {
       @java.lang.Override
-      public Fleet parsePartialFrom(
+      public QuotaAllowance parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -2003,17 +6490,17 @@
       }
     };
 
-    public static com.google.protobuf.Parser<Fleet> parser() {
+    public static com.google.protobuf.Parser<QuotaAllowance> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<Fleet> getParserForType() {
+    public com.google.protobuf.Parser<QuotaAllowance> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public org.sequoiashunt.link.wire.FleetProto.Fleet getDefaultInstanceForType() {
+    public org.sequoiashunt.link.wire.FleetProto.QuotaAllowance getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
@@ -19934,6 +24421,26 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_sequoiashunt_link_Fleet_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_sequoiashunt_link_QuotaReport_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_sequoiashunt_link_QuotaReport_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_sequoiashunt_link_QuotaUsage_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_sequoiashunt_link_QuotaUsage_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_sequoiashunt_link_QuotaGrant_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_sequoiashunt_link_QuotaGrant_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_sequoiashunt_link_QuotaAllowance_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_sequoiashunt_link_QuotaAllowance_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_sequoiashunt_link_RouteTime_descriptor;
   private static final 
@@ -20034,7 +24541,7 @@
   static {
     java.lang.String[] descriptorData = {
       "\n\013fleet.proto\022\021sequoiashunt.link\032\013entry." +
-      "proto\"\314\003\n\005Fleet\0224\n\013node_report\030\001 \001(\0132\035.s" +
+      "proto\"\272\004\n\005Fleet\0224\n\013node_report\030\001 \001(\0132\035.s" +
       "equoiashunt.link.NodeReportH\000\022H\n\025configu" +
       "ration_request\030\002 \001(\0132\'.sequoiashunt.link" +
       ".ConfigurationRequestH\000\022B\n\022configuration" +
