@@ -20045,65 +24552,82 @@
       "questH\000\022>\n\020departure_notice\030\006 \001(\0132\".sequ" +
       "oiashunt.link.DepartureNoticeH\000\022@\n\021depar" +
       "ture_receipt\030\007 \001(\0132#.sequoiashunt.link.D" +
-      "epartureReceiptH\000B\t\n\007content\"+\n\tRouteTim" +
-      "e\022\r\n\005route\030\001 \001(\t\022\017\n\007mean_ms\030\002 \001(\r\"\220\002\n\014Ta" +
-      "rgetReport\022\016\n\006target\030\001 \001(\t\022\017\n\007service\030\002 " +
-      "\001(\t\022\017\n\007version\030\003 \001(\t\022\r\n\005slots\030\004 \001(\r\022\021\n\ta" +
-      "ccepting\030\005 \001(\010\022\017\n\007running\030\006 \001(\r\022\017\n\007waiti" +
-      "ng\030\007 \001(\r\022\017\n\007mean_ms\030\010 \001(\r\022\030\n\020failure_per" +
-      "mille\030\t \001(\r\022\026\n\016warmup_left_ms\030\n \001(\004\0221\n\013r" +
-      "oute_times\030\013 \003(\0132\034.sequoiashunt.link.Rou" +
-      "teTime\022\024\n\014pace_percent\030\014 \001(\r\"t\n\014VersionT" +
-      "ally\022\017\n\007service\030\001 \001(\t\022\017\n\007version\030\002 \001(\t\022\r" +
-      "\n\005route\030\003 \001(\t\022\017\n\007answers\030\004 \001(\004\022\020\n\010failur" +
-      "es\030\005 \001(\004\022\020\n\010total_ms\030\006 \001(\004\"\325\001\n\013VersionMo" +
-      "ve\022\017\n\007service\030\001 \001(\t\022\017\n\007version\030\002 \001(\t\022\r\n\005" +
-      "state\030\003 \001(\r\022\026\n\016share_permille\030\004 \001(\r\022\r\n\005o" +
-      "rder\030\005 \001(\003\022\023\n\013duration_ms\030\006 \001(\004\022\022\n\nelaps" +
-      "ed_ms\030\007 \001(\004\022\020\n\010recorded\030\010 \001(\010\0223\n\010verdict" +
-      "s\030\t \003(\0132!.sequoiashunt.link.VersionVerdi" +
-      "ct\"E\n\016VersionVerdict\022\017\n\007version\030\001 \001(\t\022\r\n" +
-      "\005order\030\002 \001(\003\022\023\n\013rolled_back\030\003 \001(\010\"b\n\tKno" +
-      "wnNode\022\014\n\004node\030\001 \001(\t\022/\n\007address\030\002 \001(\0132\036." +
-      "sequoiashunt.link.NodeAddress\022\026\n\016failure" +
-      "_domain\030\003 \001(\t\"\265\004\n\nNodeReport\022\014\n\004node\030\001 \001" +
-      "(\t\022\023\n\013incarnation\030\002 \001(\004\022\020\n\010sequence\030\003 \001(" +
-      "\004\022/\n\007address\030\004 \001(\0132\036.sequoiashunt.link.N" +
-      "odeAddress\022\026\n\016failure_domain\030\005 \001(\t\022\016\n\006re" +
-      "gion\030\006 \001(\t\022\017\n\007leaving\030\007 \001(\010\022\035\n\025configura" +
-      "tion_version\030\010 \001(\004\0220\n\007targets\030\t \003(\0132\037.se" +
-      "quoiashunt.link.TargetReport\0220\n\007tallies\030" +
-      "\n \003(\0132\037.sequoiashunt.link.VersionTally\022-" +
-      "\n\005moves\030\013 \003(\0132\036.sequoiashunt.link.Versio" +
-      "nMove\022+\n\005known\030\014 \003(\0132\034.sequoiashunt.link" +
-      ".KnownNode\022\035\n\020confirmed_age_ms\030\r \001(\004H\000\210\001" +
-      "\001\022\020\n\010capacity\030\016 \001(\r\022/\n\007crashes\030\017 \003(\0132\036.s" +
-      "equoiashunt.link.CrashRecord\0222\n\013evacuati" +
-      "ons\030\020 \003(\0132\035.sequoiashunt.link.Evacuation" +
-      "B\023\n\021_confirmed_age_ms\"F\n\nEvacuation\022\026\n\016f" +
-      "ailure_domain\030\001 \001(\t\022\020\n\010revision\030\002 \001(\003\022\016\n" +
-      "\006active\030\003 \001(\010\"D\n\013CrashRecord\022\023\n\013fingerpr" +
-      "int\030\001 \001(\t\022\020\n\010incident\030\002 \001(\t\022\016\n\006age_ms\030\003 " +
-      "\001(\004\"N\n\rRelayedReport\022-\n\006report\030\001 \001(\0132\035.s" +
-      "equoiashunt.link.NodeReport\022\016\n\006age_ms\030\002 " +
-      "\001(\004\"C\n\016RelayedReports\0221\n\007reports\030\001 \003(\0132 " +
-      ".sequoiashunt.link.RelayedReport\"\036\n\013Repo" +
-      "rtBatch\022\017\n\007reports\030\001 \001(\014\"A\n\rReportReques" +
-      "t\0220\n\010reply_to\030\001 \001(\0132\036.sequoiashunt.link." +
-      "NodeAddress\"O\n\017TargetDeparture\022\016\n\006target" +
-      "\030\001 \001(\t\022\032\n\rstarted_at_ms\030\002 \001(\003H\000\210\001\001B\020\n\016_s" +
-      "tarted_at_ms\"\233\001\n\017DepartureNotice\022\014\n\004node" +
-      "\030\001 \001(\t\0226\n\ndepartures\030\002 \003(\0132\".sequoiashun" +
-      "t.link.TargetDeparture\0225\n\010reply_to\030\003 \001(\013" +
-      "2\036.sequoiashunt.link.NodeAddressH\000\210\001\001B\013\n" +
-      "\t_reply_to\"J\n\020DepartureReceipt\0226\n\ndepart" +
-      "ures\030\001 \003(\0132\".sequoiashunt.link.TargetDep" +
-      "arture\"_\n\024ConfigurationRequest\0220\n\010reply_" +
-      "to\030\001 \001(\0132\036.sequoiashunt.link.NodeAddress" +
-      "\022\025\n\rknown_version\030\002 \001(\004\"6\n\021Configuration" +
-      "Copy\022\017\n\007version\030\001 \001(\004\022\020\n\010document\030\002 \001(\014B" +
-      "(\n\032org.sequoiashunt.link.wireB\nFleetProt" +
-      "ob\006proto3"
+      "epartureReceiptH\000\0226\n\014quota_report\030\010 \001(\0132" +
+      "\036.sequoiashunt.link.QuotaReportH\000\0224\n\013quo" +
+      "ta_grant\030\t \001(\0132\035.sequoiashunt.link.Quota" +
+      "GrantH\000B\t\n\007content\"\311\001\n\013QuotaReport\0220\n\010re" +
+      "ply_to\030\001 \001(\0132\036.sequoiashunt.link.NodeAdd" +
+      "ress\022\017\n\007session\030\002 \001(\006\022\020\n\010sequence\030\003 \001(\004\022" +
+      "\026\n\016grant_sequence\030\004 \001(\004\022\r\n\005nodes\030\005 \001(\r\022\017" +
+      "\n\007leaving\030\006 \001(\010\022-\n\006usages\030\007 \003(\0132\035.sequoi" +
+      "ashunt.link.QuotaUsage\"l\n\nQuotaUsage\022\024\n\014" +
+      "organisation\030\001 \001(\006\022\020\n\010admitted\030\002 \001(\004\022\017\n\007" +
+      "refused\030\003 \001(\r\022\024\n\014fill_percent\030\004 \001(\r\022\017\n\007e" +
+      "arlier\030\005 \003(\r\"\241\001\n\nQuotaGrant\022\017\n\007session\030\001" +
+      " \001(\006\022\027\n\017report_sequence\030\002 \001(\004\022\020\n\010sequenc" +
+      "e\030\003 \001(\004\022\r\n\005known\030\004 \001(\010\022\021\n\tperiod_ms\030\005 \001(" +
+      "\r\0225\n\nallowances\030\006 \003(\0132!.sequoiashunt.lin" +
+      "k.QuotaAllowance\"^\n\016QuotaAllowance\022\024\n\014or" +
+      "ganisation\030\001 \001(\006\022\017\n\007ceiling\030\002 \001(\004\022\017\n\007wai" +
+      "t_ms\030\003 \001(\r\022\024\n\014fill_percent\030\004 \001(\r\"+\n\tRout" +
+      "eTime\022\r\n\005route\030\001 \001(\t\022\017\n\007mean_ms\030\002 \001(\r\"\220\002" +
+      "\n\014TargetReport\022\016\n\006target\030\001 \001(\t\022\017\n\007servic" +
+      "e\030\002 \001(\t\022\017\n\007version\030\003 \001(\t\022\r\n\005slots\030\004 \001(\r\022" +
+      "\021\n\taccepting\030\005 \001(\010\022\017\n\007running\030\006 \001(\r\022\017\n\007w" +
+      "aiting\030\007 \001(\r\022\017\n\007mean_ms\030\010 \001(\r\022\030\n\020failure" +
+      "_permille\030\t \001(\r\022\026\n\016warmup_left_ms\030\n \001(\004\022" +
+      "1\n\013route_times\030\013 \003(\0132\034.sequoiashunt.link" +
+      ".RouteTime\022\024\n\014pace_percent\030\014 \001(\r\"t\n\014Vers" +
+      "ionTally\022\017\n\007service\030\001 \001(\t\022\017\n\007version\030\002 \001" +
+      "(\t\022\r\n\005route\030\003 \001(\t\022\017\n\007answers\030\004 \001(\004\022\020\n\010fa" +
+      "ilures\030\005 \001(\004\022\020\n\010total_ms\030\006 \001(\004\"\325\001\n\013Versi" +
+      "onMove\022\017\n\007service\030\001 \001(\t\022\017\n\007version\030\002 \001(\t" +
+      "\022\r\n\005state\030\003 \001(\r\022\026\n\016share_permille\030\004 \001(\r\022" +
+      "\r\n\005order\030\005 \001(\003\022\023\n\013duration_ms\030\006 \001(\004\022\022\n\ne" +
+      "lapsed_ms\030\007 \001(\004\022\020\n\010recorded\030\010 \001(\010\0223\n\010ver" +
+      "dicts\030\t \003(\0132!.sequoiashunt.link.VersionV" +
+      "erdict\"E\n\016VersionVerdict\022\017\n\007version\030\001 \001(" +
+      "\t\022\r\n\005order\030\002 \001(\003\022\023\n\013rolled_back\030\003 \001(\010\"b\n" +
+      "\tKnownNode\022\014\n\004node\030\001 \001(\t\022/\n\007address\030\002 \001(" +
+      "\0132\036.sequoiashunt.link.NodeAddress\022\026\n\016fai" +
+      "lure_domain\030\003 \001(\t\"\265\004\n\nNodeReport\022\014\n\004node" +
+      "\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\020\n\010sequence\030" +
+      "\003 \001(\004\022/\n\007address\030\004 \001(\0132\036.sequoiashunt.li" +
+      "nk.NodeAddress\022\026\n\016failure_domain\030\005 \001(\t\022\016" +
+      "\n\006region\030\006 \001(\t\022\017\n\007leaving\030\007 \001(\010\022\035\n\025confi" +
+      "guration_version\030\010 \001(\004\0220\n\007targets\030\t \003(\0132" +
+      "\037.sequoiashunt.link.TargetReport\0220\n\007tall" +
+      "ies\030\n \003(\0132\037.sequoiashunt.link.VersionTal" +
+      "ly\022-\n\005moves\030\013 \003(\0132\036.sequoiashunt.link.Ve" +
+      "rsionMove\022+\n\005known\030\014 \003(\0132\034.sequoiashunt." +
+      "link.KnownNode\022\035\n\020confirmed_age_ms\030\r \001(\004" +
+      "H\000\210\001\001\022\020\n\010capacity\030\016 \001(\r\022/\n\007crashes\030\017 \003(\013" +
+      "2\036.sequoiashunt.link.CrashRecord\0222\n\013evac" +
+      "uations\030\020 \003(\0132\035.sequoiashunt.link.Evacua" +
+      "tionB\023\n\021_confirmed_age_ms\"F\n\nEvacuation\022" +
+      "\026\n\016failure_domain\030\001 \001(\t\022\020\n\010revision\030\002 \001(" +
+      "\003\022\016\n\006active\030\003 \001(\010\"D\n\013CrashRecord\022\023\n\013fing" +
+      "erprint\030\001 \001(\t\022\020\n\010incident\030\002 \001(\t\022\016\n\006age_m" +
+      "s\030\003 \001(\004\"N\n\rRelayedReport\022-\n\006report\030\001 \001(\013" +
+      "2\035.sequoiashunt.link.NodeReport\022\016\n\006age_m" +
+      "s\030\002 \001(\004\"C\n\016RelayedReports\0221\n\007reports\030\001 \003" +
+      "(\0132 .sequoiashunt.link.RelayedReport\"\036\n\013" +
+      "ReportBatch\022\017\n\007reports\030\001 \001(\014\"A\n\rReportRe" +
+      "quest\0220\n\010reply_to\030\001 \001(\0132\036.sequoiashunt.l" +
+      "ink.NodeAddress\"O\n\017TargetDeparture\022\016\n\006ta" +
+      "rget\030\001 \001(\t\022\032\n\rstarted_at_ms\030\002 \001(\003H\000\210\001\001B\020" +
+      "\n\016_started_at_ms\"\233\001\n\017DepartureNotice\022\014\n\004" +
+      "node\030\001 \001(\t\0226\n\ndepartures\030\002 \003(\0132\".sequoia" +
+      "shunt.link.TargetDeparture\0225\n\010reply_to\030\003" +
+      " \001(\0132\036.sequoiashunt.link.NodeAddressH\000\210\001" +
+      "\001B\013\n\t_reply_to\"J\n\020DepartureReceipt\0226\n\nde" +
+      "partures\030\001 \003(\0132\".sequoiashunt.link.Targe" +
+      "tDeparture\"_\n\024ConfigurationRequest\0220\n\010re" +
+      "ply_to\030\001 \001(\0132\036.sequoiashunt.link.NodeAdd" +
+      "ress\022\025\n\rknown_version\030\002 \001(\004\"6\n\021Configura" +
+      "tionCopy\022\017\n\007version\030\001 \001(\004\022\020\n\010document\030\002 " +
+      "\001(\014B(\n\032org.sequoiashunt.link.wireB\nFleet" +
+      "Protob\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -20115,111 +24639,135 @@
     internal_static_sequoiashunt_link_Fleet_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_sequoiashunt_link_Fleet_descriptor,
-        new java.lang.String[] { "NodeReport", "ConfigurationRequest", "ConfigurationCopy", "ReportBatch", "ReportRequest", "DepartureNotice", "DepartureReceipt", "Content", });
-    internal_static_sequoiashunt_link_RouteTime_descriptor =
+        new java.lang.String[] { "NodeReport", "ConfigurationRequest", "ConfigurationCopy", "ReportBatch", "ReportRequest", "DepartureNotice", "DepartureReceipt", "QuotaReport", "QuotaGrant", "Content", });
+    internal_static_sequoiashunt_link_QuotaReport_descriptor =
       getDescriptor().getMessageType(1);
+    internal_static_sequoiashunt_link_QuotaReport_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_sequoiashunt_link_QuotaReport_descriptor,
+        new java.lang.String[] { "ReplyTo", "Session", "Sequence", "GrantSequence", "Nodes", "Leaving", "Usages", });
+    internal_static_sequoiashunt_link_QuotaUsage_descriptor =
+      getDescriptor().getMessageType(2);
+    internal_static_sequoiashunt_link_QuotaUsage_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_sequoiashunt_link_QuotaUsage_descriptor,
+        new java.lang.String[] { "Organisation", "Admitted", "Refused", "FillPercent", "Earlier", });
+    internal_static_sequoiashunt_link_QuotaGrant_descriptor =
+      getDescriptor().getMessageType(3);
+    internal_static_sequoiashunt_link_QuotaGrant_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_sequoiashunt_link_QuotaGrant_descriptor,
+        new java.lang.String[] { "Session", "ReportSequence", "Sequence", "Known", "PeriodMs", "Allowances", });
+    internal_static_sequoiashunt_link_QuotaAllowance_descriptor =
+      getDescriptor().getMessageType(4);
+    internal_static_sequoiashunt_link_QuotaAllowance_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_sequoiashunt_link_QuotaAllowance_descriptor,
+        new java.lang.String[] { "Organisation", "Ceiling", "WaitMs", "FillPercent", });
+    internal_static_sequoiashunt_link_RouteTime_descriptor =
+      getDescriptor().getMessageType(5);
     internal_static_sequoiashunt_link_RouteTime_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_sequoiashunt_link_RouteTime_descriptor,
         new java.lang.String[] { "Route", "MeanMs", });
     internal_static_sequoiashunt_link_TargetReport_descriptor =
-      getDescriptor().getMessageType(2);
+      getDescriptor().getMessageType(6);
     internal_static_sequoiashunt_link_TargetReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_sequoiashunt_link_TargetReport_descriptor,
         new java.lang.String[] { "Target", "Service", "Version", "Slots", "Accepting", "Running", "Waiting", "MeanMs", "FailurePermille", "WarmupLeftMs", "RouteTimes", "PacePercent", });
     internal_static_sequoiashunt_link_VersionTally_descriptor =
-      getDescriptor().getMessageType(3);
+      getDescriptor().getMessageType(7);
     internal_static_sequoiashunt_link_VersionTally_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_sequoiashunt_link_VersionTally_descriptor,
         new java.lang.String[] { "Service", "Version", "Route", "Answers", "Failures", "TotalMs", });
     internal_static_sequoiashunt_link_VersionMove_descriptor =
-      getDescriptor().getMessageType(4);
+      getDescriptor().getMessageType(8);
     internal_static_sequoiashunt_link_VersionMove_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_sequoiashunt_link_VersionMove_descriptor,
         new java.lang.String[] { "Service", "Version", "State", "SharePermille", "Order", "DurationMs", "ElapsedMs", "Recorded", "Verdicts", });
     internal_static_sequoiashunt_link_VersionVerdict_descriptor =
-      getDescriptor().getMessageType(5);
+      getDescriptor().getMessageType(9);
     internal_static_sequoiashunt_link_VersionVerdict_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_sequoiashunt_link_VersionVerdict_descriptor,
         new java.lang.String[] { "Version", "Order", "RolledBack", });
     internal_static_sequoiashunt_link_KnownNode_descriptor =
-      getDescriptor().getMessageType(6);
+      getDescriptor().getMessageType(10);
     internal_static_sequoiashunt_link_KnownNode_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_sequoiashunt_link_KnownNode_descriptor,
         new java.lang.String[] { "Node", "Address", "FailureDomain", });
     internal_static_sequoiashunt_link_NodeReport_descriptor =
-      getDescriptor().getMessageType(7);
+      getDescriptor().getMessageType(11);
     internal_static_sequoiashunt_link_NodeReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_sequoiashunt_link_NodeReport_descriptor,
         new java.lang.String[] { "Node", "Incarnation", "Sequence", "Address", "FailureDomain", "Region", "Leaving", "ConfigurationVersion", "Targets", "Tallies", "Moves", "Known", "ConfirmedAgeMs", "Capacity", "Crashes", "Evacuations", });
     internal_static_sequoiashunt_link_Evacuation_descriptor =
-      getDescriptor().getMessageType(8);
+      getDescriptor().getMessageType(12);
     internal_static_sequoiashunt_link_Evacuation_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_sequoiashunt_link_Evacuation_descriptor,
         new java.lang.String[] { "FailureDomain", "Revision", "Active", });
     internal_static_sequoiashunt_link_CrashRecord_descriptor =
-      getDescriptor().getMessageType(9);
+      getDescriptor().getMessageType(13);
     internal_static_sequoiashunt_link_CrashRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_sequoiashunt_link_CrashRecord_descriptor,
         new java.lang.String[] { "Fingerprint", "Incident", "AgeMs", });
     internal_static_sequoiashunt_link_RelayedReport_descriptor =
-      getDescriptor().getMessageType(10);
+      getDescriptor().getMessageType(14);
     internal_static_sequoiashunt_link_RelayedReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_sequoiashunt_link_RelayedReport_descriptor,
         new java.lang.String[] { "Report", "AgeMs", });
     internal_static_sequoiashunt_link_RelayedReports_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(15);
     internal_static_sequoiashunt_link_RelayedReports_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_sequoiashunt_link_RelayedReports_descriptor,
         new java.lang.String[] { "Reports", });
     internal_static_sequoiashunt_link_ReportBatch_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(16);
     internal_static_sequoiashunt_link_ReportBatch_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_sequoiashunt_link_ReportBatch_descriptor,
         new java.lang.String[] { "Reports", });
     internal_static_sequoiashunt_link_ReportRequest_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(17);
     internal_static_sequoiashunt_link_ReportRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_sequoiashunt_link_ReportRequest_descriptor,
         new java.lang.String[] { "ReplyTo", });
     internal_static_sequoiashunt_link_TargetDeparture_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(18);
     internal_static_sequoiashunt_link_TargetDeparture_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_sequoiashunt_link_TargetDeparture_descriptor,
         new java.lang.String[] { "Target", "StartedAtMs", });
     internal_static_sequoiashunt_link_DepartureNotice_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(19);
     internal_static_sequoiashunt_link_DepartureNotice_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_sequoiashunt_link_DepartureNotice_descriptor,
         new java.lang.String[] { "Node", "Departures", "ReplyTo", });
     internal_static_sequoiashunt_link_DepartureReceipt_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(20);
     internal_static_sequoiashunt_link_DepartureReceipt_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_sequoiashunt_link_DepartureReceipt_descriptor,
         new java.lang.String[] { "Departures", });
     internal_static_sequoiashunt_link_ConfigurationRequest_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(21);
     internal_static_sequoiashunt_link_ConfigurationRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_sequoiashunt_link_ConfigurationRequest_descriptor,
         new java.lang.String[] { "ReplyTo", "KnownVersion", });
     internal_static_sequoiashunt_link_ConfigurationCopy_descriptor =
-      getDescriptor().getMessageType(18);
+      getDescriptor().getMessageType(22);
     internal_static_sequoiashunt_link_ConfigurationCopy_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_sequoiashunt_link_ConfigurationCopy_descriptor,
--- a/sequoiashunt-link/src/test/java/org/sequoiashunt/link/FleetCodecTest.java
+++ b/sequoiashunt-link/src/test/java/org/sequoiashunt/link/FleetCodecTest.java
@@ -30,6 +30,8 @@
 import org.sequoiashunt.fleet.VersionVerdict;
 import org.sequoiashunt.peer.ControlMessage;
 import org.sequoiashunt.peer.NodeAddress;
+import org.sequoiashunt.quota.QuotaGrant;
+import org.sequoiashunt.quota.QuotaReport;
 import org.sequoiashunt.target.TargetDeparture;
 
 /** Encoding, size and validation of node reports and configuration copies. */
@@ -90,7 +92,18 @@
                 new ConfigurationCopy(4, Body.of(document)),
                 new DepartureNotice("n-1", DEPARTURES, Optional.of(new NodeAddress("10.1.0.11", 7_560))),
                 new DepartureNotice("n-1", List.of(), Optional.empty()),
-                new DepartureReceipt(DEPARTURES))) {
+                new DepartureReceipt(DEPARTURES),
+                new QuotaReport(
+                        new NodeAddress("10.1.0.11", 7_560),
+                        -5,
+                        7,
+                        6,
+                        64,
+                        true,
+                        List.of(
+                                new QuotaReport.Usage(-9, 44, 3, 81, List.of(1, 2, 3, 4, 5)),
+                                new QuotaReport.Usage(9, 1, 0, 0, List.of()))),
+                new QuotaGrant(-5, 7, 8, true, 500, List.of(new QuotaGrant.Allowance(-9, 50, 250, 81))))) {
             assertTrue(codec.handles(message));
             assertEquals(message, codec.decode(codec.encode(message)));
         }
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/ActiveConfiguration.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/ActiveConfiguration.java
@@ -1,11 +1,13 @@
 package org.sequoiashunt.node.mesh;
 
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import org.sequoiashunt.call.Body;
 import org.sequoiashunt.configuration.ConfigurationException;
 import org.sequoiashunt.mesh.MeshConfiguration;
 import org.sequoiashunt.mesh.MeshPlatform;
+import org.sequoiashunt.organisation.RateLimit;
 
 /**
  * Holds the active configuration and the document from which it was decoded.
@@ -87,6 +89,14 @@
         return snapshot == null ? Optional.empty() : Optional.of(snapshot.configuration());
     }
 
+    /** Returns the limits of organisations, the same map until another configuration is activated. */
+    Map<String, RateLimit> limits() {
+        ActiveVersion snapshot = active;
+        return snapshot == null
+                ? Map.of()
+                : snapshot.configuration().organisations().limits();
+    }
+
     /** Returns the document of the active configuration, or empty before the first activation. */
     Optional<Body> document() {
         ActiveVersion snapshot = active;
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/LogKind.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/LogKind.java
@@ -20,6 +20,8 @@
     PEER("peer", 20),
     /** A target crashed, or a request that crashes targets was refused. */
     CRASH("crash", 10),
+    /** Another node divides the limits of organisations among the nodes. */
+    QUOTA("quota", 10),
     /** The platform's store became unavailable or available again. */
     STORE("store", 10),
     /** A move of traffic was ordered, advanced or ended. */
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshCallerHandler.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshCallerHandler.java
@@ -39,7 +39,7 @@
  * listener.
  *
  * <p>Thread-safe; never blocks. Invariants: each request gets exactly one complete answer, which belongs to it, or its
- * connection is closed; 503 and 408 are sent only for a request that has not run and never will.
+ * connection is closed; 429, 503 and 408 are sent only for a request that has not run and never will.
  */
 final class MeshCallerHandler implements HttpHandler {
 
@@ -155,6 +155,12 @@
             refuse(exchange, call.requestId(), route, arrivedMs, CallResult.notRun(Reason.DRAINING));
             return;
         }
+        long quotaWaitMs = quotaWaitMs(call);
+        if (quotaWaitMs > 0) {
+            CallResult refusal = CallResult.notRun(Reason.QUOTA_EXCEEDED).withExpectedWait(quotaWaitMs);
+            refuse(exchange, call.requestId(), route, arrivedMs, refusal);
+            return;
+        }
         CompletableFuture<CallResult> result = dependencies.dispatcher().dispatch(call, route);
         if (!result.isDone()) {
             CallerDisconnectDetector.start(exchange, () -> {
@@ -178,6 +184,15 @@
         });
     }
 
+    /** Returns after how many milliseconds the organisation may send again, 0 if the request may run now. */
+    private long quotaWaitMs(final MeshCall call) {
+        return call.organisation()
+                .map(organisation -> dependencies.quota().tryAcquire(organisation))
+                .filter(decision -> !decision.admitted())
+                .map(decision -> Math.max(1, decision.expectedWaitMs()))
+                .orElse(0L);
+    }
+
     private void handleCallerDisconnect(final HttpServerExchange exchange, final MeshCall call, final MeshRoute route) {
         dependencies.log().log(
                 LogKind.CALLER_LEFT,
@@ -328,7 +343,10 @@
         String statedRemainingMs =
                 exchange.getRequestHeaders().getFirst(dependencies.headerNames().remainingMs());
         long remainingMs = remainingMs(statedRemainingMs, route) - (nowMs - arrivedMs);
-        long delayMs = dependencies.retryAfterPolicy().delayMs(result.expectedWaitMs(), remainingMs);
+        boolean overQuota = result.reason() == Reason.QUOTA_EXCEEDED;
+        long delayMs = overQuota
+                ? dependencies.retryAfterPolicy().quotaDelayMs(result.expectedWaitMs(), remainingMs)
+                : dependencies.retryAfterPolicy().delayMs(result.expectedWaitMs(), remainingMs);
         dependencies.log().log(
                 LogKind.REFUSED,
                 "request",
@@ -344,7 +362,8 @@
                 "afterMs",
                 nowMs - arrivedMs);
         exchange.getResponseHeaders().put(Headers.RETRY_AFTER, Double.toString(delayMs / MS_PER_SECOND));
-        refuse(exchange, StatusCodes.SERVICE_UNAVAILABLE, result.reason().text());
+        int status = overQuota ? Reason.QUOTA_EXCEEDED.status() : StatusCodes.SERVICE_UNAVAILABLE;
+        refuse(exchange, status, result.reason().text());
     }
 
     private static void refuse(final HttpServerExchange exchange, final int status, final String text) {
@@ -360,6 +379,7 @@
      * @param headerNames the names of the headers that callers send.
      * @param dispatcher places requests on targets and returns their results.
      * @param retryAfterPolicy computes the Retry-After delay of refused requests.
+     * @param quota limits the requests of organisations.
      * @param limits supplies the caller limits of the active configuration.
      * @param service supplies the name of this VM's service.
      * @param draining true once the node is shutting down.
@@ -372,6 +392,7 @@
             MeshHeaders headerNames,
             MeshDispatcher dispatcher,
             RetryAfterPolicy retryAfterPolicy,
+            MeshQuota quota,
             Supplier<CallerLimits> limits,
             Supplier<String> service,
             BooleanSupplier draining,
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
@@ -46,6 +46,8 @@
 import org.sequoiashunt.node.ControlLoop;
 import org.sequoiashunt.placement.Placement;
 import org.sequoiashunt.placement.PlacementCandidateSource;
+import org.sequoiashunt.quota.QuotaController;
+import org.sequoiashunt.quota.QuotaLimiter;
 import org.sequoiashunt.slot.SlotGate;
 import org.sequoiashunt.slot.SlotGates;
 import org.sequoiashunt.target.TargetRegistry;
@@ -108,6 +110,7 @@
     private SlotGates gates;
     private FleetController fleetController;
     private MoveController moveController;
+    private QuotaLimiter quotaLimiter;
     private DepartureRecorder departureRecorder;
     private CrashGuard crashGuard;
     private CallHandler guardedGates;
@@ -228,6 +231,23 @@
         controlLoop.add(fleetController);
         controlLoop.add(departureRecorder);
         controlLoop.add(moveController);
+        quotaLimiter = new QuotaLimiter(clock, settings.quotaBounds(), incarnation);
+        controlLoop.add(new QuotaController(quotaDependencies(), settings.quotaBounds()));
+    }
+
+    private QuotaController.Dependencies quotaDependencies() {
+        return new QuotaController.Dependencies(
+                settings.location().node(),
+                settings.location().address(),
+                settings.capacity(),
+                clock,
+                fleet,
+                configuration::limits,
+                quotaLimiter,
+                () -> draining,
+                linkClient,
+                (previous, next, nodes) ->
+                        log.log(LogKind.QUOTA, "coordinator", next, "before", previous, "nodes", nodes));
     }
 
     private LinkContext createLinkContext() {
@@ -285,6 +305,7 @@
                 platformComponents.headerNames(),
                 dispatcher,
                 new RetryAfterPolicy(random),
+                new MeshQuota(quotaLimiter, metrics),
                 this::callerLimits,
                 () -> service,
                 () -> draining,
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/FakePlatform.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/FakePlatform.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -16,7 +17,11 @@
 import org.sequoiashunt.mesh.MeshPlatform;
 import org.sequoiashunt.mesh.MeshRoute;
 import org.sequoiashunt.mesh.ReadFreshness;
+import org.sequoiashunt.mesh.ServiceSettings;
 import org.sequoiashunt.mesh.WeightedService;
+import org.sequoiashunt.organisation.Organisation;
+import org.sequoiashunt.organisation.OrganisationDirectory;
+import org.sequoiashunt.organisation.RateLimit;
 import org.sequoiashunt.store.StoreException;
 import org.sequoiashunt.target.TargetDeparture;
 
@@ -26,6 +31,9 @@
  */
 final class FakePlatform implements MeshPlatform {
 
+    /** Version whose requests need the key {@code key} of an organisation with a limit of 5 requests a second. */
+    static final int VERSION_WITH_LIMIT = 99;
+
     private final Map<String, KnownNode> nodes;
     private final AtomicInteger version;
     private final Map<String, List<TargetDeparture>> departures;
@@ -110,6 +118,19 @@
                 500,
                 1,
                 2);
+        if (decoded == VERSION_WITH_LIMIT) {
+            OrganisationDirectory.Builder organisations = new OrganisationDirectory.Builder();
+            organisations.add(
+                    new Organisation("limited", OptionalInt.empty(), Optional.of(new RateLimit(5, 5)), Set.of()),
+                    Set.of("key"));
+            return MeshConfiguration.of(
+                    decoded,
+                    List.of(lookRoute),
+                    Map.of("desk", ServiceSettings.DEFAULT),
+                    CallerLimits.defaults(),
+                    organisations.build(),
+                    MeshConfiguration.Omissions.NONE);
+        }
         return MeshConfiguration.of(
                 decoded, List.of(lookRoute, slowRoute, versionRoute), Set.of("desk"), CallerLimits.defaults());
     }
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/MeshNodeTest.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/MeshNodeTest.java
@@ -26,6 +26,7 @@
 import org.sequoiashunt.memory.LoopbackAddresses;
 import org.sequoiashunt.peer.NodeAddress;
 import org.sequoiashunt.placement.NodeLocation;
+import org.sequoiashunt.quota.QuotaBounds;
 import org.sequoiashunt.target.TargetAnnouncement;
 
 /** Tests two nodes of different regions on the loopback interface; only the second node has a target. */
@@ -115,7 +116,8 @@
                 Optional.of(nextSocketAddress()),
                 1_500,
                 6_000,
-                new SlidingWindowRetryBudget.Bounds(0.2, 50, 10_000));
+                new SlidingWindowRetryBudget.Bounds(0.2, 50, 10_000),
+                Optional.of(new QuotaBounds(5_000, 0.1, 20)));
     }
 
     private static InetSocketAddress nextSocketAddress() {
@@ -153,7 +155,7 @@
     private static void write(final Socket socket, final String path, final String id, final int remainingMs)
             throws IOException {
         String text = "GET " + path + " HTTP/1.1\r\nHost: desk\r\nRequest-Id: " + id + "\r\nLeft-Ms: " + remainingMs
-                + "\r\nCaller: forged\r\n\r\n";
+                + "\r\nCaller: forged" + (path.contains("limited") ? "\r\nAuthorization: Bearer key" : "") + "\r\n\r\n";
         socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
     }
 
@@ -225,6 +227,27 @@
                 Double.parseDouble(refused.headers().firstValue("Retry-After").orElseThrow()) > 0);
     }
 
+    /** A request above the limit must not reach a target, and its caller is told when to come back. */
+    @Test
+    void requestAboveTheLimitOfItsOrganisationIsRefusedUnsent() throws Exception {
+        startTarget(Collections.nCopies(200, COMPLETE_RESPONSE).toArray(String[]::new));
+        platform.commit(FakePlatform.VERSION_WITH_LIMIT);
+        await(() -> call(0, "/look/limited", "probe").statusCode() == 200);
+        HttpResponse<String> answer;
+        int answered = 0;
+        do {
+            answer = call(0, "/look/limited", "id-" + answered);
+            answered++;
+        } while (answer.statusCode() == 200 && answered < 150);
+        assertEquals(429, answer.statusCode());
+        assertTrue(Double.parseDouble(answer.headers().firstValue("Retry-After").orElseThrow()) > 0);
+        String refused = "Request-Id: id-" + (answered - 1) + "\n";
+        assertTrue(target.requests().stream().noneMatch(request -> request.contains(refused)), refused);
+        assertTrue(
+                target.requests().size() <= 53,
+                () -> "sent " + target.requests().size());
+    }
+
     /** Callers disconnect when their requests stay unread for too long; such requests must not reach a target. */
     @Test
     void requestsOfDisconnectedCallersAreNotForwarded() throws Exception {
