--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/quota/QuotaFleetTest.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/quota/QuotaFleetTest.java
@@ -130,7 +130,7 @@
     void refusesFarLessBelowTheEntitlementThanStaticShares() {
         double[][] refused = new double[SimulatedFleet.Rule.values().length][];
         System.out.println(
-                "rule, phase | offered | first refusals below | final refusals | lost of the due | last fill");
+                "rule, phase | offered | first refusals below | final refusals | lost | messages/s/node | fill");
         for (SimulatedFleet.Rule rule : SimulatedFleet.Rule.values()) {
             refused[rule.ordinal()] = new double[] {
                 measure(rule, "usual", 0.6, false),
@@ -163,13 +163,14 @@
         double lost = loads.stream().mapToDouble(load -> load.lost).sum();
         System.out.printf(
                 Locale.ROOT,
-                "%s, %s | %d | %d | %d | %.0f | %s%n",
+                "%s, %s | %d | %d | %d | %.0f | %.1f | %s%n",
                 rule,
                 phase,
                 loads.stream().mapToInt(load -> load.offered).sum(),
                 loads.stream().mapToInt(load -> load.firstRefusalsBelow).sum(),
                 loads.stream().mapToInt(load -> load.finalRefusals).sum(),
                 lost,
+                fleet.messages / (NODES * 25.0),
                 loads.stream()
                         .map(load -> String.format(Locale.ROOT, "%.2f", load.fill))
                         .toList());
