--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/ActiveConfiguration.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/ActiveConfiguration.java
@@ -1,5 +1,6 @@
 package org.sequoiashunt.node.mesh;
 
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import org.sequoiashunt.call.Body;
@@ -7,6 +8,7 @@
 import org.sequoiashunt.mesh.MeshConfiguration;
 import org.sequoiashunt.mesh.MeshPlatform;
 import org.sequoiashunt.mesh.ServiceSettings;
+import org.sequoiashunt.organisation.RateLimit;
 import org.sequoiashunt.slot.WarmupRule;
 
 /**
@@ -101,6 +103,14 @@
         return current().map(MeshConfiguration::usesFairShares).orElse(false);
     }
 
+    /** Returns the limits of organisations, the same map until another configuration is activated. */
+    Map<String, RateLimit> limits() {
+        ActiveVersion snapshot = active;
+        return snapshot == null
+                ? Map.of()
+                : snapshot.configuration().organisations().limits();
+    }
+
     /** Returns the document of the active configuration, or empty before the first activation. */
     Optional<Body> document() {
         ActiveVersion snapshot = active;
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshCallerHandler.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshCallerHandler.java
@@ -43,7 +43,7 @@
  * listener.
  *
  * <p>Thread-safe; never blocks. Invariants: each request gets exactly one complete answer, which belongs to it, or its
- * connection is closed; 503 and 408 are sent only for a request that has not run and never will.
+ * connection is closed; 429, 503 and 408 are sent only for a request that has not run and never will.
  */
 final class MeshCallerHandler implements HttpHandler {
 
@@ -177,7 +177,11 @@
 
     /** Dispatches a call, whether the server has reached its request or the request is read ahead. */
     private CompletableFuture<CallResult> dispatch(final MeshCall call, final MeshRoute route) {
-        return dependencies.dispatcher().dispatch(call, route);
+        long quotaWaitMs = quotaWaitMs(call);
+        return quotaWaitMs > 0
+                ? CompletableFuture.completedFuture(
+                        CallResult.notRun(Reason.QUOTA_EXCEEDED).withExpectedWait(quotaWaitMs))
+                : dependencies.dispatcher().dispatch(call, route);
     }
 
     private void serve(
@@ -206,6 +210,15 @@
         });
     }
 
+    /** Returns after how many milliseconds the organisation may send again, 0 if the request may run now. */
+    private long quotaWaitMs(final MeshCall call) {
+        return call.organisation()
+                .map(organisation -> dependencies.quota().tryAcquire(organisation))
+                .filter(decision -> !decision.admitted())
+                .map(decision -> Math.max(1, decision.expectedWaitMs()))
+                .orElse(0L);
+    }
+
     private void handleCallerDisconnect(final HttpServerExchange exchange, final MeshCall call, final MeshRoute route) {
         dependencies.log().log(
                 LogKind.CALLER_LEFT,
@@ -403,7 +416,10 @@
         String statedRemainingMs =
                 exchange.getRequestHeaders().getFirst(dependencies.headerNames().remainingMs());
         long remainingMs = remainingMs(statedRemainingMs, route) - (nowMs - arrivedMs);
-        long delayMs = dependencies.retryAfterPolicy().delayMs(result.expectedWaitMs(), remainingMs);
+        boolean overQuota = result.reason() == Reason.QUOTA_EXCEEDED;
+        long delayMs = overQuota
+                ? dependencies.retryAfterPolicy().quotaDelayMs(result.expectedWaitMs(), remainingMs)
+                : dependencies.retryAfterPolicy().delayMs(result.expectedWaitMs(), remainingMs);
         dependencies.log().log(
                 LogKind.REFUSED,
                 "request",
@@ -419,7 +435,8 @@
                 "afterMs",
                 nowMs - arrivedMs);
         exchange.getResponseHeaders().put(Headers.RETRY_AFTER, Double.toString(delayMs / MS_PER_SECOND));
-        refuse(exchange, StatusCodes.SERVICE_UNAVAILABLE, result.reason().text());
+        int status = overQuota ? Reason.QUOTA_EXCEEDED.status() : StatusCodes.SERVICE_UNAVAILABLE;
+        refuse(exchange, status, result.reason().text());
     }
 
     private static void refuse(final HttpServerExchange exchange, final int status, final String text) {
@@ -435,6 +452,7 @@
      * @param headerNames the names of the headers that callers send.
      * @param dispatcher places requests on targets and returns their results.
      * @param retryAfterPolicy computes the Retry-After delay of refused requests.
+     * @param quota limits the requests of organisations.
      * @param limits supplies the caller limits of the active configuration.
      * @param service supplies the name of this VM's service.
      * @param draining true once the node is shutting down.
@@ -447,6 +465,7 @@
             MeshHeaders headerNames,
             MeshDispatcher dispatcher,
             RetryAfterPolicy retryAfterPolicy,
+            MeshQuota quota,
             Supplier<CallerLimits> limits,
             Supplier<String> service,
             BooleanSupplier draining,
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
@@ -111,6 +111,7 @@
     private EvacuationControl evacuations;
     private FleetController fleetController;
     private MoveController moveController;
+    private MeshQuota quota;
     private DepartureRecorder departureRecorder;
     private CrashGuard crashGuard;
     private CallHandler guardedGates;
@@ -235,6 +236,12 @@
         controlLoop.add(fleetController);
         controlLoop.add(departureRecorder);
         controlLoop.add(moveController);
+        quota = new MeshQuota(settings, incarnation, quotaDependencies());
+        controlLoop.add(quota.controller());
+    }
+
+    private MeshQuota.Dependencies quotaDependencies() {
+        return new MeshQuota.Dependencies(clock, fleet, configuration, () -> draining, linkClient, log, metrics);
     }
 
     private LinkContext createLinkContext() {
@@ -293,6 +300,7 @@
                 platformComponents.headerNames(),
                 dispatcher,
                 new RetryAfterPolicy(random),
+                quota,
                 this::callerLimits,
                 () -> service,
                 () -> draining,
