Store: revisions and leases are ordered over restores from an older copy

The platform's store may come back from a copy some seconds old. Revisions and leases are then given out again, so that a later change looked older, a renewal of a reissued lease succeeded and a write under a condition could hold for a revision of another change. Nothing told the owners of state to write theirs again.

An ended order that the restored store shows again, or that the operator writes again, is the same order for VersionMove.merge. DepartureRecorder and MoveRecorder write theirs again when the era rises.

--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/fleet/VersionMove.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/fleet/VersionMove.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.TreeMap;
+import org.sequoiashunt.store.StoreRevision;
 
 /**
  * A move of a service's traffic to another version: the operator's order, its state and share, and the outcomes of
@@ -13,6 +14,10 @@
  * <p>{@link #merge} is commutative, associative and idempotent except for the elapsed time, which only grows: nodes
  * that have received the same values in any order hold the same value.
  *
+ * <p>After the store was restored from an older copy, one order may appear under two revisions: under its own one in
+ * the new era if the copy holds it, and under a later one if the operator wrote it again. Both count as the same order,
+ * so that a move that has ended is not run a second time.
+ *
  * <p>Immutable and thread-safe. Invariant: the share is from 0 to 1,000.
  *
  * @param service the service.
@@ -156,26 +161,87 @@
      * @return the merged value, never null.
      */
     public VersionMove merge(final VersionMove other) {
-        if (order != other.order) {
-            VersionMove later = order > other.order ? this : other;
-            VersionMove earlier = order > other.order ? other : this;
-            return later.withVerdicts(later.mergeVerdicts(earlier, true));
+        if (order == other.order) {
+            return mergeSameOrder(other, order);
+        }
+        VersionMove later = order > other.order ? this : other;
+        VersionMove earlier = order > other.order ? other : this;
+        if (earlier.hasReplaced(later)) {
+            return earlier.withVerdicts(earlier.mergeVerdicts(later, false));
         }
+        if (later.repeats(earlier)) {
+            return mergeSameOrder(other, isSameRevision(later.order, earlier.order) ? earlier.order : later.order);
+        }
+        return later.withVerdicts(later.mergeVerdicts(earlier, true));
+    }
+
+    private VersionMove mergeSameOrder(final VersionMove other, final long mergedOrder) {
         int precedence = PRECEDENCE.compare(this, other);
         VersionMove first = precedence >= 0 ? this : other;
         boolean sameState = precedence == 0;
         return new VersionMove(
                 service,
                 first.version,
-                order,
+                mergedOrder,
                 first.state,
                 sameState ? Math.max(sharePermille, other.sharePermille) : first.sharePermille,
                 Math.max(durationMs, other.durationMs),
                 Math.max(elapsedMs, other.elapsedMs),
-                sameState ? recorded || other.recorded : first.recorded,
+                isRecordedAs(first.state, mergedOrder) || other.isRecordedAs(first.state, mergedOrder),
                 mergeVerdicts(other, false));
     }
 
+    /** The record names the order, so that a state is recorded again if the order has got another revision. */
+    private boolean isRecordedAs(final MoveState mergedState, final long mergedOrder) {
+        return recorded && state == mergedState && order == mergedOrder;
+    }
+
+    /** Returns whether this move has the order of an earlier era, as the restored store holds or got it again. */
+    private boolean repeats(final VersionMove earlier) {
+        return StoreRevision.eraOf(order) > StoreRevision.eraOf(earlier.order)
+                && version.equals(earlier.version)
+                && (durationMs == earlier.durationMs || durationMs == 0 || earlier.durationMs == 0)
+                && verdicts.stream()
+                        .noneMatch(verdict -> verdict.version().equals(version) && verdict.order() > earlier.order);
+    }
+
+    /** Returns whether a move is an order that this one replaced before the store was restored to it. */
+    private boolean hasReplaced(final VersionMove restored) {
+        return verdicts.stream()
+                .anyMatch(verdict -> verdict.version().equals(restored.version)
+                        && StoreRevision.eraOf(verdict.order()) < StoreRevision.eraOf(restored.order)
+                        && isSameRevision(verdict.order(), restored.order));
+    }
+
+    private static boolean isSameRevision(final long first, final long second) {
+        return StoreRevision.revisionOf(first) == StoreRevision.revisionOf(second);
+    }
+
+    /**
+     * Returns whether an order is that of this move, so that the move continues or has ended already.
+     *
+     * @param ordered a move with the order, of the same service, not null.
+     * @return true if the order starts no other move.
+     */
+    public boolean continuesWith(final VersionMove ordered) {
+        return ordered.order <= order || hasReplaced(ordered) || ordered.repeats(this);
+    }
+
+    /**
+     * Returns whether this recorded move must not be overwritten by another one: it belongs to a later order, or it is
+     * an outcome or the same state of the same order.
+     *
+     * @param other the move to record, of the same service, not null.
+     * @return true if this record stays.
+     */
+    public boolean prevailsOver(final VersionMove other) {
+        if (order == other.order) {
+            return state.isTerminal() || state == other.state;
+        }
+        VersionMove merged = merge(other);
+        return merged.order == order || other.repeats(this) && state.isTerminal() && state != other.state;
+    }
+
     private List<VersionVerdict> mergeVerdicts(final VersionMove other, final boolean withOutcomeOfOther) {
         Map<String, VersionVerdict> latest = new TreeMap<>();
         verdicts.forEach(verdict -> putLatest(latest, verdict));
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshPlatform.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshPlatform.java
@@ -13,7 +13,8 @@
  * Access to the platform's store for a mesh: the operator's documents, the registrations by which nodes find each
  * other, and the recorded states of moves.
  *
- * <p>All methods but {@link #decode} block until the store answers or a timeout ends. Implementations are thread-safe.
+ * <p>All methods but {@link #decode} and {@link #storeEra} block until the store answers or a timeout ends.
+ * Implementations are thread-safe.
  */
 public interface MeshPlatform {
 
@@ -105,6 +106,14 @@
      */
     boolean recordDepartures(String node, List<TargetDeparture> departures, long lease) throws StoreException;
 
+    /**
+     * Returns how many times the store is known to have come back from an older copy. It then lacks what it had
+     * acknowledged shortly before; owners of state write theirs again when this number rises. Does not block.
+     *
+     * @return the latest era that the store has told, zero before its first response and where there are none.
+     */
+    long storeEra();
+
     /**
      * Records the state of a move, for the operator and for nodes that start later. An outcome is never overwritten.
      *
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/DepartureRecorder.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/DepartureRecorder.java
@@ -36,7 +36,8 @@
  *
  * <p>A departure is recorded in the platform's store, and a few peers keep it as well: they suffice while the store
  * does not answer, and send it back when this node has restarted. If neither the store nor a peer holds it in time, it
- * is not acknowledged; the target announces its departure again.
+ * is not acknowledged; the target announces its departure again. When the store came back from an older copy, all are
+ * recorded again under a new lease.
  *
  * <p>Thread-safe: guarded by its own monitor; calls to the store, messages and completions happen outside it. The loop
  * of the blocking task and the control thread each call their methods alone. Invariants: an acknowledged departure was
@@ -84,6 +85,7 @@
     private boolean restored;
     private long lease;
     private long leaseGrantedMs;
+    private long recordedEra;
 
     DepartureRecorder(final Dependencies dependencies) {
         this.location = dependencies.location();
@@ -199,6 +201,7 @@
                 onRestored.run();
                 health.recordSuccess();
             }
+            repeatIfStoreWasRestored();
             boolean allRecorded = recordPending();
             return allRecorded && awaitWork() ? 0 : RETRY_MS;
         } catch (StoreException exception) {
@@ -207,6 +210,17 @@
         }
     }
 
+    /** Makes the recorded departures pending again if the store may have lost them. */
+    private synchronized void repeatIfStoreWasRestored() {
+        long era = platform.storeEra();
+        if (era != recordedEra) {
+            recordedEra = era;
+            lease = 0;
+            recorded.forEach(departure -> pending.putIfAbsent(departure, new PendingDeparture()));
+            recorded.clear();
+        }
+    }
+
     /** Records the pending departures; returns false if the lease has ended, so that another one must be granted. */
     private boolean recordPending() throws StoreException {
         List<TargetDeparture> batch = nextBatch();
@@ -263,7 +277,7 @@
     /** Waits for work; returns false if the thread was interrupted, since its loop then ends. */
     private synchronized boolean awaitWork() {
         try {
-            if (pending.isEmpty() && !mustRestore()) {
+            if (pending.isEmpty() && !mustRestore() && platform.storeEra() == recordedEra) {
                 wait(MAXIMUM_WAIT_MS);
             }
             return true;
@@ -286,6 +300,9 @@
         List<TargetDeparture> unconfirmed = new ArrayList<>();
         synchronized (this) {
             long nowMs = clock.nowMs();
+            if (platform.storeEra() != recordedEra) {
+                notifyAll();
+            }
             pending.forEach((departure, known) -> {
                 known.waiting.removeIf(CompletableFuture::isDone);
                 if (!known.heldByPeer && nowMs - known.noticeSentMs >= PEER_RETRY_MS) {
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MoveController.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MoveController.java
@@ -77,9 +77,13 @@
                                 && known.get().durationMs() > 0)) {
             return;
         }
-        boolean isNew = known.isEmpty() || known.get().order() < order.orderRevision();
-        moveTable.merge(VersionMove.of(order.service(), order.version(), order.orderRevision(), MoveState.RUNNING, 0)
-                .withDuration(order.durationMs()));
+        VersionMove ordered = VersionMove.of(
+                        order.service(), order.version(), order.orderRevision(), MoveState.RUNNING, 0)
+                .withDuration(order.durationMs());
+        if (!moveTable.merge(ordered)) {
+            return;
+        }
+        boolean isNew = known.isEmpty() || !known.get().continuesWith(ordered);
         log.log(
                 LogKind.MOVE,
                 "service",
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MoveRecorder.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MoveRecorder.java
@@ -19,6 +19,7 @@
  * deciding node may be cut off from the store alone.
  *
  * <p>Confined to the thread of its loop. Invariant: the write of a state is retried until the store has answered.
+ * When the store came back from an older copy, all states are recorded again.
  */
 final class MoveRecorder implements BlockingTask {
 
@@ -42,6 +43,9 @@
     private final Clock clock;
     private final Map<String, UnrecordedState> unrecordedStates = new HashMap<>();
 
+    /** Era of the store in which this node has checked the record of a service. */
+    private final Map<String, Long> recordedEras = new HashMap<>();
+
     MoveRecorder(
             final MeshPlatform platform,
             final MoveTable moveTable,
@@ -63,7 +67,9 @@
             for (VersionMove move : moveTable.all()) {
                 hasRunningMove |= !move.state().isTerminal();
                 if (needsRecording(move) && unrecordedMs(move) >= currentRank * TAKEOVER_DELAY_MS) {
+                    long era = platform.storeEra();
                     moveTable.merge(platform.record(move));
+                    recordedEras.put(move.service(), era);
                     health.recordSuccess();
                 }
             }
@@ -76,7 +82,8 @@
 
     /** Ignores changes of the share, since the operator reads only states, and orders that are not known in full. */
     private boolean needsRecording(final VersionMove move) {
-        return !move.recorded()
+        boolean restored = recordedEras.getOrDefault(move.service(), 0L) < platform.storeEra();
+        return (!move.recorded() || restored)
                 && rank.getAsInt() <= MAXIMUM_RECORDING_RANK
                 && (move.state() != MoveState.RUNNING || move.durationMs() > 0);
     }
@@ -84,13 +91,14 @@
     private long unrecordedMs(final VersionMove move) {
         long nowMs = clock.nowMs();
         UnrecordedState seen = unrecordedStates.get(move.service());
-        if (seen == null || seen.order() != move.order() || seen.state() != move.state()) {
-            seen = new UnrecordedState(move.order(), move.state(), nowMs);
+        long era = platform.storeEra();
+        if (seen == null || seen.order() != move.order() || seen.state() != move.state() || seen.era() != era) {
+            seen = new UnrecordedState(move.order(), move.state(), era, nowMs);
             unrecordedStates.put(move.service(), seen);
         }
         return nowMs - seen.sinceMs();
     }
 
     /** State of a move and when this node first saw it unrecorded. Immutable and thread-safe. */
-    private record UnrecordedState(long order, MoveState state, long sinceMs) {}
+    private record UnrecordedState(long order, MoveState state, long era, long sinceMs) {}
 }
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/DepartureRecorderTest.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/DepartureRecorderTest.java
@@ -128,6 +128,20 @@
         assertEquals(List.of(), restarted.acceptingTargets());
     }
 
+    /** Guards against the same if the store was restored in between and has lost the acknowledged departure. */
+    @Test
+    void acknowledgedDepartureIsRecordedAgainAfterARestore() throws Exception {
+        recorder.record(DEPARTURE);
+        step();
+        platform.restoreWithoutDepartures();
+        assertEquals(List.of(), platform.readDepartures("n-1"));
+        step();
+        assertEquals(List.of(DEPARTURE), platform.readDepartures("n-1"));
+        assertTrue(recorder.record(DEPARTURE).getNow(false));
+        step();
+        assertEquals(List.of(DEPARTURE), platform.readDepartures("n-1"), "recorded once");
+    }
+
     /** Guards against one read of the store for each start when many nodes and their targets start together. */
     @Test
     void storeIsReadOnlyOnceATargetIsHeld() throws Exception {
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/FakePlatform.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/FakePlatform.java
@@ -30,7 +30,9 @@
     private final AtomicInteger version;
     private final Map<String, List<TargetDeparture>> departures;
     private final AtomicInteger departureReads = new AtomicInteger();
+    private final AtomicInteger moveRecords = new AtomicInteger();
     private volatile boolean down;
+    private volatile long era;
 
     FakePlatform() {
         this(new ConcurrentHashMap<>(), new AtomicInteger(1), new ConcurrentHashMap<>());
@@ -157,9 +159,25 @@
         return true;
     }
 
+    @Override
+    public long storeEra() {
+        return era;
+    }
+
+    /** Comes back from a copy without departures. */
+    void restoreWithoutDepartures() {
+        departures.clear();
+        era++;
+    }
+
+    int moveRecords() {
+        return moveRecords.get();
+    }
+
     @Override
     public VersionMove record(final VersionMove move) throws StoreException {
         requireUp();
+        moveRecords.incrementAndGet();
         return move.asRecorded();
     }
 }
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/MoveControllerTest.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/MoveControllerTest.java
@@ -1,6 +1,7 @@
 package org.sequoiashunt.node.mesh;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.OutputStream;
@@ -22,6 +23,7 @@
 import org.sequoiashunt.move.AnswerCounters;
 import org.sequoiashunt.move.MoveRequest;
 import org.sequoiashunt.peer.NodeAddress;
+import org.sequoiashunt.store.StoreRevision;
 import org.sequoiashunt.time.SteppedClock;
 
 class MoveControllerTest {
@@ -153,4 +155,40 @@
         assertEquals(MoveState.COMPLETED, moveTable.find("desk").orElseThrow().state());
         assertTrue(elapsedMs <= ORDER.durationMs() / 4, "took " + elapsedMs + " ms");
     }
+
+    private VersionMove moveAfterOrder(final String version, final long order) {
+        controller.acceptOrder(new MoveRequest("desk", version, ORDER.durationMs(), order));
+        return moveTable.find("desk").orElseThrow();
+    }
+
+    /** Guards against a second run of a move that has ended, when the restored store shows its order again. */
+    @Test
+    void endedMoveDoesNotBeginAgainAfterARestore() {
+        moveAfterOrder("v1", 5);
+        moveTable.merge(VersionMove.of("desk", "v1", 5, MoveState.COMPLETED, 900));
+        moveAfterOrder("v2", 9);
+        moveTable.merge(
+                VersionMove.of("desk", "v2", 9, MoveState.ROLLED_BACK, 0).asRecorded());
+        VersionMove older = moveAfterOrder("v1", StoreRevision.of(1, 5));
+        assertEquals("v2", older.version(), "the copy holds the order before");
+        assertEquals(9, moveAfterOrder("v2", StoreRevision.of(1, 9)).order(), "the copy holds the order itself");
+        VersionMove repeated = moveAfterOrder("v2", StoreRevision.of(1, 8));
+        assertEquals(MoveState.ROLLED_BACK, repeated.state(), "the operator has written its order again");
+        assertEquals(StoreRevision.of(1, 8), repeated.order());
+        assertFalse(repeated.recorded(), "the outcome must be recorded under the new revision");
+        assertEquals(
+                MoveState.RUNNING, moveAfterOrder("v2", StoreRevision.of(1, 20)).state(), "a new order");
+        assertEquals("v3", moveAfterOrder("v3", StoreRevision.of(1, 21)).version());
+    }
+
+    /** Guards against nodes that disagree: one that has just started takes the repeated order for a new one. */
+    @Test
+    void nodeThatKnowsOnlyTheRepeatedOrderLearnsThatItEnded() {
+        VersionMove ended = VersionMove.of("desk", "v2", 9, MoveState.COMPLETED, 900);
+        VersionMove started = moveAfterOrder("v2", StoreRevision.of(1, 4));
+        assertEquals(MoveState.RUNNING, started.state());
+        assertEquals(started.merge(ended), ended.merge(started));
+        moveTable.merge(ended);
+        assertEquals(MoveState.COMPLETED, moveTable.find("desk").orElseThrow().state());
+    }
 }
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/MoveRecorderTest.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/MoveRecorderTest.java
@@ -1,5 +1,6 @@
 package org.sequoiashunt.node.mesh;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -77,4 +78,17 @@
         recorder.step();
         assertFalse(isRecorded());
     }
+
+    /** Guards against an outcome that the operator no longer sees, since the restored store has lost its record. */
+    @Test
+    void allStatesAreRecordedAgainAfterARestore() {
+        rollBack();
+        recorder.step();
+        recorder.step();
+        assertEquals(1, platform.moveRecords());
+        platform.restoreWithoutDepartures();
+        recorder.step();
+        recorder.step();
+        assertEquals(2, platform.moveRecords());
+    }
 }
