--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/DepartureRecorder.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/DepartureRecorder.java
@@ -328,6 +328,7 @@
     private void receive(final DepartureNotice notice) {
         if (notice.node().equals(location.node())) {
             registry.restoreDepartures(notice.departures());
+            recordReturned(notice.departures());
             gates.update();
             onRestored.run();
             return;
@@ -336,6 +337,18 @@
         notice.replyTo().ifPresent(address -> sender.send(address, new DepartureReceipt(notice.departures())));
     }
 
+    /** Records departures that only peers may hold, since the store was away or restored before this node started. */
+    private synchronized void recordReturned(final List<TargetDeparture> departures) {
+        for (TargetDeparture departure : departures) {
+            if (!recorded.contains(departure) && pending.size() < MAXIMUM_DEPARTURES) {
+                PendingDeparture returned = new PendingDeparture();
+                returned.heldByPeer = true;
+                pending.putIfAbsent(departure, returned);
+            }
+        }
+        notifyAll();
+    }
+
     private void confirm(final TargetDeparture departure) {
         List<CompletableFuture<Boolean>> answers = List.of();
         synchronized (this) {
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MoveRecorder.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MoveRecorder.java
@@ -19,7 +19,7 @@
  * deciding node may be cut off from the store alone.
  *
  * <p>Confined to the thread of its loop. Invariant: the write of a state is retried until the store has answered.
- * When the store came back from an older copy, all states are recorded again.
+ * When the store came back from an older copy, all records are checked twice and written where they are lost.
  */
 final class MoveRecorder implements BlockingTask {
 
@@ -33,6 +33,12 @@
     /** Time per rank for which a state must be unrecorded: the report of a recorded state takes less to arrive. */
     private static final long TAKEOVER_DELAY_MS = 3_000;
 
+    /**
+     * Time after which a record is checked once more in a new era of the store: a node that had read it before the
+     * restore may write over it until its call times out, and then reports the state that it had.
+     */
+    private static final long SECOND_CHECK_DELAY_MS = 4_000;
+
     /** Highest rank that records; it covers two nodes without the store. */
     private static final int MAXIMUM_RECORDING_RANK = 2;
 
@@ -43,8 +49,8 @@
     private final Clock clock;
     private final Map<String, UnrecordedState> unrecordedStates = new HashMap<>();
 
-    /** Era of the store in which this node has checked the record of a service. */
-    private final Map<String, Long> recordedEras = new HashMap<>();
+    /** The last check of the record of each service in an era. */
+    private final Map<String, EraCheck> eraChecks = new HashMap<>();
 
     MoveRecorder(
             final MeshPlatform platform,
@@ -69,7 +75,7 @@
                 if (needsRecording(move) && unrecordedMs(move) >= currentRank * TAKEOVER_DELAY_MS) {
                     long era = platform.storeEra();
                     moveTable.merge(platform.record(move));
-                    recordedEras.put(move.service(), era);
+                    recordCheck(move.service(), era);
                     health.recordSuccess();
                 }
             }
@@ -82,12 +88,24 @@
 
     /** Ignores changes of the share, since the operator reads only states, and orders that are not known in full. */
     private boolean needsRecording(final VersionMove move) {
-        boolean restored = recordedEras.getOrDefault(move.service(), 0L) < platform.storeEra();
-        return (!move.recorded() || restored)
+        return (!move.recorded() || needsCheck(move.service()))
                 && rank.getAsInt() <= MAXIMUM_RECORDING_RANK
                 && (move.state() != MoveState.RUNNING || move.durationMs() > 0);
     }
 
+    /** Returns whether the store came back from an older copy, which may lack the record or get another one. */
+    private boolean needsCheck(final String service) {
+        EraCheck last = eraChecks.getOrDefault(service, EraCheck.NONE);
+        return last.era() < platform.storeEra() || last.first() && clock.nowMs() - last.atMs() >= SECOND_CHECK_DELAY_MS;
+    }
+
+    private void recordCheck(final String service, final long era) {
+        boolean first = eraChecks.getOrDefault(service, EraCheck.NONE).era() < era;
+        if (first || needsCheck(service)) {
+            eraChecks.put(service, new EraCheck(era, first, clock.nowMs()));
+        }
+    }
+
     private long unrecordedMs(final VersionMove move) {
         long nowMs = clock.nowMs();
         UnrecordedState seen = unrecordedStates.get(move.service());
@@ -101,4 +119,10 @@
 
     /** State of a move and when this node first saw it unrecorded. Immutable and thread-safe. */
     private record UnrecordedState(long order, MoveState state, long era, long sinceMs) {}
+
+    /** A check of a record in an era, whether it was the first one, and its time. Immutable and thread-safe. */
+    private record EraCheck(long era, boolean first, long atMs) {
+
+        private static final EraCheck NONE = new EraCheck(0, false, 0);
+    }
 }
