--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/DepartureRecorder.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/DepartureRecorder.java
@@ -193,6 +193,7 @@
     @Override
     public long step() {
         try {
+            repeatIfStoreWasRestored();
             if (mustRestore()) {
                 restore(platform.readDepartures(location.node()));
                 registry.completeDepartures();
@@ -201,7 +202,6 @@
                 onRestored.run();
                 health.recordSuccess();
             }
-            repeatIfStoreWasRestored();
             boolean allRecorded = recordPending();
             return allRecorded && awaitWork() ? 0 : RETRY_MS;
         } catch (StoreException exception) {
