--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/DepartureRecorderTest.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/DepartureRecorderTest.java
@@ -128,6 +128,20 @@
         assertEquals(List.of(), restarted.acceptingTargets());
     }
 
+    /** Guards against the same if the store was restored in between and has lost the acknowledged departure. */
+    @Test
+    void acknowledgedDepartureIsRecordedAgainAfterARestore() throws Exception {
+        recorder.record(DEPARTURE);
+        step();
+        platform.restoreWithoutNodes();
+        assertEquals(List.of(), platform.readDepartures("n-1"));
+        step();
+        assertEquals(List.of(DEPARTURE), platform.readDepartures("n-1"));
+        assertTrue(recorder.record(DEPARTURE).getNow(false));
+        step();
+        assertEquals(List.of(DEPARTURE), platform.readDepartures("n-1"), "recorded once");
+    }
+
     /** Guards against one read of the store for each start when many nodes and their targets start together. */
     @Test
     void storeIsReadOnlyOnceATargetIsHeld() throws Exception {
@@ -182,6 +196,18 @@
         assertEquals(TargetRegistry.Change.OUTDATED, registry.announce(lateAnnouncement()));
     }
 
+    /** Guards against the worst order: acknowledged, lost in a restore, and the node restarts before it notices. */
+    @Test
+    void departureThatOnlyAPeerHoldsIsRecordedAgainByTheNextProcess() throws Exception {
+        registry.announce(lateAnnouncement());
+        step();
+        assertEquals(1, registry.acceptingTargets().size(), "the store has lost the departure");
+        recorder.receive("n-2", new DepartureNotice("n-1", List.of(DEPARTURE), Optional.empty()));
+        assertEquals(List.of(), registry.acceptingTargets());
+        step();
+        assertEquals(List.of(DEPARTURE), platform.readDepartures("n-1"));
+    }
+
     @Test
     void unconfirmedDepartureIsSentToOtherPeers() {
         platform.setDown(true);
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/FakePlatform.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/FakePlatform.java
@@ -40,7 +40,10 @@
     private final Map<String, List<TargetDeparture>> departures;
     private final Map<String, Evacuation> evacuations;
     private final AtomicInteger departureReads = new AtomicInteger();
+    private final AtomicInteger moveRecords = new AtomicInteger();
     private volatile boolean down;
+    private volatile long era;
+    private volatile long readEra;
 
     FakePlatform() {
         this(new ConcurrentHashMap<>(), new AtomicInteger(1), new ConcurrentHashMap<>(), new ConcurrentHashMap<>());
@@ -94,6 +97,7 @@
     public DesiredState readDesiredState() throws StoreException {
         requireUp();
         int current = version.get();
+        readEra = era;
         return new DesiredState(
                 documentOf(current), List.of(), List.of(), List.copyOf(evacuations.values()), true, current);
     }
@@ -107,6 +111,9 @@
             Thread.currentThread().interrupt();
         }
         requireUp();
+        if (readEra != era) {
+            return Optional.empty();
+        }
         int current = version.get();
         Optional<Body> document = current > revision ? documentOf(current) : Optional.empty();
         return Optional.of(
@@ -166,13 +173,13 @@
     public long registerNode(final KnownNode node, final long durationMs) throws StoreException {
         requireUp();
         nodes.put(node.node(), node);
-        return 1;
+        return 1 + era;
     }
 
     @Override
     public boolean renewLease(final long lease) throws StoreException {
         requireUp();
-        return true;
+        return lease == 1 + era;
     }
 
     @Override
@@ -199,9 +206,26 @@
         return true;
     }
 
+    @Override
+    public long storeEra() {
+        return era;
+    }
+
+    /** Comes back from a copy without entries of nodes and departures; leases granted before have ended. */
+    void restoreWithoutNodes() {
+        nodes.clear();
+        departures.clear();
+        era++;
+    }
+
+    int moveRecords() {
+        return moveRecords.get();
+    }
+
     @Override
     public VersionMove record(final VersionMove move) throws StoreException {
         requireUp();
+        moveRecords.incrementAndGet();
         return move.asRecorded();
     }
 }
