Policies of placement on old reports; targets' stated load is read; comparison in the load experiment

Cause: entries choose the lowest cost from reports that are up to 1.5 s old, so that all of them send their calls to the same target until the next report.

Gates read the stated load of targets, smooth the pace and report it with its age taken into account.

--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/placement/PlacementCandidate.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/placement/PlacementCandidate.java
@@ -62,6 +62,18 @@
                 node, address, distance, report.withRouteTime(routeTime), reportAgeMs, callsSentSinceReport);
     }
 
+    /**
+     * Returns a copy with an estimate of the load in place of the reported one.
+     *
+     * @param load the number of calls that are expected to run or wait at the target, with those of this node.
+     * @return the copy, never null.
+     */
+    PlacementCandidate withExpectedLoad(final double load) {
+        int others = (int) Math.max(0, Math.round(load) - callsSentSinceReport);
+        return new PlacementCandidate(
+                node, address, distance, report.withLoad(others), reportAgeMs, callsSentSinceReport);
+    }
+
     /**
      * Estimates how many calls run or wait at the target.
      *
@@ -77,8 +89,12 @@
      * @return the time in milliseconds, zero if a slot is free.
      */
     public double expectedWaitMs() {
-        int callsBeyondSlots = load() + 1 - report.slots();
-        return callsBeyondSlots <= 0 ? 0 : callsBeyondSlots * (double) report.meanMs() / report.slots();
+        return expectedWaitMs(load());
+    }
+
+    private double expectedWaitMs(final double load) {
+        double callsBeyondSlots = load + 1 - report.slots();
+        return callsBeyondSlots <= 0 ? 0 : callsBeyondSlots * report.meanMs() / report.slots();
     }
 
     /**
@@ -88,14 +104,22 @@
      * @return the time in milliseconds.
      */
     public double expectedResponseMs(final String route) {
-        double serviceMs = report.meanRouteMs(route);
-        if (report.warmupLeftMs() > reportAgeMs) {
-            serviceMs *= WARMUP_FACTOR;
-        }
-        double utilisationExcess = Math.max(0, Math.min(1, load() / (double) report.slots()) - HIGH_UTILISATION_SHARE)
-                / (1 - HIGH_UTILISATION_SHARE);
+        return expectedResponseMs(load(), report.meanRouteMs(route));
+    }
+
+    /**
+     * Estimates the time until the answer arrives at a given load.
+     *
+     * @param load the number of calls that run or wait at the target.
+     * @param meanRouteMs the mean service time of the call's route, in milliseconds.
+     * @return the time in milliseconds.
+     */
+    double expectedResponseMs(final double load, final double meanRouteMs) {
+        double serviceMs = report.warmupLeftMs() > reportAgeMs ? WARMUP_FACTOR * meanRouteMs : meanRouteMs;
+        double utilisationExcess =
+                Math.max(0, Math.min(1, load / report.slots()) - HIGH_UTILISATION_SHARE) / (1 - HIGH_UTILISATION_SHARE);
         return distance.roundTripMs()
-                + expectedWaitMs()
+                + expectedWaitMs(load)
                 + serviceMs * (1 + FULL_UTILISATION_SLOWDOWN * utilisationExcess);
     }
 
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/SlotGate.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/SlotGate.java
@@ -12,6 +12,7 @@
 import org.sequoiashunt.call.Reason;
 import org.sequoiashunt.call.TargetCaller;
 import org.sequoiashunt.fleet.TargetReport;
+import org.sequoiashunt.placement.PlacementPolicy;
 import org.sequoiashunt.target.TargetAnnouncement;
 import org.sequoiashunt.time.Clock;
 
@@ -33,6 +34,10 @@
     private final Dependencies dependencies;
     private final SlotQueue queue;
     private final TargetMovingAverages movingAverages = new TargetMovingAverages();
+    /** Durations at the usual pace of the VM: those of calls that ran while it was slow, divided by its pace. */
+    private final TargetMovingAverages usualPaceAverages = new TargetMovingAverages();
+
+    private final TargetPace pace = new TargetPace();
     private long latestAnnouncementMs;
     private TargetAnnouncement target;
     private Reason closeReason;
@@ -186,6 +191,9 @@
         boolean failed = isFailure(result);
         if (!cancelled) {
             movingAverages.recordCall(request.route(), durationMs, failed);
+            double percent = pace.expectedPercent(dependencies.clock().nowMs());
+            usualPaceAverages.recordCall(
+                    request.route(), Math.round(durationMs * TargetPace.USUAL_PERCENT / percent), failed);
         }
         countRepeat(request, -1);
         releaseSlot(cancelled || failed ? -1 : durationMs);
@@ -283,6 +291,15 @@
         waitingCalls.forEach(waiting -> refuseWaiting(waiting, reason));
     }
 
+    /**
+     * Records the load that the target has stated in an answer.
+     *
+     * @param load the load, not null.
+     */
+    public synchronized void recordStatedLoad(final StatedLoad load) {
+        pace.record(load.pacePercent(), dependencies.clock().nowMs());
+    }
+
     /**
      * Counts the calls that run.
      *
@@ -307,7 +324,9 @@
      * @return the report, never null.
      */
     public synchronized TargetReport report() {
-        long ageMs = dependencies.clock().nowMs() - latestAnnouncementMs;
+        long nowMs = dependencies.clock().nowMs();
+        long ageMs = nowMs - latestAnnouncementMs;
+        boolean separatesPace = dependencies.placement().separatesPace();
         return new TargetReport(
                 target.target(),
                 target.service(),
@@ -319,7 +338,8 @@
                 (int) queue.meanMs(),
                 movingAverages.failurePermille(),
                 Math.max(0, target.warmupLeftMs() - Math.min(ageMs, target.warmupLeftMs())),
-                movingAverages.routeTimes());
+                (separatesPace ? usualPaceAverages : movingAverages).routeTimes(),
+                pace.reportedPercent(nowMs));
     }
 
     /**
@@ -328,6 +348,20 @@
      * @param clock the clock.
      * @param targets sends calls to targets.
      * @param observer receives the gate's decisions.
+     * @param placement the policy by which entries choose targets; it tells how durations are reported.
      */
-    public record Dependencies(Clock clock, TargetCaller targetCaller, GateObserver observer) {}
+    public record Dependencies(
+            Clock clock, TargetCaller targetCaller, GateObserver observer, PlacementPolicy placement) {
+
+        /**
+         * Creates the dependencies of a gate that reports durations as measured.
+         *
+         * @param clock the clock.
+         * @param targetCaller sends calls to targets.
+         * @param observer receives the gate's decisions.
+         */
+        public Dependencies(final Clock clock, final TargetCaller targetCaller, final GateObserver observer) {
+            this(clock, targetCaller, observer, PlacementPolicy.LOWEST_COST);
+        }
+    }
 }
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/SlotGates.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/SlotGates.java
@@ -13,6 +13,7 @@
 import org.sequoiashunt.call.CallResult;
 import org.sequoiashunt.call.Reason;
 import org.sequoiashunt.fleet.TargetReport;
+import org.sequoiashunt.peer.NodeAddress;
 import org.sequoiashunt.target.TargetAnnouncement;
 import org.sequoiashunt.target.TargetRegistry;
 
@@ -112,6 +113,20 @@
         return gate.handle(request);
     }
 
+    /**
+     * Records the load that a target has stated in an answer. Ignored if the target has no open gate.
+     *
+     * @param address the address of the target, not null.
+     * @param load the load, not null.
+     */
+    public void recordStatedLoad(final NodeAddress address, final StatedLoad load) {
+        for (SlotGate gate : openGates.values()) {
+            if (gate.target().address().equals(address)) {
+                gate.recordStatedLoad(load);
+            }
+        }
+    }
+
     /**
      * Lists the reports of all targets with an open gate.
      *
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
@@ -160,7 +160,8 @@
                 context.threads().callLoop(),
                 platformComponents.headerNames(),
                 clock,
-                new TargetConnectionReporter(log, metrics)));
+                new TargetConnectionReporter(log, metrics),
+                (address, load) -> gates.recordStatedLoad(address, load)));
         createGates(registry, targets);
         createControllers(registry);
         callerHandler = new MeshCallerHandler(callerHandlerDependencies());
@@ -185,6 +186,8 @@
                 settings.location().region(),
                 "incarnation",
                 incarnation,
+                "placement",
+                settings.placement().settingName(),
                 "links",
                 settings.location().address().toString());
     }
@@ -199,7 +202,7 @@
                 metrics));
         GateReporter reporter = new GateReporter(
                 platformComponents.headerNames().requestId(), answerCounters, crashGuard, log, metrics);
-        gates = new SlotGates(registry, new SlotGate.Dependencies(clock, targets, reporter));
+        gates = new SlotGates(registry, new SlotGate.Dependencies(clock, targets, reporter, settings.placement()));
         guardedGates = crashGuard.guard(gates);
     }
 
@@ -272,7 +275,7 @@
                 new WeightedServiceSelector(random),
                 new MeshVersionSelector(moveTable, random),
                 candidates,
-                new Placement(random),
+                new Placement(random, settings.placement()),
                 retries,
                 new LocalFirstGateCaller(settings.location().address(), guardedGates, linkClient),
                 new CallIdGenerator(settings.location().node(), incarnation),
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshSettings.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshSettings.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.sequoiashunt.limit.SlidingWindowRetryBudget;
 import org.sequoiashunt.placement.NodeLocation;
+import org.sequoiashunt.placement.PlacementPolicy;
 
 /**
  * Settings of a node of a mesh. Immutable and thread-safe.
@@ -20,6 +21,7 @@
  * @param announcementPeriodMs the time between two announcements of a target, in milliseconds, at least 1.
  * @param shutdownMs the time between the shutdown signal and the forced stop, in milliseconds, at least 1.
  * @param retryBudget the limits of the retry budget that all nodes share.
+ * @param placement the policy by which this node chooses targets; the same at all nodes.
  */
 public record MeshSettings(
         NodeLocation location,
@@ -31,7 +33,8 @@
         Optional<InetSocketAddress> metricsAddress,
         long announcementPeriodMs,
         long shutdownMs,
-        SlidingWindowRetryBudget.Bounds retryBudget) {
+        SlidingWindowRetryBudget.Bounds retryBudget,
+        PlacementPolicy placement) {
 
     /**
      * Checks the components.
@@ -47,6 +50,7 @@
         Objects.requireNonNull(readinessAddress, "readinessAddress");
         Objects.requireNonNull(metricsAddress, "metricsAddress");
         Objects.requireNonNull(retryBudget, "retryBudget");
+        Objects.requireNonNull(placement, "placement");
         if (announcementPeriodMs < 1 || shutdownMs < 1) {
             throw new IllegalArgumentException("announcementPeriodMs and shutdownMs must be positive");
         }
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/NettyTargetCaller.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/NettyTargetCaller.java
@@ -22,11 +22,13 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import org.sequoiashunt.call.CallRequest;
 import org.sequoiashunt.call.CallResult;
 import org.sequoiashunt.call.Reason;
 import org.sequoiashunt.call.TargetCaller;
 import org.sequoiashunt.peer.NodeAddress;
+import org.sequoiashunt.slot.StatedLoad;
 import org.sequoiashunt.time.Clock;
 
 /**
@@ -57,6 +59,7 @@
     private final MeshHeaders headerNames;
     private final Clock clock;
     private final TargetConnectionObserver observer;
+    private final BiConsumer<NodeAddress, StatedLoad> statedLoads;
     private final Set<String> singleHeaderNames;
     private final Map<NodeAddress, Deque<TargetConnection>> idleConnections = new HashMap<>();
     private long openedConnections;
@@ -65,7 +68,9 @@
             final EventLoop loop,
             final MeshHeaders headerNames,
             final Clock clock,
-            final TargetConnectionObserver observer) {
+            final TargetConnectionObserver observer,
+            final BiConsumer<NodeAddress, StatedLoad> statedLoads) {
+        this.statedLoads = Objects.requireNonNull(statedLoads, "statedLoads");
         this.loop = Objects.requireNonNull(loop, "loop");
         this.headerNames = Objects.requireNonNull(headerNames, "headerNames");
         this.clock = Objects.requireNonNull(clock, "clock");
@@ -77,7 +82,7 @@
     }
 
     /**
-     * Creates a caller.
+     * Creates a caller that ignores the loads that targets state.
      *
      * @param loop the event loop of the connections, not null; must outlive this object, which does not shut it down.
      * @param headerNames the names of the headers that are exchanged with targets, not null.
@@ -90,7 +95,27 @@
             final MeshHeaders headerNames,
             final Clock clock,
             final TargetConnectionObserver observer) {
-        return new NettyTargetCaller(loop, headerNames, clock, observer);
+        return create(loop, headerNames, clock, observer, (address, load) -> {});
+    }
+
+    /**
+     * Creates a caller.
+     *
+     * @param loop the event loop of the connections, not null; must outlive this object, which does not shut it down.
+     * @param headerNames the names of the headers that are exchanged with targets, not null.
+     * @param clock the time source of the deadlines, not null.
+     * @param observer receives the events of the connections, not null.
+     * @param statedLoads receives the loads that targets state in their answers, on the event loop, before the result
+     *     of the call; must neither block nor throw; not null.
+     * @return a caller without connections, never null.
+     */
+    static NettyTargetCaller create(
+            final EventLoop loop,
+            final MeshHeaders headerNames,
+            final Clock clock,
+            final TargetConnectionObserver observer,
+            final BiConsumer<NodeAddress, StatedLoad> statedLoads) {
+        return new NettyTargetCaller(loop, headerNames, clock, observer, statedLoads);
     }
 
     @Override
@@ -114,7 +139,8 @@
             result.complete(CallResult.notRun(Reason.DEADLINE));
             return;
         }
-        TargetExchange exchange = new TargetExchange(headerNames, request, result, answerMemory);
+        TargetExchange exchange = new TargetExchange(
+                headerNames, request, result, answerMemory, load -> statedLoads.accept(target, load));
         TargetConnection idleConnection = takeIdle(target, exchange.requestId(), nowMs);
         if (idleConnection != null) {
             send(idleConnection, exchange, request, result);
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/TargetExchange.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/TargetExchange.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import java.util.regex.Pattern;
 import org.sequoiashunt.call.Body;
 import org.sequoiashunt.call.CallRequest;
@@ -26,6 +27,7 @@
 import org.sequoiashunt.call.HeaderField;
 import org.sequoiashunt.call.Reason;
 import org.sequoiashunt.http.HopByHopHeaders;
+import org.sequoiashunt.slot.StatedLoad;
 
 /**
  * Sends one request to a target and receives its answer.
@@ -63,6 +65,7 @@
     private final String requestId;
     private final CompletableFuture<CallResult> result;
     private final AnswerMemory answerMemory;
+    private final Consumer<StatedLoad> statedLoads;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private TargetConnection connection;
     private ChannelFuture writeFuture;
@@ -75,7 +78,9 @@
             final MeshHeaders headerNames,
             final CallRequest request,
             final CompletableFuture<CallResult> result,
-            final AnswerMemory answerMemory) {
+            final AnswerMemory answerMemory,
+            final Consumer<StatedLoad> statedLoads) {
+        this.statedLoads = statedLoads;
         this.answerMemory = answerMemory;
         this.headerNames = headerNames;
         this.request = request;
@@ -241,6 +246,7 @@
             return;
         }
         release();
+        StatedLoad.parse(response.headers().get(headerNames.load())).ifPresent(statedLoads);
         result.complete(ended);
     }
 
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/MeshNodeTest.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/MeshNodeTest.java
@@ -26,6 +26,7 @@
 import org.sequoiashunt.memory.LoopbackAddresses;
 import org.sequoiashunt.peer.NodeAddress;
 import org.sequoiashunt.placement.NodeLocation;
+import org.sequoiashunt.placement.PlacementPolicy;
 import org.sequoiashunt.target.TargetAnnouncement;
 
 /** Tests two nodes of different regions on the loopback interface; only the second node has a target. */
@@ -115,7 +116,8 @@
                 Optional.of(nextSocketAddress()),
                 1_500,
                 6_000,
-                new SlidingWindowRetryBudget.Bounds(0.2, 50, 10_000));
+                new SlidingWindowRetryBudget.Bounds(0.2, 50, 10_000),
+                PlacementPolicy.LOWEST_COST);
     }
 
     private static InetSocketAddress nextSocketAddress() {
--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/overload/LoadExperiment.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/overload/LoadExperiment.java
@@ -46,7 +46,7 @@
     private final LoadScenario scenario;
     private final Random random;
     private final EventQueue events = new EventQueue();
-    private final SimulatedLinks links = new SimulatedLinks(events);
+    private final SimulatedLinks links;
     private final LoadStatistics tally = new LoadStatistics();
     private final List<SimulatedTarget> targets = new ArrayList<>();
     private final boolean forgetful;
@@ -54,6 +54,7 @@
 
     private LoadExperiment(final LoadScenario scenario, final long seed, final boolean forgetful) {
         this.scenario = scenario;
+        this.links = new SimulatedLinks(events, scenario.aged());
         this.forgetful = forgetful;
         this.random = new Random(seed);
     }
@@ -96,12 +97,20 @@
             SimulatedNode node =
                     new SimulatedNode(events, index, scenario, target, links, tally, new Random(random.nextLong()));
             links.add(node);
+            target.stateLoadTo(node::recordStatedLoad);
             every(REPORT_MS, random.nextInt((int) REPORT_MS), () -> links.report(node));
             every(TICK_MS, random.nextInt((int) TICK_MS), node::tick);
         }
+        if (scenario.aged()) {
+            every(TICK_MS, TICK_MS, () -> tally.balance().sample(states(), TICK_MS));
+        }
         scenario.routes().stream().filter(route -> route.perSecond() > 0).forEach(this::nextArrival);
     }
 
+    private List<BalanceStatistics.TargetState> states() {
+        return links.nodes().stream().map(SimulatedNode::state).toList();
+    }
+
     private void countSlots() {
         for (int index = 0; index < targets.size(); index++) {
             tally.busy(
--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/overload/LoadPattern.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/overload/LoadPattern.java
@@ -1,5 +1,7 @@
 package org.sequoiashunt.trial.overload;
 
+import java.util.SplittableRandom;
+
 /**
  * How the load and the targets change over the 30 seconds of an experiment. Each pattern is one that the decisions at
  * the gate and at the entry answer. Immutable and thread-safe.
@@ -48,6 +50,15 @@
         double refusedShare(final long nowMs, final int target) {
             return target >= FIRST_SERVICE && isWithin(nowMs, 8_000, 8_000) ? REFUSED_SHARE : 0;
         }
+    },
+    /** 15% of the targets take 2.5 times as long for 600 ms at a time, others in turn. */
+    SLOW_IN_TURN {
+        @Override
+        double slowness(final long nowMs, final int target) {
+            int turn = (int) (nowMs / TURN_MS);
+            double draw = new SplittableRandom(turn * TARGETS_PER_TURN + target).nextDouble();
+            return draw < SHARE_SLOW_IN_TURN ? SLOWNESS_IN_TURN : 1;
+        }
     };
 
     private static final double BURST_FACTOR = 1.7;
@@ -56,6 +67,10 @@
     private static final double SLOWNESS = 5;
     private static final double REFUSED_SHARE = 0.5;
     private static final int FIRST_SERVICE = 6;
+    private static final int TURN_MS = 600;
+    private static final long TARGETS_PER_TURN = 1_000;
+    private static final double SHARE_SLOW_IN_TURN = 0.15;
+    private static final double SLOWNESS_IN_TURN = 2.5;
 
     private static boolean isWithin(final long nowMs, final long startMs, final long lengthMs) {
         return nowMs >= startMs && nowMs < startMs + lengthMs;
--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/overload/LoadRoute.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/overload/LoadRoute.java
@@ -49,6 +49,25 @@
                 name, "host", "/" + name + "/", services, idempotent, timeoutMs, objectiveMs, rank, ATTEMPTS);
     }
 
+    LoadRoute withLoad(final double factor) {
+        return new LoadRoute(
+                name,
+                service,
+                perSecond * factor,
+                workMs,
+                spread,
+                objectiveMs,
+                deadlineMs,
+                timeoutMs,
+                worth,
+                lateWorth,
+                rank,
+                retries,
+                idempotent,
+                answerBytes,
+                calls);
+    }
+
     /**
      * Calls that a running request makes. Immutable and thread-safe.
      *
--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/overload/LoadScenario.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/overload/LoadScenario.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.sequoiashunt.placement.PlacementPolicy;
 
 /**
  * A deployment and the load on it. Immutable and thread-safe.
@@ -11,13 +12,26 @@
  * @param routes the kinds of requests.
  * @param targets the targets.
  * @param pattern how the load and the targets change over time.
+ * @param placement the policy by which entries choose targets.
+ * @param aged whether reports from other failure domains arrive a second late, and targets state the pace of their VM.
  */
-record LoadScenario(String name, List<LoadRoute> routes, List<Target> targets, LoadPattern pattern) {
+record LoadScenario(
+        String name,
+        List<LoadRoute> routes,
+        List<Target> targets,
+        LoadPattern pattern,
+        PlacementPolicy placement,
+        boolean aged) {
 
     private static final int CALL_RANK = 9;
     private static final Map<String, String> REGIONS =
             Map.of("north-1", "north", "north-2", "north", "south-1", "south", "south-2", "south");
 
+    private LoadScenario(
+            final String name, final List<LoadRoute> routes, final List<Target> targets, final LoadPattern pattern) {
+        this(name, routes, targets, pattern, PlacementPolicy.LOWEST_COST, false);
+    }
+
     static String regionOf(final String domain) {
         return REGIONS.get(domain);
     }
--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/overload/LoadStatistics.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/overload/LoadStatistics.java
@@ -19,6 +19,9 @@
     private final Map<String, Counts> countsByRoute = new TreeMap<>();
     private final TreeMap<Long, double[]> worthBySecond = new TreeMap<>();
     private final ArrivalCounts arrivals = new ArrivalCounts();
+    private final BalanceStatistics balance = new BalanceStatistics();
+    private long servedMs;
+    private long served;
     private long remoteAttempts;
     private long regionAttempts;
     private long attempts;
@@ -31,6 +34,15 @@
         return arrivals;
     }
 
+    BalanceStatistics balance() {
+        return balance;
+    }
+
+    /** Returns the mean time from the arrival of a request to its answer, in milliseconds. */
+    double meanServedMs() {
+        return servedMs / (double) served;
+    }
+
     void asked(final LoadRoute route, final long atMs) {
         counts(route).asked++;
         second(atMs)[0] += route.worth();
@@ -40,6 +52,8 @@
         Counts counts = counts(route);
         boolean inTime = durationMs <= route.objectiveMs();
         double worth = inTime ? route.worth() : route.lateWorth();
+        servedMs += durationMs;
+        served++;
         counts.inTime += inTime ? 1 : 0;
         counts.late += inTime ? 0 : 1;
         counts.worth += worth;
--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/overload/OverloadCommand.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/overload/OverloadCommand.java
@@ -1,9 +1,11 @@
 package org.sequoiashunt.trial.overload;
 
+import com.beust.jcommander.IStringConverter;
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
 import java.io.PrintStream;
+import org.sequoiashunt.placement.PlacementPolicy;
 
 /**
  * Command {@code overload}: replays load patterns over the decisions of a mesh and prints what was served.
@@ -33,6 +35,12 @@
     @Parameter(names = "--picture", description = "Print a bar for each second of the first run")
     private boolean picture;
 
+    @Parameter(names = "--placements", description = "Compare the policies of placement")
+    private boolean placements;
+
+    @Parameter(names = "--placement", description = "Compare only this policy", converter = PolicyConverter.class)
+    private PlacementPolicy onlyPlacement;
+
     /**
      * Runs the command.
      *
@@ -45,6 +53,10 @@
     }
 
     private void run(final PrintStream out) {
+        if (placements || onlyPlacement != null) {
+            new PlacementComparison(out, seed, runs).run(onlyPlacement);
+            return;
+        }
         for (LoadPattern pattern : LoadPattern.values()) {
             if (onlyPattern == null || onlyPattern == pattern) {
                 run(out, LoadScenario.shortWork(pattern, load > 0 ? load : SHORT_WORK_LOAD));
@@ -53,6 +65,15 @@
         }
     }
 
+    /** Reads the name of a policy. Immutable and thread-safe. */
+    public static final class PolicyConverter implements IStringConverter<PlacementPolicy> {
+
+        @Override
+        public PlacementPolicy convert(final String name) {
+            return PlacementPolicy.of(name);
+        }
+    }
+
     private void run(final PrintStream out, final LoadScenario scenario) {
         for (int run = 0; run < runs; run++) {
             LoadStatistics tally = LoadExperiment.run(scenario, seed + run);
--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/overload/SimulatedLinks.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/overload/SimulatedLinks.java
@@ -6,6 +6,7 @@
 import org.sequoiashunt.call.CallRequest;
 import org.sequoiashunt.call.CallResult;
 import org.sequoiashunt.fleet.NodeReport;
+import org.sequoiashunt.fleet.ReportBatch;
 import org.sequoiashunt.peer.NodeAddress;
 import org.sequoiashunt.placement.Distance;
 import org.sequoiashunt.placement.NodeLocation;
@@ -19,11 +20,16 @@
     private static final long REGION_MS = 2;
     private static final long REMOTE_MS = 31;
 
+    /** Time for which a report from another failure domain is on its way, if reports are relayed. */
+    private static final long RELAYED_MS = 1_000;
+
     private final EventQueue events;
+    private final boolean aged;
     private final List<SimulatedNode> nodes = new ArrayList<>();
 
-    SimulatedLinks(final EventQueue events) {
+    SimulatedLinks(final EventQueue events, final boolean aged) {
         this.events = events;
+        this.aged = aged;
     }
 
     void add(final SimulatedNode node) {
@@ -58,9 +64,32 @@
         NodeReport report = from.report();
         for (SimulatedNode node : nodes) {
             if (node != from) {
-                events.after(delayMs(from.place(), node.place()), () -> node.accept(report));
+                long delayMs = delayMs(from.place(), node.place());
+                boolean relayed = aged
+                        && !from.place().failureDomain().equals(node.place().failureDomain());
+                if (relayed) {
+                    ReportBatch.RelayedReport late = new ReportBatch.RelayedReport(report, RELAYED_MS);
+                    events.after(delayMs + RELAYED_MS, () -> node.acceptRelayed(late));
+                } else {
+                    events.after(delayMs, () -> node.accept(report));
+                }
+            }
+        }
+    }
+
+    /** Returns whether another target of the same service and region has a free slot and no call that waits for it. */
+    boolean hasRoom(final SimulatedNode refusing) {
+        BalanceStatistics.TargetState full = refusing.state();
+        for (SimulatedNode node : nodes) {
+            BalanceStatistics.TargetState state = node.state();
+            if (node != refusing
+                    && state.service().equals(full.service())
+                    && state.region().equals(full.region())
+                    && state.running() + state.waiting() < state.slots()) {
+                return true;
             }
         }
+        return false;
     }
 
     private static long delayMs(final NodeLocation from, final NodeLocation to) {
--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/overload/SimulatedNode.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/overload/SimulatedNode.java
@@ -5,14 +5,18 @@
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 import org.sequoiashunt.call.Body;
 import org.sequoiashunt.call.CallRequest;
 import org.sequoiashunt.call.CallResult;
 import org.sequoiashunt.call.HeaderField;
+import org.sequoiashunt.call.Reason;
 import org.sequoiashunt.call.TargetCaller;
 import org.sequoiashunt.dispatch.CallIdGenerator;
 import org.sequoiashunt.fleet.FleetView;
 import org.sequoiashunt.fleet.NodeReport;
+import org.sequoiashunt.fleet.ReportBatch;
+import org.sequoiashunt.fleet.TargetReport;
 import org.sequoiashunt.limit.RetryAfterPolicy;
 import org.sequoiashunt.limit.SlidingWindowRetryBudget;
 import org.sequoiashunt.mesh.DispatchObserver;
@@ -30,6 +34,7 @@
 import org.sequoiashunt.slot.GateObserver;
 import org.sequoiashunt.slot.SlotGate;
 import org.sequoiashunt.slot.SlotGates;
+import org.sequoiashunt.slot.StatedLoad;
 import org.sequoiashunt.target.TargetAnnouncement;
 import org.sequoiashunt.target.TargetRegistry;
 
@@ -44,6 +49,7 @@
     private static final long ANNOUNCEMENT_MS = 3_600_000;
 
     private final EventQueue events;
+    private final LoadScenario.Target target;
     private final NodeLocation place;
     private final FleetView fleet;
     private final SlotGates gates;
@@ -59,7 +65,7 @@
             final SimulatedLinks links,
             final LoadStatistics tally,
             final Random random) {
-        LoadScenario.Target target = scenario.targets().get(index);
+        this.target = scenario.targets().get(index);
         this.events = events;
         this.place =
                 new NodeLocation("n-" + index, address(index), target.domain(), LoadScenario.regionOf(target.domain()));
@@ -68,7 +74,13 @@
         TargetRegistry register = new TargetRegistry(events.clock(), ANNOUNCEMENT_MS);
         register.announce(new TargetAnnouncement(
                 "t-" + index, address(index), target.service(), "v1", target.slots(), false, 1, 1, 0));
-        this.gates = new SlotGates(register, new SlotGate.Dependencies(events.clock(), caller, GateObserver.NO_OP));
+        this.gates = new SlotGates(
+                register,
+                new SlotGate.Dependencies(
+                        events.clock(),
+                        caller,
+                        new CountingGate(tally, () -> links.hasRoom(this)),
+                        scenario.placement()));
         gates.update();
         this.dispatcher = new MeshDispatcher(new MeshDispatcher.Dependencies(
                 events.clock(),
@@ -77,7 +89,7 @@
                 new WeightedServiceSelector(random),
                 new MeshVersionSelector(new MoveTable(events.clock()), random),
                 new PlacementCandidateSource(place, fleet, gates::reports, events.clock()),
-                new Placement(random),
+                new Placement(random, scenario.placement()),
                 new SlidingWindowRetryBudget(
                         events.clock(), RETRIES, () -> fleet.liveReports().size() + 1),
                 (gate, request) -> links.call(place, gate, request),
@@ -99,6 +111,20 @@
         fleet.accept(report);
     }
 
+    void acceptRelayed(final ReportBatch.RelayedReport report) {
+        fleet.acceptRelayed(report);
+    }
+
+    void recordStatedLoad(final StatedLoad load) {
+        gates.recordStatedLoad(place.address(), load);
+    }
+
+    BalanceStatistics.TargetState state() {
+        TargetReport report = gates.reports().get(0);
+        return new BalanceStatistics.TargetState(
+                report.service(), place.region(), target.speed(), report.slots(), report.running(), report.waiting());
+    }
+
     CompletableFuture<CallResult> handle(final CallRequest request) {
         return gates.handle(request);
     }
@@ -137,6 +163,31 @@
         return advice.delayMs(refusal.expectedWaitMs(), leftMs);
     }
 
+    /** Counts the refusals of the gate while there is room elsewhere. Confined to the thread of the experiment. */
+    private record CountingGate(LoadStatistics tally, BooleanSupplier roomElsewhere) implements GateObserver {
+
+        @Override
+        public void callAdmitted(
+                final TargetAnnouncement announced, final CallRequest request, final int running, final int waiting) {
+            tally.balance().admitted();
+        }
+
+        @Override
+        public void callRefused(
+                final TargetAnnouncement announced, final CallRequest request, final CallResult result) {
+            if (result.reason() == Reason.QUEUE_FULL) {
+                tally.balance().refused(roomElsewhere.getAsBoolean());
+            }
+        }
+
+        @Override
+        public void callEnded(
+                final TargetAnnouncement announced,
+                final CallRequest request,
+                final CallResult result,
+                final long durationMs) {}
+    }
+
     /** Counts where requests go. Confined to the thread of the experiment. */
     private record CountingPlacements(LoadStatistics tally, LoadScenario scenario) implements DispatchObserver {
 
--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/overload/SimulatedTarget.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/overload/SimulatedTarget.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import org.sequoiashunt.call.Body;
 import org.sequoiashunt.call.CallRequest;
@@ -11,6 +12,7 @@
 import org.sequoiashunt.call.Reason;
 import org.sequoiashunt.call.TargetCaller;
 import org.sequoiashunt.peer.NodeAddress;
+import org.sequoiashunt.slot.StatedLoad;
 
 /** Target that runs requests for as long as their work takes, and makes their calls. Confined to one thread. */
 final class SimulatedTarget implements TargetCaller {
@@ -23,12 +25,19 @@
 
     private static final double CROWDED_FACTOR = 0.25;
 
+    /** Share of the answers that state the pace of the VM, and how far single readings are off. */
+    private static final double PACE_STATED = 0.7;
+
+    private static final double PACE_NOISE = 0.3;
+    private static final double PERCENT = 100;
+
     private final EventQueue events;
     private final LoadScenario scenario;
     private final int index;
     private final Random random;
     private final ArrivalCounts arrivals;
     private final Function<Nested, CompletableFuture<Boolean>> nested;
+    private Consumer<StatedLoad> statedLoads = load -> {};
     private int running;
     private long countedMs;
     private long busyMs;
@@ -48,6 +57,11 @@
         this.nested = nested;
     }
 
+    /** Sets the receiver of the loads that the target states with its answers. */
+    void stateLoadTo(final Consumer<StatedLoad> receiver) {
+        statedLoads = receiver;
+    }
+
     @Override
     public CompletableFuture<CallResult> call(final NodeAddress address, final CallRequest request) {
         CompletableFuture<CallResult> result = new CompletableFuture<>();
@@ -92,10 +106,22 @@
 
     private void end(final int status, final Run run) {
         count(-1);
+        if (scenario.aged()) {
+            stateLoad();
+        }
         Body body = Body.of(new byte[run.route().answerBytes()]);
         run.result().complete(CallResult.complete(new CallResponse(status, List.of(), body)));
     }
 
+    private void stateLoad() {
+        double slowness = scenario.pattern().slowness(events.nowMs(), index);
+        double pacePercent = random.nextDouble() < PACE_STATED
+                ? PERCENT * slowness * Math.exp(PACE_NOISE * random.nextGaussian())
+                : 0;
+        int slots = scenario.targets().get(index).slots();
+        statedLoads.accept(new StatedLoad(running, 0, slots, (int) Math.round(pacePercent)));
+    }
+
     private void count(final int change) {
         busyMs += running * (events.nowMs() - countedMs);
         countedMs = events.nowMs();
