--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/placement/PlacementCandidateSource.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/placement/PlacementCandidateSource.java
@@ -89,6 +89,23 @@
         return preferred.isEmpty() ? avoided : preferred;
     }
 
+    /**
+     * Returns whether another target of the same service in this region had a free slot, as far as this node knows.
+     *
+     * @param full the target that has none, not null.
+     * @return true if the latest known load of another target, with the calls of this node, is below its slots.
+     */
+    public boolean hasRoomElsewhere(final PlacementCandidate full) {
+        for (PlacementCandidate other : candidates(full.report().service())) {
+            if (other.distance() != Distance.REMOTE
+                    && !other.report().target().equals(full.report().target())
+                    && other.load() < other.report().slots()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private static boolean acceptsCallsFor(final TargetReport report, final String service) {
         return report.accepting() && report.service().equals(service);
     }
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/GateReporter.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/GateReporter.java
@@ -35,6 +35,9 @@
     public void callAdmitted(
             final TargetAnnouncement target, final CallRequest request, final int running, final int waiting) {
         metrics.count("gate_admitted{service=\"" + target.service() + "\"}");
+        if (running >= target.slots()) {
+            metrics.count("gate_waited{service=\"" + target.service() + "\"}");
+        }
     }
 
     @Override
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
@@ -282,7 +282,7 @@
                 // The targets of this VM call other services; requests for their own come from this VM's callers.
                 called -> called.equals(service) ? 0 : gates.repeatedShare(),
                 crashGuard::quarantineLeftMs,
-                new PlacementReporter(log, metrics)));
+                new PlacementReporter(log, metrics, candidates::hasRoomElsewhere)));
         return new MeshCallerHandler.Dependencies(
                 clock,
                 platformComponents.headerNames(),
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/PlacementReporter.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/PlacementReporter.java
@@ -1,8 +1,10 @@
 package org.sequoiashunt.node.mesh;
 
 import java.util.Objects;
+import java.util.function.Predicate;
 import org.sequoiashunt.call.CallResult;
 import org.sequoiashunt.call.Outcome;
+import org.sequoiashunt.call.Reason;
 import org.sequoiashunt.mesh.DispatchObserver;
 import org.sequoiashunt.mesh.MeshCall;
 import org.sequoiashunt.mesh.MeshRoute;
@@ -13,8 +15,11 @@
 
     private final DecisionLog log;
     private final MeshMetrics metrics;
+    private final Predicate<PlacementCandidate> roomElsewhere;
 
-    PlacementReporter(final DecisionLog log, final MeshMetrics metrics) {
+    PlacementReporter(
+            final DecisionLog log, final MeshMetrics metrics, final Predicate<PlacementCandidate> roomElsewhere) {
+        this.roomElsewhere = Objects.requireNonNull(roomElsewhere, "roomElsewhere");
         this.log = Objects.requireNonNull(log, "log");
         this.metrics = Objects.requireNonNull(metrics, "metrics");
     }
@@ -64,6 +69,11 @@
     @Override
     public void attemptEnded(
             final MeshCall call, final MeshRoute route, final PlacementCandidate candidate, final CallResult result) {
+        if (result.reason() == Reason.QUEUE_FULL) {
+            String room = roomElsewhere.test(candidate) ? "yes" : "no";
+            metrics.count("placement_refused{service=\"" + candidate.report().service() + "\",roomElsewhere=\"" + room
+                    + "\"}");
+        }
         if (result.outcome() != Outcome.COMPLETE) {
             log.log(
                     LogKind.ATTEMPT,
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/NettyTargetCallerTest.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/NettyTargetCallerTest.java
@@ -25,6 +25,7 @@
 import org.sequoiashunt.commit.SystemClock;
 import org.sequoiashunt.link.LinkThreads;
 import org.sequoiashunt.peer.NodeAddress;
+import org.sequoiashunt.slot.StatedLoad;
 import org.sequoiashunt.time.Clock;
 
 @Timeout(20)
@@ -114,6 +115,27 @@
         assertEquals(2, target.connectionCount());
     }
 
+    /** Guards against a stated load that is lost, that ends an exchange when malformed, or that callers see changed. */
+    @Test
+    void statedLoadIsReadAndPassesUnchanged() throws Exception {
+        List<StatedLoad> loads = Collections.synchronizedList(new ArrayList<>());
+        String answer = COMPLETE_RESPONSE.replace("Signature: s", "Signature: s\r\nLoad: %s");
+        target = new ScriptedTarget(answer.formatted("3,0,8,120"), answer.formatted("3,zero"), COMPLETE_RESPONSE);
+        try (NettyTargetCaller reading = NettyTargetCaller.create(
+                threads.callLoop(),
+                HEADER_NAMES,
+                clock,
+                TargetConnectionObserver.NONE,
+                (address, load) -> loads.add(load))) {
+            for (String stated : List.of("3,0,8,120", "3,zero")) {
+                CallResult result = reading.call(target.address(), request(stated, "GET", "", 3_000))
+                        .get(10, TimeUnit.SECONDS);
+                assertTrue(result.response().orElseThrow().headers().contains(new HeaderField("Load", stated)));
+            }
+        }
+        assertEquals(List.of(new StatedLoad(3, 0, 8, 120)), loads);
+    }
+
     @Test
     void truncatedAnswerHasUnknownOutcome() throws Exception {
         target = new ScriptedTarget(
