Pipelining: a request whose discarded call may have run is not refused

Cause: when the configuration changed between the call that ran ahead and its request, the call was left alone, another one was dispatched, and its refusal was sent as 503 or 429, which promises that the request has not run. The bound on active requests refused requests whose call was running ahead as well.

Change: the discarded call is cancelled at once, and 502 is sent instead of a refusal unless the call is known not to have run. Requests whose call runs ahead are not refused for load or shutdown. A call that nobody took ends with its request; before, it kept its place in the budget of the node until the next request or the end of the connection.

Result: requestThatMayHaveRunAheadIsNotRefused got 503 for a request that had reached the target; it gets 502 now. PipeliningNodeTest and ReadAheadCallsTest pass.

--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/pipeline/ReadAheadCalls.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/pipeline/ReadAheadCalls.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.sequoiashunt.call.CallResult;
 import org.sequoiashunt.call.HeaderField;
+import org.sequoiashunt.call.Outcome;
 import org.sequoiashunt.mesh.MeshCall;
 import org.sequoiashunt.mesh.MeshRoute;
 import org.sequoiashunt.mesh.RequestKind;
@@ -170,18 +171,45 @@
      */
     public Optional<RunningCall> take(final Request request) {
         Entry taken;
+        boolean same;
         synchronized (this) {
-            if (current == null || !isSame(current.request(), request)) {
-                return Optional.empty();
-            }
             taken = current;
-            current = null;
+            same = taken != null && isSame(taken.request(), request);
+            if (same) {
+                current = null;
+            }
+        }
+        if (taken == null) {
+            return Optional.empty();
+        }
+        if (!same) {
+            taken.result().cancel(true);
+            return Optional.empty();
         }
         budget.release();
         observer.observe(taken.request().route(), Step.USED);
         return Optional.of(new RunningCall(taken.request().call(), taken.result()));
     }
 
+    /**
+     * Returns whether a call for the current request that was not taken runs or may have run. The request must not be
+     * refused with the promise that it has not run.
+     *
+     * @return false also if the call has ended and is known not to have run.
+     */
+    public boolean mayHaveRun() {
+        CompletableFuture<CallResult> result;
+        synchronized (this) {
+            if (current == null) {
+                return false;
+            }
+            result = current.result();
+        }
+        return !result.isDone()
+                || result.isCompletedExceptionally()
+                || result.join().outcome() != Outcome.NOT_RUN;
+    }
+
     /** Compares everything that a target gets or that decides who may send it, but not the times. */
     private static boolean isSame(final Request ahead, final Request reached) {
         MeshCall first = ahead.call();
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshCallerHandler.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshCallerHandler.java
@@ -104,12 +104,13 @@
             refuse(exchange, StatusCodes.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
             return;
         }
-        if (dependencies.refusingRequests().getAsBoolean()) {
+        boolean runsAhead = pipelinedRequests.mayHaveRun(exchange);
+        if (!runsAhead && dependencies.refusingRequests().getAsBoolean()) {
             exchange.setPersistent(false);
             refuse(exchange, requestIds.getFirst(), match.route().get(), arrivedMs, CallResult.notRun(Reason.DRAINING));
             return;
         }
-        if (activeRequests.get() >= MAXIMUM_ACTIVE_REQUESTS) {
+        if (!runsAhead && activeRequests.get() >= MAXIMUM_ACTIVE_REQUESTS) {
             refuse(
                     exchange,
                     requestIds.getFirst(),
@@ -160,18 +161,14 @@
             dependencies.metrics().countCallerDisconnect(route);
             return;
         }
-        if (dependencies.refusingRequests().getAsBoolean()) {
-            refuse(
-                    exchange,
-                    reachedCall.requestId(),
-                    route,
-                    reachedCall.arrivedMs(),
-                    CallResult.notRun(Reason.DRAINING));
+        Optional<ReadAheadCalls.RunningCall> ahead =
+                pipelinedRequests.take(exchange, new ReadAheadCalls.Request(reachedCall, route));
+        if (ahead.isEmpty() && dependencies.refusingRequests().getAsBoolean()) {
+            sendResult(exchange, reachedCall, route, CallResult.notRun(Reason.DRAINING));
             return;
         }
-        ReadAheadCalls.RunningCall running = pipelinedRequests
-                .take(exchange, new ReadAheadCalls.Request(reachedCall, route))
-                .orElseGet(() -> new ReadAheadCalls.RunningCall(reachedCall, dispatch(reachedCall, route)));
+        ReadAheadCalls.RunningCall running =
+                ahead.orElseGet(() -> new ReadAheadCalls.RunningCall(reachedCall, dispatch(reachedCall, route)));
         serve(exchange, route, running.call(), running.result());
     }
 
@@ -338,10 +335,14 @@
     }
 
     private void sendResult(
-            final HttpServerExchange exchange, final MeshCall call, final MeshRoute route, final CallResult result) {
+            final HttpServerExchange exchange, final MeshCall call, final MeshRoute route, final CallResult ended) {
         if (exchange.isResponseStarted()) {
             return;
         }
+        // The call that ran ahead may have run although it was discarded and another one was refused.
+        CallResult result = ended.outcome() == Outcome.NOT_RUN && pipelinedRequests.mayHaveRun(exchange)
+                ? CallResult.unknown(Reason.CANCELLED)
+                : ended;
         if (dependencies.draining().getAsBoolean()) {
             exchange.setPersistent(false);
         }
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/PipelinedRequests.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/PipelinedRequests.java
@@ -49,9 +49,19 @@
         ReadAheadCalls calls = exchange.getConnection().getAttachment(CALLS);
         if (calls != null) {
             calls.begin(requestId);
+            exchange.addExchangeCompleteListener((completed, next) -> {
+                calls.endCurrent();
+                next.proceed();
+            });
         }
     }
 
+    /** Returns whether a call for the request that the server has reached runs or may have run, and was not taken. */
+    boolean mayHaveRun(final HttpServerExchange exchange) {
+        ReadAheadCalls calls = exchange.getConnection().getAttachment(CALLS);
+        return calls != null && calls.mayHaveRun();
+    }
+
     /** Takes the call that runs ahead for a request that the server has reached. */
     Optional<ReadAheadCalls.RunningCall> take(final HttpServerExchange exchange, final ReadAheadCalls.Request request) {
         ReadAheadCalls calls = exchange.getConnection().getAttachment(CALLS);
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/FakePlatform.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/FakePlatform.java
@@ -35,6 +35,9 @@
     /** Version whose requests need the key {@code key} of an organisation with a limit of 5 requests a second. */
     static final int VERSION_WITH_LIMIT = 99;
 
+    /** Version whose route of long waits has another timeout. */
+    static final int VERSION_WITH_OTHER_TIMEOUT = 98;
+
     private final Map<String, KnownNode> nodes;
     private final AtomicInteger version;
     private final Map<String, List<TargetDeparture>> departures;
@@ -124,8 +127,9 @@
                 "look", "desk", "/look/", List.of(new WeightedService("desk", 1)), true, 1_500, 500, 1, 2);
         MeshRoute slowRoute = new MeshRoute(
                 "slow", "desk", "/slow/", List.of(new WeightedService("desk", 1)), false, 10_000, 8_500, 1, 2);
+        int waitTimeoutMs = decoded == VERSION_WITH_OTHER_TIMEOUT ? 9_500 : 10_000;
         MeshRoute waitRoute = new MeshRoute(
-                "wait", "desk", "/wait/", List.of(new WeightedService("desk", 1)), true, 10_000, 8_500, 1, 2);
+                "wait", "desk", "/wait/", List.of(new WeightedService("desk", 1)), true, waitTimeoutMs, 8_500, 1, 2);
         MeshRoute versionRoute = new MeshRoute(
                 "v" + decoded,
                 "desk",
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/PipeliningNodeTest.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/PipeliningNodeTest.java
@@ -31,6 +31,7 @@
 
     private final MeshMetrics metrics = new MeshMetrics();
     private final MeshSettings settings = MeshNodeTest.settings("north");
+    private final FakePlatform platform = new FakePlatform();
     private MeshNode node;
     private ScriptedTarget target;
     private Socket caller;
@@ -40,7 +41,7 @@
         node = MeshNode.open(
                 settings,
                 new MeshNode.PlatformComponents(
-                        new FakePlatform(), HEADER_NAMES, new MeshNodeTest.PlainTextAnnouncementDecoder(), metrics));
+                        platform, HEADER_NAMES, new MeshNodeTest.PlainTextAnnouncementDecoder(), metrics));
         caller = connect();
     }
 
@@ -60,18 +61,22 @@
         return socket;
     }
 
-    private void startTarget() throws Exception {
-        target = new ScriptedTarget(RESPONSE);
+    private void announce(final String state) throws Exception {
         InetSocketAddress address = settings.announcementAddress();
         URI uri = URI.create("http://" + address.getHostString() + ":" + address.getPort() + "/t-1");
         HttpRequest announcement = HttpRequest.newBuilder(uri)
-                .PUT(HttpRequest.BodyPublishers.ofString(target.address() + " 1 ready"))
+                .PUT(HttpRequest.BodyPublishers.ofString(target.address() + " " + state))
                 .build();
         assertEquals(
                 200,
                 HttpClient.newHttpClient()
                         .send(announcement, HttpResponse.BodyHandlers.ofString())
                         .statusCode());
+    }
+
+    private void startTarget() throws Exception {
+        target = new ScriptedTarget(RESPONSE);
+        announce("1 ready");
         await(() -> {
             try (Socket probe = connect()) {
                 send(probe, head("/wait/0", "id-0"));
@@ -208,4 +213,25 @@
         }
         assertEquals(404, RawResponse.read(caller.getInputStream()).statusCode());
     }
+
+    /** Guards against 503, which promises that a request has not run, for one whose discarded call reached a target. */
+    @Test
+    void requestThatMayHaveRunAheadIsNotRefused() throws Exception {
+        startTarget();
+        sendThree();
+        announce("2 leaving");
+        platform.commit(FakePlatform.VERSION_WITH_OTHER_TIMEOUT);
+        await(() -> {
+            try (Socket probe = connect()) {
+                send(probe, head("/v" + FakePlatform.VERSION_WITH_OTHER_TIMEOUT + "/", "id-9"));
+                return RawResponse.read(probe.getInputStream()).statusCode() == 503;
+            }
+        });
+        for (int request = 1; request <= 3; request++) {
+            target.add(RESPONSE);
+        }
+        assertEquals("200 id-1", receive());
+        assertEquals(502, RawResponse.read(caller.getInputStream()).statusCode());
+        assertEquals(502, RawResponse.read(caller.getInputStream()).statusCode());
+    }
 }
