Limits over all nodes: permits of requests that gates refuse are used again

Cause: a request that its organisation's limit admitted and a gate then refused did not run, but counted as used for a window. Under shortage, organisations got 429 below their limits when their callers came back.

Change: the entry gives the permit back when the result says that the request has not run. The limiter takes it back only while no report has counted it; counts stay exact and rising, and the bound needs no room for it. A permit that was reported stays used. The request still counts as demand.

--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/quota/QuotaLimiter.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/quota/QuotaLimiter.java
@@ -44,6 +44,7 @@
     private long session;
     private long reportSequence;
     private long reportSentMs;
+    private long countedUntilMs;
     private long grantSequence;
     private long grantedUntilMs = Long.MIN_VALUE;
     private boolean confirmed;
@@ -103,6 +104,30 @@
         return QuotaDecision.refused(GRANT_DELAY_MS);
     }
 
+    /**
+     * Returns the permit of an admitted request that has not run and never will. It is taken back only while no report
+     * has counted it, so that no window holds more requests than without returns; otherwise it stays used.
+     *
+     * @param organisation the organisation of the request, not null.
+     * @param beforeMs a time before the request was admitted, in milliseconds of the local clock.
+     */
+    public void giveBack(final Organisation organisation, final long beforeMs) {
+        if (bounds.isPresent() && organisation.quota().isPresent()) {
+            giveBack(organisation.name(), beforeMs);
+        }
+    }
+
+    private synchronized void giveBack(final String name, final long beforeMs) {
+        Account account = accounts.get(name);
+        if (account == null || beforeMs <= countedUntilMs || account.admitted <= account.sentAdmitted) {
+            return;
+        }
+        account.admitted--;
+        account.recent.remove(clock.nowMs(), beforeMs);
+        // Still part of the demand: its caller comes back.
+        account.refused++;
+    }
+
     /** Returns the requests that this node may admit within a window without a grant. */
     private double equalShare(
             final Account account, final RateLimit limit, final QuotaBounds inForce, final long nowMs) {
@@ -149,6 +174,7 @@
     synchronized void startSession() {
         long nowMs = clock.nowMs();
         session++;
+        countedUntilMs = nowMs;
         reportSequence = 0;
         grantSequence = 0;
         confirmed = false;
@@ -159,6 +185,7 @@
         for (Account account : accounts.values()) {
             account.earlier = account.recent.parts(nowMs, QuotaReport.EARLIER_PARTS);
             account.admitted = 0;
+            account.sentAdmitted = 0;
             account.ceiling = 0;
             account.confirmedAdmitted = 0;
         }
@@ -168,6 +195,7 @@
         nodes = Math.max(1, nodesSeen);
         reportSequence++;
         reportSentMs = clock.nowMs();
+        countedUntilMs = reportSentMs;
         List<QuotaReport.Usage> usages = new ArrayList<>();
         for (Account account : accounts.values()) {
             boolean tellEarlier = !confirmed && (Arrays.stream(account.earlier).sum() > 0 || account.fillPercent > 0);
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/quota/SlidingCount.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/quota/SlidingCount.java
@@ -27,6 +27,19 @@
         }
     }
 
+    /** Removes one event that was added at or after a time, if there is one. */
+    void remove(final long nowMs, final long fromMs) {
+        advanceTo(nowMs);
+        long oldest = Math.max(Math.floorDiv(fromMs, bucketMs), latestBucket - BUCKETS);
+        for (long bucket = oldest; bucket <= latestBucket; bucket++) {
+            if (buckets[index(bucket)] >= 1) {
+                buckets[index(bucket)]--;
+                sum--;
+                return;
+            }
+        }
+    }
+
     /** Returns the number of events in the window. */
     double sum(final long nowMs) {
         advanceTo(nowMs);
--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/quota/QuotaFleetTest.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/quota/QuotaFleetTest.java
@@ -121,6 +121,52 @@
         assertBounds(fleet, seed);
     }
 
+    /** Guards against returned permits that let more requests run than the bound permits. */
+    @ParameterizedTest
+    @ValueSource(longs = {41, 42, 43, 44})
+    void noWindowIsAboveTheBoundWhenPermitsAreReturned(final long seed) {
+        SimulatedFleet fleet = fleet(seed, SimulatedFleet.Rule.COORDINATED);
+        Random faults = new Random(seed);
+        for (int second = 0; second < 40; second++) {
+            injectFault(fleet, faults);
+            for (SimulatedFleet.Load load : fleet.loads) {
+                load.refusedByGates = faults.nextInt(3) * 0.45;
+                load.factor = faults.nextBoolean() ? 0.8 : 4;
+            }
+            run(fleet, 1);
+        }
+        assertBounds(fleet, seed);
+    }
+
+    /** Guards against refusals below the limit because requests that gates have refused count as run. */
+    @Test
+    void permitsOfRequestsThatGatesRefuseAreUsedAgain() {
+        double kept = runsWhileGatesRefuse(false);
+        double returned = runsWhileGatesRefuse(true);
+        System.out.printf(Locale.ROOT, "runs in 20 s: permits kept %.0f, returned %.0f%n", kept, returned);
+        assertTrue(returned > 1.3 * kept, returned + " against " + kept);
+    }
+
+    private static double runsWhileGatesRefuse(final boolean givesBack) {
+        SimulatedFleet fleet = fleet(7, SimulatedFleet.Rule.COORDINATED);
+        fleet.loads.forEach(load -> {
+            load.factor = 2;
+            load.refusedByGates = 0.5;
+            load.givesBack = givesBack;
+        });
+        run(fleet, 10);
+        double runs = 0;
+        for (int second = 0; second < 20; second++) {
+            run(fleet, 1);
+            runs += fleet.loads.stream()
+                            .mapToDouble(SimulatedFleet.Load::runsInWindow)
+                            .sum()
+                    / 5;
+        }
+        assertBounds(fleet, 7);
+        return runs;
+    }
+
     /** Guards against counts of a node and of the coordinator that differ after one of them has missed a version. */
     @ParameterizedTest
     @ValueSource(longs = {31, 32, 33})
--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/quota/SimulatedFleet.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/quota/SimulatedFleet.java
@@ -30,6 +30,7 @@
     static final int STEP_MS = 10;
     private static final int DOMAINS = 4;
     private static final int CALLERS_RETRIES = 2;
+    private static final int MAXIMUM_REFUSAL_STEPS = 15;
 
     final Random random;
     final SteppedClock clock = SteppedClock.of(1_000_000);
@@ -213,6 +214,8 @@
         final RateLimit limit;
         final double[] weights;
         double factor = 0.6;
+        double refusedByGates;
+        boolean givesBack = true;
         int offered;
         int admitted;
         int firstRefusalsBelow;
@@ -232,6 +235,11 @@
             this.weights = weights;
         }
 
+        int runsInWindow() {
+            forgetBefore(window, clock.nowMs());
+            return window.size();
+        }
+
         /** Sets the limit that windows are checked against. */
         void bind(final RateLimit lowered) {
             bound = lowered;
@@ -288,6 +296,10 @@
             QuotaDecision decision = decide(node, nowMs);
             if (decision.admitted()) {
                 admitted++;
+                if (refusedByGates > 0 && random.nextDouble() < refusedByGates) {
+                    after(STEP_MS * (1 + random.nextInt(MAXIMUM_REFUSAL_STEPS)), () -> refuse(node, attempt, nowMs));
+                    return;
+                }
                 window.addLast(nowMs);
                 worstExcess = Math.max(worstExcess, window.size() - BOUNDS.maximum(bound));
                 return;
@@ -308,11 +320,27 @@
             }
         }
 
+        /** A gate has refused an admitted request, whose caller comes back. */
+        private void refuse(final Node node, final int attempt, final long admittedMs) {
+            if (givesBack && node.live) {
+                node.limiter.giveBack(organisation(node), admittedMs);
+            }
+            if (attempt < CALLERS_RETRIES) {
+                after(200 + random.nextInt(200), () -> {
+                    if (node.live) {
+                        request(node, attempt + 1, clock.nowMs());
+                    }
+                });
+            }
+        }
+
+        private Organisation organisation(final Node node) {
+            return new Organisation(name, OptionalInt.empty(), Optional.ofNullable(node.limits.get(name)), Set.of());
+        }
+
         private QuotaDecision decide(final Node node, final long nowMs) {
             return switch (rule) {
-                case COORDINATED ->
-                    node.limiter.tryAcquire(new Organisation(
-                            name, OptionalInt.empty(), Optional.ofNullable(node.limits.get(name)), Set.of()));
+                case COORDINATED -> node.limiter.tryAcquire(organisation(node));
                 case PERFECT -> {
                     boolean room = window.size() + 1 <= limit.requestsWithin(BOUNDS.windowMs());
                     yield room ? QuotaDecision.ADMITTED : QuotaDecision.refused(300);
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshCallerHandler.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshCallerHandler.java
@@ -174,11 +174,20 @@
 
     /** Dispatches a call, whether the server has reached its request or the request is read ahead. */
     private CompletableFuture<CallResult> dispatch(final MeshCall call, final MeshRoute route) {
+        long beforeMs = dependencies.clock().nowMs();
         long quotaWaitMs = quotaWaitMs(call);
-        return quotaWaitMs > 0
-                ? CompletableFuture.completedFuture(
-                        CallResult.notRun(Reason.QUOTA_EXCEEDED).withExpectedWait(quotaWaitMs))
-                : dependencies.dispatcher().dispatch(call, route);
+        if (quotaWaitMs > 0) {
+            return CompletableFuture.completedFuture(
+                    CallResult.notRun(Reason.QUOTA_EXCEEDED).withExpectedWait(quotaWaitMs));
+        }
+        CompletableFuture<CallResult> result = dependencies.dispatcher().dispatch(call, route);
+        call.organisation()
+                .ifPresent(organisation -> result.thenAccept(ended -> {
+                    if (ended.outcome() == Outcome.NOT_RUN) {
+                        dependencies.quota().giveBack(organisation, beforeMs);
+                    }
+                }));
+        return result;
     }
 
     private void serve(
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshQuota.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshQuota.java
@@ -61,6 +61,11 @@
         return decision;
     }
 
+    /** Returns the permit of a request that was admitted after a time and has not run; see {@link QuotaLimiter}. */
+    void giveBack(final Organisation organisation, final long beforeMs) {
+        limiter.giveBack(organisation, beforeMs);
+    }
+
     private String labelOf(final String organisation) {
         if (countedOrganisations.contains(organisation)) {
             return organisation;
