Pipelining: a bound on the bytes of results kept for their turn

Cause: 256 calls of a node could run ahead, whatever the length of their responses; large responses of idempotent routes could fill a small VM.

Change: no call runs ahead while kept results have 4 MB or more. It is checked before a call is dispatched, so those that run then may still add one response each.

Result: nothingRunsAheadWhileKeptResultsAreLarge needs the new bound and has no run on the code before. ReadAheadCallsTest and PipeliningNodeTest pass. The memory of a node was not measured.

--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/pipeline/ReadAheadCalls.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/pipeline/ReadAheadCalls.java
@@ -7,6 +7,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
 import org.sequoiashunt.call.CallResult;
 import org.sequoiashunt.call.HeaderField;
 import org.sequoiashunt.call.Outcome;
@@ -30,6 +31,9 @@
     /** A result is held in memory until its turn; eight requests of 100 ms cover most of the time a caller waits. */
     static final int MAXIMUM_CALLS = 8;
 
+    /** Value of the kept bytes of a call that was taken or discarded. */
+    private static final long RELEASED = -1;
+
     private final ReadAheadBudget budget;
     private final Observer observer;
     private final Deque<Entry> waiting = new ArrayDeque<>();
@@ -91,7 +95,25 @@
     public record RunningCall(MeshCall call, CompletableFuture<CallResult> result) {}
 
     /** Call that runs ahead, with the length of the head of its request. */
-    private record Entry(Request request, CompletableFuture<CallResult> result, int lengthBytes) {}
+    private record Entry(Request request, CompletableFuture<CallResult> result, int lengthBytes, AtomicLong keptBytes) {
+
+        /** Counts the bytes of the result from when it is there until the call is taken or discarded. */
+        private void count(final ReadAheadBudget budget) {
+            result.thenAccept(ended -> {
+                long bytes = ended.response()
+                        .map(response -> response.body().bytes().length)
+                        .orElse(0);
+                if (keptBytes.compareAndSet(0, bytes)) {
+                    budget.addBytes(bytes);
+                }
+            });
+        }
+
+        private void release(final ReadAheadBudget budget) {
+            budget.addBytes(-Math.max(0, keptBytes.getAndSet(RELEASED)));
+            budget.release();
+        }
+    }
 
     /**
      * Dispatches the calls of requests that have arrived behind the current one, in order, until one may not run ahead.
@@ -110,7 +132,7 @@
                 return;
             }
             int lengthBytes = head.get().lengthBytes();
-            add(new Entry(request.get(), dispatcher.dispatch(request.get()), lengthBytes));
+            add(new Entry(request.get(), dispatcher.dispatch(request.get()), lengthBytes, new AtomicLong()));
             offset += lengthBytes;
         }
     }
@@ -130,6 +152,7 @@
 
     private void add(final Entry entry) {
         observer.observe(entry.request().route(), Step.READ);
+        entry.count(budget);
         boolean late;
         synchronized (this) {
             late = closed;
@@ -186,7 +209,7 @@
             taken.result().cancel(true);
             return Optional.empty();
         }
-        budget.release();
+        taken.release(budget);
         observer.observe(taken.request().route(), Step.USED);
         return Optional.of(new RunningCall(taken.request().call(), taken.result()));
     }
@@ -271,7 +294,7 @@
     private void discard(final List<Entry> entries) {
         for (Entry entry : entries) {
             entry.result().cancel(true);
-            budget.release();
+            entry.release(budget);
             observer.observe(entry.request().route(), Step.DISCARDED);
         }
     }
--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/pipeline/ReadAheadCallsTest.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/pipeline/ReadAheadCallsTest.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
 import org.sequoiashunt.call.Body;
+import org.sequoiashunt.call.CallResponse;
 import org.sequoiashunt.call.CallResult;
 import org.sequoiashunt.call.HeaderField;
 import org.sequoiashunt.mesh.MeshCall;
@@ -28,7 +29,7 @@
     private static final MeshRoute BOOK = route("book", RequestKind.NON_IDEMPOTENT);
     private static final MeshRoute SCAN = route("scan", RequestKind.DOWNLOAD);
 
-    private final ReadAheadBudget budget = new ReadAheadBudget(10);
+    private final ReadAheadBudget budget = new ReadAheadBudget(10, 1_000);
     private final Map<ReadAheadCalls.Step, Integer> steps = new EnumMap<>(ReadAheadCalls.Step.class);
     private final ReadAheadCalls calls =
             new ReadAheadCalls(budget, (route, step) -> steps.merge(step, 1, Integer::sum));
@@ -153,6 +154,24 @@
                 call.requestId(), method, call.uri(), headers, Body.of(body), organisation, 0, 0, call.deadlineMs());
     }
 
+    /** Guards against results that fill the memory of a small node while they wait for their turn. */
+    @Test
+    void nothingRunsAheadWhileKeptResultsAreLarge() {
+        advance(head("/read/1", "r-1"));
+        results.get(0).complete(CallResult.complete(new CallResponse(200, List.of(), Body.of(new byte[1_000]))));
+        advance(head("/read/1", "r-1") + head("/read/2", "r-2"));
+        assertEquals(List.of("r-1"), dispatched);
+        calls.begin("r-1");
+        calls.take(request("r-1", "/read/1", READ)).orElseThrow();
+        advance(head("/read/2", "r-2"));
+        assertEquals(List.of("r-1", "r-2"), dispatched);
+        calls.close();
+        results.get(1).complete(CallResult.complete(new CallResponse(200, List.of(), Body.of(new byte[1_000]))));
+        new ReadAheadCalls(budget, (route, step) -> {})
+                .advance(head("/read/3", "r-3").getBytes(StandardCharsets.ISO_8859_1), 8_192, dispatcher);
+        assertEquals(3, dispatched.size(), "bytes of a discarded call are not counted");
+    }
+
     @Test
     void unexpectedRequestCancelsAllCalls() {
         advance(head("/read/1", "r-1") + head("/read/2", "r-2"));
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/PipelinedRequests.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/PipelinedRequests.java
@@ -23,9 +23,12 @@
     /** Results are held until their turn; 256 of 10 kB are 2.6 MB. */
     private static final int MAXIMUM_CALLS = 256;
 
+    /** Bytes of kept results: about 1% of the memory of a small VM of 330 MB. */
+    private static final long MAXIMUM_BYTES = 4_000_000;
+
     private static final AttachmentKey<ReadAheadCalls> CALLS = AttachmentKey.create(ReadAheadCalls.class);
 
-    private final ReadAheadBudget budget = new ReadAheadBudget(MAXIMUM_CALLS);
+    private final ReadAheadBudget budget = new ReadAheadBudget(MAXIMUM_CALLS, MAXIMUM_BYTES);
     private final ReadAheadCalls.Dispatcher dispatcher;
     private final MeshMetrics metrics;
     private final IntSupplier maximumHeadBytes;
