Check of a configuration document before it is sent

Cause: faults in a document were seen only after nodes had refused it or left entries out, and entries that can never take effect were not seen at all.

Keys are counted and compared, never returned or printed.

--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshConfiguration.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshConfiguration.java
@@ -27,7 +27,7 @@
     /** Routes by host and prefix; empty for prefixes whose route is not served. */
     private final Map<String, Map<String, Optional<MeshRoute>>> routesByHost = new HashMap<>();
 
-    private final int routeCount;
+    private final List<MeshRoute> routes;
     private final boolean fairShares;
 
     private MeshConfiguration(
@@ -42,7 +42,7 @@
         this.limits = Objects.requireNonNull(limits, "limits");
         this.organisations = Objects.requireNonNull(organisations, "organisations");
         this.omissions = omissions.reasons();
-        this.routeCount = routes.size();
+        this.routes = List.copyOf(routes);
         this.fairShares = organisations.size() > 0
                 || routes.stream().anyMatch(route -> route.kind().hasLargeBodies());
         omissions
@@ -164,13 +164,31 @@
         return limits;
     }
 
+    /**
+     * Returns the routes that are served.
+     *
+     * @return the routes in the order of the document, never null.
+     */
+    public List<MeshRoute> routes() {
+        return routes;
+    }
+
+    /**
+     * Returns the settings of all services.
+     *
+     * @return the settings by the names of the services, never null.
+     */
+    public Map<String, ServiceSettings> services() {
+        return services;
+    }
+
     /**
      * Counts the routes.
      *
      * @return the number of routes, zero or more.
      */
     public int routeCount() {
-        return routeCount;
+        return routes.size();
     }
 
     /**
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/organisation/OrganisationDirectory.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/organisation/OrganisationDirectory.java
@@ -1,11 +1,14 @@
 package org.sequoiashunt.organisation;
 
+import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SortedSet;
+import java.util.TreeSet;
+import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 
 /**
@@ -22,6 +25,8 @@
     /** Rank of an organisation that states none. */
     private static final int LEAST_URGENT_RANK = 9;
 
+    private static final Pattern SENDABLE_KEY = Pattern.compile("[\\x21-\\x7e]([\\x20-\\x7e]*[\\x21-\\x7e])?");
+
     private final boolean keysRequired;
     private final Map<String, Organisation> organisationsByKey;
     private final Map<String, Organisation> organisationsByName;
@@ -108,12 +113,64 @@
         return organisationsByName.size();
     }
 
+    /**
+     * Returns the organisations.
+     *
+     * @return the organisations in no particular order, never null.
+     */
+    public Collection<Organisation> organisations() {
+        return organisationsByName.values();
+    }
+
+    /**
+     * Counts the keys that identify an organisation.
+     *
+     * @param name the name of the organisation, not null.
+     * @return the number of keys without those that another organisation claims too, zero or more.
+     */
+    public int countKeys(final String name) {
+        return (int) organisationsByKey.values().stream()
+                .filter(organisation -> organisation.name().equals(name))
+                .count();
+    }
+
+    /**
+     * Counts the keys of an organisation that no request can carry, since header values are visible ASCII characters
+     * and white space around them is removed.
+     *
+     * @param name the name of the organisation, not null.
+     * @return the number of keys, zero or more.
+     */
+    public int countUnsendableKeys(final String name) {
+        return (int) organisationsByKey.entrySet().stream()
+                .filter(entry -> entry.getValue().name().equals(name))
+                .filter(entry -> !SENDABLE_KEY.matcher(entry.getKey()).matches())
+                .count();
+    }
+
+    /**
+     * Counts the keys that identify an organisation both here and in another directory.
+     *
+     * @param name the name of the organisation, not null.
+     * @param other the other directory, not null.
+     * @return the number of keys, zero or more.
+     */
+    public int countCommonKeys(final String name, final OrganisationDirectory other) {
+        return (int) organisationsByKey.entrySet().stream()
+                .filter(entry -> entry.getValue().name().equals(name))
+                .filter(entry -> other.findByKey(entry.getKey())
+                        .filter(organisation -> organisation.name().equals(name))
+                        .isPresent())
+                .count();
+    }
+
     /** Collects the organisations of a directory. Not thread-safe. */
     public static final class Builder {
 
         private final Map<String, Organisation> organisationsByKey = new HashMap<>();
         private final Map<String, Organisation> organisationsByName = new HashMap<>();
-        private final Set<String> sharedKeys = new HashSet<>();
+        /** Names of the organisations that claim a key, for keys that more than one claims. */
+        private final Map<String, SortedSet<String>> holdersOfSharedKeys = new HashMap<>();
 
         /**
          * Adds an organisation.
@@ -130,8 +187,14 @@
             }
             boolean allOwn = true;
             for (String key : keys) {
-                if (sharedKeys.contains(key) || organisationsByKey.putIfAbsent(key, organisation) != null) {
-                    sharedKeys.add(key);
+                Organisation holder = organisationsByKey.putIfAbsent(key, organisation);
+                if (holder != null) {
+                    holdersOfSharedKeys
+                            .computeIfAbsent(key, unused -> new TreeSet<>())
+                            .add(holder.name());
+                }
+                if (holdersOfSharedKeys.containsKey(key)) {
+                    holdersOfSharedKeys.get(key).add(organisation.name());
                     organisationsByKey.remove(key);
                     allOwn = false;
                 }
@@ -139,6 +202,21 @@
             return allOwn;
         }
 
+        /**
+         * Finds the organisations that claim a key of another one.
+         *
+         * @param name the name of the organisation, not null.
+         * @return the names of the others that were added so far and claim one of its keys, never null.
+         */
+        public SortedSet<String> findSharers(final String name) {
+            SortedSet<String> sharers = new TreeSet<>();
+            holdersOfSharedKeys.values().stream()
+                    .filter(holders -> holders.contains(name))
+                    .forEach(sharers::addAll);
+            sharers.remove(name);
+            return sharers;
+        }
+
         /**
          * Builds the directory.
          *
