--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/check/ConfigurationChecker.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/check/ConfigurationChecker.java
@@ -29,7 +29,7 @@
         configuration
                 .omissions()
                 .forEach(reason -> findings.add(Finding.errorOf(
-                        "left-out", reason, "correct the entry; the others come into force without it")));
+                        "left-out", reason, "correct it; the rest of the document comes into force without it")));
         new RouteChecks(configuration, deployment, findings).run();
         new ServiceChecks(configuration, findings).run();
         new OrganisationChecks(configuration, deployment, findings).run();
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/check/RouteChecks.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/check/RouteChecks.java
@@ -92,7 +92,7 @@
                     place,
                     "the objective of " + route.objectiveMs() + " ms is above the timeout of " + route.timeoutMs()
                             + " ms",
-                    "lower the objective to the timeout or below"));
+                    "lower the objective, or raise the timeout"));
         }
     }
 
