Calls to silent targets are given up; transfer of large bodies counts

Cause: a call to a target that stops answering waited for its deadline, so an idempotent request had no time left for another target. Placement and the gate ignored that 90 kB take 100 ms over a link of 7 Mbit/s.

Change: where fair shares are in force, the gate gives an idempotent first attempt up after a silence of 14 means of its route at this target, not before the objective, and only while a second attempt is possible (SilencePolicy). The connection is closed; the slot stays in use until the deadline that the target was told (HeldSlots). The entry tries a second target within the retry budget, else 504. The result has the new reason UNRESPONSIVE, appended to the enum.

For routes of kind upload and download, placement adds the transfer over the node's link rate (linkMbps in the settings) for targets on other nodes; the gate of a download is told an objective that is earlier by it.

--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/call/Reason.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/call/Reason.java
@@ -43,7 +43,9 @@
     /** The organisation has used up its quota. */
     QUOTA_EXCEEDED(429, "quota exceeded", true),
     /** The operator has ordered that the failure domain of the target gets no requests. */
-    EVACUATED(503, "failure domain evacuated", true);
+    EVACUATED(503, "failure domain evacuated", true),
+    /** The target sent nothing for far longer than it takes, and the call was given up before its deadline. */
+    UNRESPONSIVE(504, "target does not respond", false);
 
     private final int status;
     private final String text;
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/call/TargetCaller.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/call/TargetCaller.java
@@ -11,6 +11,9 @@
 @FunctionalInterface
 public interface TargetCaller {
 
+    /** Value of a silence limit that never ends a call. */
+    long NO_SILENCE_LIMIT = Long.MAX_VALUE;
+
     /**
      * Sends a call.
      *
@@ -21,4 +24,20 @@
      *     the future closes the request.
      */
     CompletableFuture<CallResult> call(NodeAddress targetAddress, CallRequest request);
+
+    /**
+     * Sends a call and gives it up if the target stays silent. Callers that cannot observe the first byte of an answer
+     * ignore the limit.
+     *
+     * @param targetAddress the address of the target, not null.
+     * @param request the call, not null.
+     * @param silenceLimitMs the time after sending until which the answer must have begun, in milliseconds, positive;
+     *     {@link #NO_SILENCE_LIMIT} for none.
+     * @return as {@link #call(NodeAddress, CallRequest)}; after the limit, an unknown outcome with the reason
+     *     {@link Reason#UNRESPONSIVE}.
+     */
+    default CompletableFuture<CallResult> call(
+            final NodeAddress targetAddress, final CallRequest request, final long silenceLimitMs) {
+        return call(targetAddress, request);
+    }
 }
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshAttempts.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshAttempts.java
@@ -12,6 +12,7 @@
 import org.sequoiashunt.call.Outcome;
 import org.sequoiashunt.call.Reason;
 import org.sequoiashunt.organisation.Organisation;
+import org.sequoiashunt.placement.BodyTransfer;
 import org.sequoiashunt.placement.PlacementCandidate;
 import org.sequoiashunt.placement.PlacementNeed;
 import org.sequoiashunt.placement.RegionConstraint;
@@ -48,6 +49,7 @@
     private final String service;
     private final long deadlineMs;
     private final RouteSizes routeSizes;
+    private final BodyTransfer transfer;
     private final long objectiveMs;
     private final RegionConstraint regions;
     private final boolean useNewVersion;
@@ -84,6 +86,7 @@
             final String service,
             final long earlierWaitMs,
             final RouteSizes routeSizes,
+            final double linkMbps,
             final long stopMs) {
         this.dependencies = dependencies;
         this.routeSizes = routeSizes;
@@ -95,9 +98,20 @@
         this.objectiveMs = call.arrivedMs() - earlierWaitMs + Math.round(route.objectiveMs() * OBJECTIVE_FRACTION);
         this.regions = new RegionConstraint(
                 route.regions(), call.organisation().map(Organisation::regions).orElse(Set.of()));
+        this.transfer = transferOf(call, route, routeSizes, linkMbps);
         this.useNewVersion = dependencies.versionSelector().chooseNewVersion(service);
     }
 
+    /** An upload's body is here already; the answer of a download is expected to be as long as others were. */
+    private static BodyTransfer transferOf(
+            final MeshCall call, final MeshRoute route, final RouteSizes routeSizes, final double linkMbps) {
+        return switch (route.kind()) {
+            case UPLOAD -> new BodyTransfer(linkMbps, call.body().length());
+            case DOWNLOAD -> new BodyTransfer(linkMbps, routeSizes.meanBytes(route.name()));
+            case IDEMPOTENT, NON_IDEMPOTENT -> BodyTransfer.NONE;
+        };
+    }
+
     CompletableFuture<CallResult> result() {
         return result;
     }
@@ -142,7 +156,8 @@
                 route.name(),
                 routeSizes.trafficFactor(route.name()),
                 route.objectiveMs(),
-                objectiveMs - dependencies.clock().nowMs());
+                objectiveMs - dependencies.clock().nowMs(),
+                transfer);
         List<PlacementCandidate> all = dependencies.candidateSource().candidates(service, regions).stream()
                 .filter(candidate -> !evacuatedDomains.contains(candidate.failureDomain()))
                 .toList();
@@ -166,7 +181,7 @@
             return false;
         }
         long remainingMs = objectiveMs - dependencies.clock().nowMs();
-        boolean isTooLate = best.expectedResponseMs(route.name()) > Math.max(0, remainingMs);
+        boolean isTooLate = expectedResponseMs(best) > Math.max(0, remainingMs);
         if (isTooLate) {
             shortestWaitMs = Math.min(shortestWaitMs, Math.round(waitMs));
         }
@@ -175,7 +190,18 @@
 
     /** Returns whether an attempt at a target that starts now is expected to end after this node stops. */
     private synchronized boolean outlastsStop(final PlacementCandidate candidate) {
-        return dependencies.clock().nowMs() + candidate.expectedResponseMs(route.name()) > stopMs;
+        return dependencies.clock().nowMs() + expectedResponseMs(candidate) > stopMs;
+    }
+
+    private double expectedResponseMs(final PlacementCandidate candidate) {
+        return candidate.expectedResponseMs(route.name()) + transfer.expectedMs(candidate.distance());
+    }
+
+    /** Returns until when the target must have answered, so that a large answer gets here within the objective. */
+    private long targetObjectiveMs(final PlacementCandidate candidate) {
+        return route.kind() == RequestKind.DOWNLOAD
+                ? objectiveMs - Math.round(transfer.expectedMs(candidate.distance()))
+                : objectiveMs;
     }
 
     /**
@@ -234,7 +260,8 @@
                 Optional.empty(),
                 deadlineMs,
                 new CallUrgency(
-                        call.organisationRank() * ROUTE_RANKS + Math.min(route.rank(), ROUTE_RANKS - 1), objectiveMs),
+                        call.organisationRank() * ROUTE_RANKS + Math.min(route.rank(), ROUTE_RANKS - 1),
+                        targetObjectiveMs(candidate)),
                 isRepeated(),
                 call.organisation().map(Organisation::name).orElse(""));
     }
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshDispatcher.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshDispatcher.java
@@ -33,6 +33,7 @@
     private static final long EXPIRY_MARGIN_MS = 110;
 
     private final Dependencies dependencies;
+    private final double linkMbps;
     private final FirstAttemptEstimator firstAttemptEstimator = new FirstAttemptEstimator();
     private final RouteSizes routeSizes = new RouteSizes();
     private final Set<MeshAttempts> activeRequests = ConcurrentHashMap.newKeySet();
@@ -40,12 +41,24 @@
     private volatile boolean stopped;
 
     /**
-     * Creates a dispatcher.
+     * Creates a dispatcher that does not know the rate of its VM's link.
      *
      * @param dependencies the objects that the dispatcher calls, not null.
      */
     public MeshDispatcher(final Dependencies dependencies) {
+        this(dependencies, 0);
+    }
+
+    /**
+     * Creates a dispatcher.
+     *
+     * @param dependencies the objects that the dispatcher calls, not null.
+     * @param linkMbps the rate of this VM's link, in Mbit/s; 0 if it is unknown, and the transfer of large bodies takes
+     *     no time.
+     */
+    public MeshDispatcher(final Dependencies dependencies, final double linkMbps) {
         this.dependencies = Objects.requireNonNull(dependencies, "dependencies");
+        this.linkMbps = linkMbps;
     }
 
     /**
@@ -88,7 +101,8 @@
                 .recordRepeatedCall(service, dependencies.repeatedRunShare().applyAsDouble(service));
         long earlierWaitMs =
                 firstAttemptEstimator.recordAndEstimateElapsedMs(route.name(), call.deadlineMs() - call.arrivedMs());
-        MeshAttempts attempts = new MeshAttempts(dependencies, call, route, service, earlierWaitMs, routeSizes, stopMs);
+        MeshAttempts attempts =
+                new MeshAttempts(dependencies, call, route, service, earlierWaitMs, routeSizes, linkMbps, stopMs);
         activeRequests.add(attempts);
         long expiryMs =
                 attempts.deadlineMs() + EXPIRY_MARGIN_MS - dependencies.clock().nowMs();
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/placement/Placement.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/placement/Placement.java
@@ -104,7 +104,8 @@
      */
     public static double costMs(final PlacementCandidate candidate, final PlacementNeed need) {
         double failureShare = candidate.failureShare();
-        double responseMs = candidate.expectedResponseMs(need.route());
+        double responseMs =
+                candidate.expectedResponseMs(need.route()) + need.transfer().expectedMs(candidate.distance());
         double missedObjectiveMs = responseMs > need.remainingMs() ? MISSED_OBJECTIVE_COST * need.objectiveMs() : 0;
         return responseMs
                 + candidate.distance().trafficCostShare() * need.objectiveMs() * need.trafficFactor()
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/placement/RouteSizes.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/placement/RouteSizes.java
@@ -47,6 +47,16 @@
                 route, bytes + OVERHEAD_BYTES, (mean, latest) -> mean + LATEST_CALL_WEIGHT * (latest - mean));
     }
 
+    /**
+     * Returns the mean size of a route's calls, request and answer together.
+     *
+     * @param route the name of the route, not null.
+     * @return the size in bytes; 0 if no call of the route is recorded.
+     */
+    public synchronized double meanBytes(final String route) {
+        return meanBytesByRoute.getOrDefault(route, 0.0);
+    }
+
     /**
      * Returns the mean traffic of a route's calls as a multiple of a call of reference size.
      *
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/SlotGate.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/SlotGate.java
@@ -21,7 +21,9 @@
  * Admits, queues and sends all calls to one incarnation of a target, with at most one call for each slot at a time.
  *
  * <p>Calls get slots in the order of {@link SlotQueue}. A closed gate refuses new and waiting calls; running calls end.
- * A suspended gate does the same until it is resumed. {@link WarmupLimiter} limits the starts at a cold target.
+ * A suspended gate does the same until it is resumed. {@link WarmupLimiter} limits the starts at a cold target. While
+ * fair shares are in force, calls to a target that stays silent are given up as {@link SilencePolicy} decides; their
+ * slots stay in use until the deadlines of the calls.
  *
  * <p>Thread-safe: guarded by this object's monitor; calls to the target and completions happen outside it. Invariants:
  * a refused call was not sent and never will be; after {@link #close} no call is sent.
@@ -37,6 +39,7 @@
     private final SlotQueue queue;
     private final WarmupLimiter warmup;
     private final TargetMovingAverages movingAverages = new TargetMovingAverages();
+    private final HeldSlots heldSlots = new HeldSlots();
     private TargetAnnouncement target;
     private Reason closeReason;
     private boolean suspended;
@@ -131,8 +134,10 @@
         if (suspended) {
             return Optional.of(CallResult.notRun(Reason.EVACUATED));
         }
+        releaseHeldSlots(nowMs);
         long coldWaitMs = warmupWaitMs(queue.waiting(), nowMs);
-        long earliestStartMs = nowMs + Math.max(coldWaitMs, queue.expectedWaitMs(waiting, nowMs));
+        long heldWaitMs = heldSlots.waitMs(target.slots(), nowMs);
+        long earliestStartMs = nowMs + Math.max(Math.max(coldWaitMs, heldWaitMs), queue.expectedWaitMs(waiting, nowMs));
         if (outlastsStop(waiting.request(), earliestStartMs)) {
             return Optional.of(CallResult.notRun(Reason.DRAINING));
         }
@@ -141,6 +146,10 @@
             return Optional.of(
                     CallResult.notRun(Reason.QUEUE_FULL).withLoad(load()).withExpectedWait(coldWaitMs));
         }
+        if (heldWaitMs > 0 && nowMs + heldWaitMs > waiting.latestStartMs()) {
+            return Optional.of(
+                    CallResult.notRun(Reason.QUEUE_FULL).withLoad(load()).withExpectedWait(heldWaitMs));
+        }
         Optional<Long> waitMs = queue.offer(waiting, nowMs);
         if (waitMs.isEmpty()) {
             dependencies.observer().callAdmitted(target, waiting.request(), queue.running(), queue.waiting());
@@ -168,6 +177,7 @@
 
     private synchronized Optional<WaitingCall> takeNext() {
         long nowMs = dependencies.clock().nowMs();
+        releaseHeldSlots(nowMs);
         if (closeReason != null || suspended || queue.waiting() == 0 || warmupWaitMs(0, nowMs) > 0) {
             return Optional.empty();
         }
@@ -194,7 +204,8 @@
             return;
         }
         countRepeat(request, 1);
-        CompletableFuture<CallResult> run = dependencies.targetCaller().call(target().address(), request);
+        CompletableFuture<CallResult> run =
+                dependencies.targetCaller().call(target().address(), request, silenceLimitMs(request, startedMs));
         waiting.result().whenComplete((result, failure) -> {
             if (waiting.result().isCancelled() && request.idempotent()) {
                 run.cancel(true);
@@ -204,6 +215,17 @@
                 completeCall(waiting, failure == null ? result : CallResult.unknown(Reason.CANCELLED), startedMs));
     }
 
+    private synchronized long silenceLimitMs(final CallRequest request, final long nowMs) {
+        if (!dependencies.fairSharesInForce().getAsBoolean()) {
+            return TargetCaller.NO_SILENCE_LIMIT;
+        }
+        return SilencePolicy.silenceLimitMs(
+                request,
+                movingAverages.meanMs(request.route(), queue.meanMs()),
+                movingAverages.answers(request.route()),
+                nowMs);
+    }
+
     private void completeCall(final WaitingCall waiting, final CallResult result, final long startedMs) {
         long durationMs = Math.max(0, dependencies.clock().nowMs() - startedMs);
         record(waiting.request(), result, durationMs);
@@ -219,7 +241,19 @@
             movingAverages.recordCall(request.route(), durationMs, failed);
         }
         countRepeat(request, -1);
-        releaseSlot(cancelled || failed ? -1 : durationMs);
+        if (result.reason() == Reason.UNRESPONSIVE) {
+            heldSlots.hold(request.deadlineMs());
+        } else {
+            releaseSlot(cancelled || failed ? -1 : durationMs);
+        }
+    }
+
+    /** Frees the slots of given-up calls whose deadlines have passed. */
+    private void releaseHeldSlots(final long nowMs) {
+        int ended = heldSlots.removeEnded(nowMs);
+        for (int slot = 0; slot < ended; slot++) {
+            queue.releaseSlot(-1);
+        }
     }
 
     private synchronized void countRepeat(final CallRequest request, final int change) {
@@ -289,6 +323,7 @@
         List<WaitingCall> outlastingCalls;
         synchronized (this) {
             long nowMs = dependencies.clock().nowMs();
+            releaseHeldSlots(nowMs);
             lateCalls = new ArrayList<>(queue.removeLateCalls(nowMs));
             if (warmupWaitMs(0, nowMs) > 0) {
                 lateCalls.addAll(queue.removeIf(waiting -> waiting.latestStartMs() < nowMs));
@@ -343,12 +378,12 @@
     }
 
     /**
-     * Counts the calls that run.
+     * Counts the calls that run and were not given up.
      *
      * @return the number of calls, zero or more.
      */
     public synchronized int running() {
-        return queue.running();
+        return queue.running() - heldSlots.count();
     }
 
     /**
@@ -391,7 +426,8 @@
      * @param targets sends calls to targets.
      * @param observer receives the gate's decisions.
      * @param warmupRules returns the limit on cold targets of a service.
-     * @param fairSharesInForce whether the flows of a rank share the slots of a target.
+     * @param fairSharesInForce whether the flows of a rank share the slots of a target, and calls to a target that
+     *     stays silent are given up.
      */
     public record Dependencies(
             Clock clock,
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/TargetMovingAverages.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/TargetMovingAverages.java
@@ -20,9 +20,9 @@
     private static final int MAXIMUM_ROUTES = 32;
     private static final int PERMILLE = 1_000;
 
-    private final Map<String, Double> meanMsByRoute = new LinkedHashMap<>(MAXIMUM_ROUTES, 0.75f, true) {
+    private final Map<String, RouteMean> meansByRoute = new LinkedHashMap<>(MAXIMUM_ROUTES, 0.75f, true) {
         @Override
-        protected boolean removeEldestEntry(final Map.Entry<String, Double> eldest) {
+        protected boolean removeEldestEntry(final Map.Entry<String, RouteMean> eldest) {
             return size() > MAXIMUM_ROUTES;
         }
     };
@@ -31,14 +31,19 @@
     void recordCall(final String route, final long durationMs, final boolean failed) {
         failureShare += LATEST_CALL_WEIGHT * ((failed ? 1 : 0) - failureShare);
         if (!failed) {
-            meanMsByRoute.merge(
-                    route, (double) durationMs, (mean, latest) -> mean + LATEST_CALL_WEIGHT * (latest - mean));
+            meansByRoute.merge(route, new RouteMean(durationMs, 1), RouteMean::plus);
         }
     }
 
     long meanMs(final String route, final long defaultMs) {
-        Double routeMeanMs = meanMsByRoute.get(route);
-        return routeMeanMs == null ? defaultMs : Math.round(routeMeanMs);
+        RouteMean mean = meansByRoute.get(route);
+        return mean == null ? defaultMs : Math.round(mean.meanMs());
+    }
+
+    /** Returns the number of calls of a route that did not fail. */
+    int answers(final String route) {
+        RouteMean mean = meansByRoute.get(route);
+        return mean == null ? 0 : mean.answers();
     }
 
     /** Lowers the failure share by one step, so that a target without calls is tried again in time. */
@@ -51,8 +56,16 @@
     }
 
     List<RouteTime> routeTimes() {
-        List<RouteTime> times = new ArrayList<>(meanMsByRoute.size());
-        meanMsByRoute.forEach((route, mean) -> times.add(new RouteTime(route, (int) Math.round(mean))));
+        List<RouteTime> times = new ArrayList<>(meansByRoute.size());
+        meansByRoute.forEach((route, mean) -> times.add(new RouteTime(route, (int) Math.round(mean.meanMs()))));
         return times;
     }
+
+    /** Moving mean of the durations of a route's calls and the number of calls. Immutable and thread-safe. */
+    private record RouteMean(double meanMs, int answers) {
+
+        private RouteMean plus(final RouteMean latest) {
+            return new RouteMean(meanMs + LATEST_CALL_WEIGHT * (latest.meanMs - meanMs), answers + latest.answers);
+        }
+    }
 }
--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/mesh/MeshDispatcherTest.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/mesh/MeshDispatcherTest.java
@@ -36,6 +36,8 @@
 @Timeout(10)
 class MeshDispatcherTest {
 
+    private static final double LINK_MBPS = 8;
+
     private final SteppedClock clock = SteppedClock.of(1_000);
     private final FleetView fleet = new FleetView(clock);
     private final List<CallRequest> sentRequests = new ArrayList<>();
@@ -64,7 +66,19 @@
                 new MeshRoute("lookup", "h", "/l/", List.of(new WeightedService("desk", 1)), true, 1_000, 400, 2, 2);
         MeshRoute reserve =
                 new MeshRoute("reserve", "h", "/r/", List.of(new WeightedService("desk", 1)), false, 1_000, 400, 1, 2);
-        return MeshConfiguration.of(3, List.of(lookup, reserve), Set.of("desk"), CallerLimits.defaults());
+        MeshRoute scan = new MeshRoute(
+                "scan",
+                "h",
+                "/s/",
+                List.of(new WeightedService("desk", 1)),
+                RequestKind.DOWNLOAD,
+                4_000,
+                800,
+                1,
+                2,
+                false,
+                Set.of());
+        return MeshConfiguration.of(3, List.of(lookup, reserve, scan), Set.of("desk"), CallerLimits.defaults());
     }
 
     private MeshDispatcher dispatcher() {
@@ -96,23 +110,25 @@
                     List.of()));
         }
         NodeLocation location = new NodeLocation("self", new NodeAddress("10.0.0.9", 7), "d", "r");
-        return new MeshDispatcher(new MeshDispatcher.Dependencies(
-                clock,
-                (delayMs, task) -> {
-                    expiryTasks.add(task);
-                    return () -> expiryTasks.remove(task);
-                },
-                () -> configuration,
-                new WeightedServiceSelector(new Random(1)),
-                new MeshVersionSelector(new MoveTable(clock), new Random(1)),
-                new PlacementCandidateSource(location, fleet, service -> List.of(), clock),
-                new Placement(new Random(1)),
-                retryBudget,
-                new RecordingGateCaller(),
-                new CallIdGenerator("self", 1),
-                service -> repeatedRunShare,
-                (service, call) -> quarantineMs,
-                new NoOpObserver()));
+        return new MeshDispatcher(
+                new MeshDispatcher.Dependencies(
+                        clock,
+                        (delayMs, task) -> {
+                            expiryTasks.add(task);
+                            return () -> expiryTasks.remove(task);
+                        },
+                        () -> configuration,
+                        new WeightedServiceSelector(new Random(1)),
+                        new MeshVersionSelector(new MoveTable(clock), new Random(1)),
+                        new PlacementCandidateSource(location, fleet, service -> List.of(), clock),
+                        new Placement(new Random(1)),
+                        retryBudget,
+                        new RecordingGateCaller(),
+                        new CallIdGenerator("self", 1),
+                        service -> repeatedRunShare,
+                        (service, call) -> quarantineMs,
+                        new NoOpObserver()),
+                LINK_MBPS);
     }
 
     private CompletableFuture<CallResult> dispatch(final String path) {
@@ -158,6 +174,41 @@
         assertEquals(sentBefore, sentRequests.size());
     }
 
+    /** Guards against downloads whose transfer begins when there is no time left for it. */
+    @Test
+    void targetOfADownloadMustAnswerEarlierByTheTransferOfTheAnswer() {
+        dispatch("/s/1");
+        endAttempt(0, CallResult.complete(new CallResponse(200, List.of(), Body.of(new byte[99_400]))));
+        dispatch("/s/2");
+        long withoutTransferMs = sentRequests.get(0).urgency().objectiveMs();
+        assertEquals(withoutTransferMs - 100, sentRequests.get(1).urgency().objectiveMs(), "100 kB at 8 Mbit/s");
+        dispatch("/l/1");
+        endAttempt(2, CallResult.complete(new CallResponse(200, List.of(), Body.of(new byte[99_400]))));
+        dispatch("/l/2");
+        assertEquals(
+                sentRequests.get(2).urgency().objectiveMs(),
+                sentRequests.get(3).urgency().objectiveMs(),
+                "a route without large bodies");
+    }
+
+    /** Guards against requests that wait for their deadline at a target that has stopped answering. */
+    @Test
+    void requestGivenUpByItsGateIsSentToAnotherTargetWithinTheBudget() {
+        CompletableFuture<CallResult> result = dispatch("/l/1");
+        endAttempt(0, CallResult.unknown(Reason.UNRESPONSIVE));
+        assertEquals(2, sentRequests.size());
+        assertTrue(sentRequests.get(1).repeated(), "its gate does not give it up again");
+        endAttempt(1, answerWithStatus(200));
+        assertEquals(200, result.getNow(null).response().orElseThrow().status());
+        for (int retry = 0; retry < 40; retry++) {
+            retryBudget.tryRetry("desk");
+        }
+        CompletableFuture<CallResult> refused = dispatch("/l/2");
+        endAttempt(2, CallResult.unknown(Reason.UNRESPONSIVE));
+        assertEquals(CallResult.unknown(Reason.UNRESPONSIVE), refused.getNow(null));
+        assertEquals(3, sentRequests.size());
+    }
+
     /** If a service that all targets call fails, all targets fail; a retry would only repeat the calls to it. */
     @Test
     void failedRunIsRetriedOnlyIfTargetsSeldomFail() {
@@ -289,8 +340,8 @@
 
     @Test
     void failedAnswerIsReturnedIfBudgetIsSpent() {
-        while (retryBudget.tryRetry("desk")) {
-            clock.advance(0);
+        for (int retry = 0; retry < 40; retry++) {
+            retryBudget.tryRetry("desk");
         }
         CompletableFuture<CallResult> result = dispatch("/l/1");
         endAttempt(0, answerWithStatus(500));
--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/placement/PlacementTest.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/placement/PlacementTest.java
@@ -43,6 +43,19 @@
                 choose(candidate("near", Distance.DOMAIN, 45, 100, 0), candidate("far", Distance.REMOTE, 0, 100, 0)));
     }
 
+    /** Guards against large bodies that cross slow links while a target near by has a slot: 90 kB take 103 ms. */
+    @Test
+    void largeBodyChoosesTheNearTargetAndIsExpectedLater() {
+        BodyTransfer transfer = new BodyTransfer(7, 90_000);
+        List<PlacementCandidate> candidates =
+                List.of(candidate("here", Distance.NODE, 5, 150, 0), candidate("other", Distance.DOMAIN, 0, 80, 0));
+        assertEquals("other", choose(candidates, 1));
+        assertEquals("here", choose(candidates, new PlacementNeed("r", 1, OBJECTIVE_MS, OBJECTIVE_MS, transfer)));
+        assertEquals(103, transfer.expectedMs(Distance.DOMAIN), 0.5);
+        assertEquals(206, transfer.expectedMs(Distance.REMOTE), 0.5);
+        assertEquals(0, new BodyTransfer(0, 90_000).expectedMs(Distance.REMOTE), "the rate is not known");
+    }
+
     @Test
     void callWithLittleTrafficChoosesFarTarget() {
         List<PlacementCandidate> candidates =
--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/slot/SlotGateTest.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/slot/SlotGateTest.java
@@ -9,11 +9,13 @@
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
 import org.sequoiashunt.call.Body;
+import org.sequoiashunt.call.CallRequest;
 import org.sequoiashunt.call.CallResponse;
 import org.sequoiashunt.call.CallResult;
 import org.sequoiashunt.call.CallUrgency;
 import org.sequoiashunt.call.Outcome;
 import org.sequoiashunt.call.Reason;
+import org.sequoiashunt.call.TargetCaller;
 import org.sequoiashunt.peer.NodeAddress;
 import org.sequoiashunt.target.TargetAnnouncement;
 import org.sequoiashunt.time.SteppedClock;
@@ -148,4 +150,53 @@
         gate.tick();
         assertEquals(Reason.QUEUE_FULL, waiting.join().reason());
     }
+
+    /** Guards against more runs at a target than slots after calls to it were given up. */
+    @Test
+    void slotOfAGivenUpCallStaysInUseUntilItsDeadline() {
+        CompletableFuture<CallResult> first = call(true);
+        clock.advance(1_500);
+        targetResults.get(0).complete(CallResult.unknown(Reason.UNRESPONSIVE));
+        assertEquals(Outcome.UNKNOWN, first.join().outcome());
+        assertEquals(0, gate.running(), "the stop of the node does not wait for it");
+        assertEquals(
+                Reason.QUEUE_FULL, call(true).getNow(null).reason(), "the only slot is in use beyond the objective");
+        clock.advance(2_501);
+        assertEquals(1, targetResults.size());
+        gate.handle(CallRequests.of("call-late", new CallUrgency(1, 9_000), 9_000));
+        assertEquals(2, targetResults.size());
+    }
+
+    /** Guards against a change for deployments whose configuration does not call for fair shares. */
+    @Test
+    void silenceIsLimitedOnlyWhileFairSharesAreInForce() {
+        List<Long> limitsMs = new ArrayList<>();
+        TargetCaller caller = new TargetCaller() {
+            @Override
+            public CompletableFuture<CallResult> call(final NodeAddress address, final CallRequest request) {
+                return CompletableFuture.completedFuture(answerWithStatus(200));
+            }
+
+            @Override
+            public CompletableFuture<CallResult> call(
+                    final NodeAddress address, final CallRequest request, final long silenceLimitMs) {
+                limitsMs.add(silenceLimitMs);
+                clock.advance(20);
+                return call(address, request);
+            }
+        };
+        for (boolean fairShares : new boolean[] {false, true}) {
+            limitsMs.clear();
+            SlotGate configured = new SlotGate(
+                    target,
+                    new SlotGate.Dependencies(
+                            clock, caller, GateObserver.NO_OP, service -> WarmupRule.NONE, () -> fairShares));
+            for (int number = 0; number <= SilencePolicy.MINIMUM_ANSWERS; number++) {
+                long nowMs = clock.nowMs();
+                configured.handle(CallRequests.of("call-" + number, new CallUrgency(1, nowMs + 200), nowMs + 5_000));
+            }
+            assertEquals(TargetCaller.NO_SILENCE_LIMIT, limitsMs.get(0));
+            assertEquals(fairShares ? 280 : TargetCaller.NO_SILENCE_LIMIT, limitsMs.get(SilencePolicy.MINIMUM_ANSWERS));
+        }
+    }
 }
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/ConnectionEnd.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/ConnectionEnd.java
@@ -12,6 +12,8 @@
     CANCELLED("cancelled", false),
     /** The request reached its deadline without an answer. */
     DEADLINE("deadline", true),
+    /** The target sent nothing for far longer than it takes, and the request was given up. */
+    SILENT("silent", true),
     /** The target closed or reset it while a request waited for its answer. */
     LOST("lost", true),
     /** Bytes that are no answer to the request that waits. */
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/GateReporter.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/GateReporter.java
@@ -5,6 +5,7 @@
 import org.sequoiashunt.call.CallResult;
 import org.sequoiashunt.call.HeaderField;
 import org.sequoiashunt.call.Outcome;
+import org.sequoiashunt.call.Reason;
 import org.sequoiashunt.move.AnswerCounters;
 import org.sequoiashunt.slot.GateObserver;
 import org.sequoiashunt.target.TargetAnnouncement;
@@ -75,6 +76,9 @@
         crashGuard.recordEnd(target, request, result, durationMs);
         metrics.count("target_ended{service=\"" + target.service() + "\",outcome=\""
                 + result.outcome().headerValue() + "\"}");
+        if (result.reason() == Reason.UNRESPONSIVE) {
+            metrics.count("target_unresponsive{service=\"" + target.service() + "\"}");
+        }
         if (result.outcome() != Outcome.COMPLETE) {
             log.log(
                     LogKind.ATTEMPT,
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshCallerHandler.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshCallerHandler.java
@@ -360,7 +360,8 @@
         } else if (result.outcome() == Outcome.NOT_RUN) {
             refuse(exchange, call.requestId(), route, call.arrivedMs(), result);
         } else {
-            int status = result.reason() == Reason.DEADLINE ? StatusCodes.GATEWAY_TIME_OUT : StatusCodes.BAD_GATEWAY;
+            boolean timedOut = result.reason() == Reason.DEADLINE || result.reason() == Reason.UNRESPONSIVE;
+            int status = timedOut ? StatusCodes.GATEWAY_TIME_OUT : StatusCodes.BAD_GATEWAY;
             dependencies.log().log(
                     LogKind.FAILED,
                     "request",
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
@@ -280,7 +280,7 @@
                 settings.location(), fleet, gates::reports, evacuationTable::isEvacuated, clock);
         SlidingWindowRetryBudget retries = new SlidingWindowRetryBudget(
                 clock, settings.retryBudget(), () -> fleet.liveReports().size() + 1);
-        dispatcher = new MeshDispatcher(new MeshDispatcher.Dependencies(
+        MeshDispatcher.Dependencies dispatcherDependencies = new MeshDispatcher.Dependencies(
                 clock,
                 timers,
                 configuration::current,
@@ -294,7 +294,8 @@
                 // The targets of this VM call other services; requests for their own come from this VM's callers.
                 called -> called.equals(service) ? 0 : gates.repeatedShare(),
                 crashGuard::quarantineLeftMs,
-                new PlacementReporter(log, metrics)));
+                new PlacementReporter(log, metrics));
+        dispatcher = new MeshDispatcher(dispatcherDependencies, settings.linkMbps());
         return new MeshCallerHandler.Dependencies(
                 clock,
                 platformComponents.headerNames(),
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshSettings.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshSettings.java
@@ -22,6 +22,7 @@
  * @param shutdownMs the time between the shutdown signal and the forced stop, in milliseconds, at least 1.
  * @param retryBudget the limits of the retry budget that all nodes share.
  * @param quotaBounds the bounds on the requests of organisations with limits; empty if no limit is in force.
+ * @param linkMbps the rate of the VM's network link, in Mbit/s, not negative; 0 if it is unknown.
  */
 public record MeshSettings(
         NodeLocation location,
@@ -34,13 +35,14 @@
         long announcementPeriodMs,
         long shutdownMs,
         SlidingWindowRetryBudget.Bounds retryBudget,
-        Optional<QuotaBounds> quotaBounds) {
+        Optional<QuotaBounds> quotaBounds,
+        double linkMbps) {
 
     /**
      * Checks the components.
      *
      * @throws NullPointerException if a component is null.
-     * @throws IllegalArgumentException if a time or the capacity is not positive.
+     * @throws IllegalArgumentException if a time or the capacity is not positive, or the rate is negative.
      */
     public MeshSettings {
         Objects.requireNonNull(location, "location");
@@ -54,6 +56,9 @@
         if (announcementPeriodMs < 1 || shutdownMs < 1) {
             throw new IllegalArgumentException("announcementPeriodMs and shutdownMs must be positive");
         }
+        if (!(linkMbps >= 0)) {
+            throw new IllegalArgumentException("linkMbps must not be negative: " + linkMbps);
+        }
         if (capacity < 1) {
             throw new IllegalArgumentException("capacity must be positive: " + capacity);
         }
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/NettyTargetCaller.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/NettyTargetCaller.java
@@ -95,17 +95,26 @@
 
     @Override
     public CompletableFuture<CallResult> call(final NodeAddress target, final CallRequest request) {
+        return call(target, request, NO_SILENCE_LIMIT);
+    }
+
+    @Override
+    public CompletableFuture<CallResult> call(
+            final NodeAddress target, final CallRequest request, final long silenceLimitMs) {
         CompletableFuture<CallResult> result = new CompletableFuture<>();
         if (loop.inEventLoop()) {
-            startCall(target, request, result);
+            startCall(target, request, silenceLimitMs, result);
         } else {
-            loop.execute(() -> startCall(target, request, result));
+            loop.execute(() -> startCall(target, request, silenceLimitMs, result));
         }
         return result;
     }
 
     private void startCall(
-            final NodeAddress target, final CallRequest request, final CompletableFuture<CallResult> result) {
+            final NodeAddress target,
+            final CallRequest request,
+            final long silenceLimitMs,
+            final CompletableFuture<CallResult> result) {
         long nowMs = clock.nowMs();
         if (result.isDone()) {
             return;
@@ -114,7 +123,7 @@
             result.complete(CallResult.notRun(Reason.DEADLINE));
             return;
         }
-        TargetExchange exchange = new TargetExchange(headerNames, request, result, answerMemory);
+        TargetExchange exchange = new TargetExchange(headerNames, request, result, answerMemory, silenceLimitMs);
         TargetConnection idleConnection = takeIdle(target, exchange.requestId(), nowMs);
         if (idleConnection != null) {
             send(idleConnection, exchange, request, result);
@@ -199,6 +208,11 @@
         }
         ScheduledFuture<?> timeout = loop.schedule(
                 () -> handleTimeout(connection, exchange), remainingMs + DEADLINE_GRACE_MS, TimeUnit.MILLISECONDS);
+        if (exchange.silenceLimitMs() < remainingMs) {
+            ScheduledFuture<?> silence = loop.schedule(
+                    () -> handleSilence(connection, exchange), exchange.silenceLimitMs(), TimeUnit.MILLISECONDS);
+            result.whenComplete((ended, failure) -> silence.cancel(false));
+        }
         result.whenComplete((ended, failure) -> loop.execute(() -> {
             timeout.cancel(false);
             exchange.releaseMemory();
@@ -210,15 +224,26 @@
         exchange.start(connection, remainingMs);
     }
 
-    /** After a timeout on a reused connection, also closes the target's idle ones: all may have broken unnoticed. */
     private void handleTimeout(final TargetConnection connection, final TargetExchange exchange) {
+        closeSuspectConnections(connection);
+        exchange.expire();
+    }
+
+    private void handleSilence(final TargetConnection connection, final TargetExchange exchange) {
+        if (!exchange.hasBegunAnswer()) {
+            closeSuspectConnections(connection);
+            exchange.giveUpSilent();
+        }
+    }
+
+    /** After a timeout on a reused connection, also closes the target's idle ones: all may have broken unnoticed. */
+    private void closeSuspectConnections(final TargetConnection connection) {
         if (connection.hasCarriedRequest()) {
             Deque<TargetConnection> connections = idleConnections.remove(connection.target());
             if (connections != null) {
                 connections.forEach(TargetConnection::closeUnused);
             }
         }
-        exchange.expire();
     }
 
     private void keepIfReusable(final TargetConnection connection) {
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/TargetExchange.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/TargetExchange.java
@@ -63,6 +63,7 @@
     private final String requestId;
     private final CompletableFuture<CallResult> result;
     private final AnswerMemory answerMemory;
+    private final long silenceLimitMs;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private TargetConnection connection;
     private ChannelFuture writeFuture;
@@ -75,8 +76,10 @@
             final MeshHeaders headerNames,
             final CallRequest request,
             final CompletableFuture<CallResult> result,
-            final AnswerMemory answerMemory) {
+            final AnswerMemory answerMemory,
+            final long silenceLimitMs) {
         this.answerMemory = answerMemory;
+        this.silenceLimitMs = silenceLimitMs;
         this.headerNames = headerNames;
         this.request = request;
         this.requestId = header(request, headerNames.requestId());
@@ -96,6 +99,11 @@
         return requestId;
     }
 
+    /** Returns the time after sending until which the answer must have begun, in milliseconds. */
+    long silenceLimitMs() {
+        return silenceLimitMs;
+    }
+
     String callId() {
         return request.callId();
     }
@@ -306,6 +314,16 @@
         fail(Reason.DEADLINE, ConnectionEnd.DEADLINE, receivedPart());
     }
 
+    /** Returns whether the answer to the request has begun. */
+    boolean hasBegunAnswer() {
+        return response != null;
+    }
+
+    /** Gives the exchange up because its target stays silent. */
+    void giveUpSilent() {
+        fail(Reason.UNRESPONSIVE, ConnectionEnd.SILENT, AnswerTrace.NONE);
+    }
+
     /** Ends the exchange because its request was cancelled. */
     void cancel() {
         fail(Reason.CANCELLED, ConnectionEnd.CANCELLED, receivedPart());
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/MeshNodeTest.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/MeshNodeTest.java
@@ -117,7 +117,8 @@
                 1_500,
                 6_000,
                 new SlidingWindowRetryBudget.Bounds(0.2, 50, 10_000),
-                Optional.of(new QuotaBounds(5_000, 0.1, 20)));
+                Optional.of(new QuotaBounds(5_000, 0.1, 20)),
+                0);
     }
 
     private static InetSocketAddress nextSocketAddress() {
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/NettyTargetCallerTest.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/NettyTargetCallerTest.java
@@ -247,6 +247,28 @@
         assertEquals(Reason.DEADLINE, result.reason());
     }
 
+    /** Guards against calls that wait for their deadline at a target that does not answer. */
+    @Test
+    void silentCallIsGivenUpAndItsConnectionIsClosed() throws Exception {
+        target = new ScriptedTarget(COMPLETE_RESPONSE, "SILENT", COMPLETE_RESPONSE);
+        call("a", "GET", "");
+        CallResult result = caller.call(target.address(), request("b", "GET", "", 8_000), 100)
+                .get(4, TimeUnit.SECONDS);
+        assertEquals(CallResult.unknown(Reason.UNRESPONSIVE), result);
+        assertEquals("hello", bodyOf(call("c", "GET", "")));
+        assertEquals(2, target.connectionCount(), "the silent connection is not used again");
+    }
+
+    /** Guards against downloads that are given up while they arrive. */
+    @Test
+    void callWhoseAnswerHasBegunIsNotGivenUp() throws Exception {
+        target = new ScriptedTarget(
+                "HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\nSignature: s\r\nContent-Length: 50\r\n\r\nhelSILENT");
+        CallResult result = caller.call(target.address(), request("a", "GET", "", 1_500), 700)
+                .get(8, TimeUnit.SECONDS);
+        assertEquals(CallResult.unknown(Reason.DEADLINE), result);
+    }
+
     /** A target in trouble may send bytes until its caller closes the connection, in a head or in a body. */
     @ParameterizedTest
     @ValueSource(
