Calls are given up only on routes that have a second attempt

Cause: a route without Attempts in the configuration has one attempt. A call to a silent target that is given up there is lost without a gain.

Change: MeshConfiguration.givesUpSilentCalls names the routes: fair shares in force, idempotent, two attempts or more. The gates ask it in place of usesFairShares.

--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshConfiguration.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshConfiguration.java
@@ -29,6 +29,8 @@
 
     private final int routeCount;
     private final boolean fairShares;
+    /** Names of the routes whose requests may be sent to a second target. */
+    private final Set<String> repeatableRoutes;
 
     private MeshConfiguration(
             final long version,
@@ -45,6 +47,10 @@
         this.routeCount = routes.size();
         this.fairShares = organisations.size() > 0
                 || routes.stream().anyMatch(route -> route.kind().hasLargeBodies());
+        this.repeatableRoutes = routes.stream()
+                .filter(route -> route.idempotent() && route.attempts() > 1)
+                .map(MeshRoute::name)
+                .collect(Collectors.toUnmodifiableSet());
         omissions
                 .unservedPrefixes()
                 .forEach(unserved -> routesByHost
@@ -182,6 +188,16 @@
         return fairShares;
     }
 
+    /**
+     * Returns whether a call to a target that stays silent is given up, so that a second target can be tried.
+     *
+     * @param route the name of the call's route, not null.
+     * @return true if fair shares are in force and the route allows a second attempt.
+     */
+    public boolean givesUpSilentCalls(final String route) {
+        return fairShares && repeatableRoutes.contains(route);
+    }
+
     /**
      * Returns the organisations and their keys.
      *
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/SlotGate.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/SlotGate.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import org.sequoiashunt.call.CallRequest;
 import org.sequoiashunt.call.CallResponse;
 import org.sequoiashunt.call.CallResult;
@@ -20,9 +21,9 @@
 /**
  * Admits, queues and sends all calls to one incarnation of a target, with at most one call for each slot at a time.
  *
- * <p>Calls get slots in the order of {@link SlotQueue}. A closed gate refuses new and waiting calls; running calls end.
- * A suspended gate does the same until it is resumed. {@link WarmupLimiter} limits the starts at a cold target. While
- * fair shares are in force, calls to a target that stays silent are given up as {@link SilencePolicy} decides; their
+ * <p>Calls get slots in the order of {@link SlotQueue}. A closed gate refuses new and waiting calls; running calls
+ * end. A suspended gate does the same until it is resumed. {@link WarmupLimiter} limits the starts at a cold target.
+ * Calls to a target that stays silent are given up as {@link SilencePolicy} decides, on routes that allow it; their
  * slots stay in use until the deadlines of the calls.
  *
  * <p>Thread-safe: guarded by this object's monitor; calls to the target and completions happen outside it. Invariants:
@@ -216,7 +217,7 @@
     }
 
     private synchronized long silenceLimitMs(final CallRequest request, final long nowMs) {
-        if (!dependencies.fairSharesInForce().getAsBoolean()) {
+        if (!dependencies.givesUpSilentCalls().test(request.route())) {
             return TargetCaller.NO_SILENCE_LIMIT;
         }
         return SilencePolicy.silenceLimitMs(
@@ -426,15 +427,34 @@
      * @param targets sends calls to targets.
      * @param observer receives the gate's decisions.
      * @param warmupRules returns the limit on cold targets of a service.
-     * @param fairSharesInForce whether the flows of a rank share the slots of a target, and calls to a target that
-     *     stays silent are given up.
+     * @param fairSharesInForce whether the flows of a rank share the slots of a target.
+     * @param givesUpSilentCalls whether the calls of a route are given up if their target stays silent.
      */
     public record Dependencies(
             Clock clock,
             TargetCaller targetCaller,
             GateObserver observer,
             Function<String, WarmupRule> warmupRules,
-            BooleanSupplier fairSharesInForce) {
+            BooleanSupplier fairSharesInForce,
+            Predicate<String> givesUpSilentCalls) {
+
+        /**
+         * Creates the dependencies of gates that wait for silent targets until the deadlines of the calls.
+         *
+         * @param clock the clock.
+         * @param targetCaller sends calls to targets.
+         * @param observer receives the gate's decisions.
+         * @param warmupRules returns the limit on cold targets of a service.
+         * @param fairSharesInForce whether the flows of a rank share the slots of a target.
+         */
+        public Dependencies(
+                final Clock clock,
+                final TargetCaller targetCaller,
+                final GateObserver observer,
+                final Function<String, WarmupRule> warmupRules,
+                final BooleanSupplier fairSharesInForce) {
+            this(clock, targetCaller, observer, warmupRules, fairSharesInForce, route -> false);
+        }
 
         /**
          * Creates the dependencies of gates without a limit on cold targets and without fair shares.
--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/mesh/MeshConfigurationTest.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/mesh/MeshConfigurationTest.java
@@ -57,6 +57,30 @@
                 () -> new MeshRoute("r", "h", "/", List.of(new WeightedService("desk", 0)), true, 1, 1, 0, 1));
     }
 
+    /** Guards against calls that are given up in other deployments, or without a second attempt. */
+    @Test
+    void silentCallsAreGivenUpOnlyWithFairSharesAndASecondAttempt() {
+        assertFalse(of(route("r", "/", "desk")).givesUpSilentCalls("r"));
+        for (RequestKind kind : RequestKind.values()) {
+            for (int attempts = 1; attempts <= 2; attempts++) {
+                MeshRoute route = new MeshRoute(
+                        "r",
+                        "h",
+                        "/",
+                        List.of(new WeightedService("desk", 1)),
+                        kind,
+                        1,
+                        1,
+                        0,
+                        attempts,
+                        false,
+                        Set.of());
+                assertEquals(
+                        kind == RequestKind.DOWNLOAD && attempts == 2, of(route).givesUpSilentCalls("r"), kind.name());
+            }
+        }
+    }
+
     /** Guards against fair shares in deployments that do not call for them. */
     @Test
     void onlyOrganisationsAndLargeBodiesCallForFairShares() {
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/ActiveConfiguration.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/ActiveConfiguration.java
@@ -103,6 +103,11 @@
         return current().map(MeshConfiguration::usesFairShares).orElse(false);
     }
 
+    /** Returns whether the active configuration lets calls of a route to a silent target be given up. */
+    boolean givesUpSilentCalls(final String route) {
+        return current().map(decoded -> decoded.givesUpSilentCalls(route)).orElse(false);
+    }
+
     /** Returns the limits of organisations, the same map until another configuration is activated. */
     Map<String, RateLimit> limits() {
         ActiveVersion snapshot = active;
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
@@ -206,7 +206,12 @@
         gates = new SlotGates(
                 registry,
                 new SlotGate.Dependencies(
-                        clock, targets, reporter, configuration::warmupRuleOf, configuration::usesFairShares));
+                        clock,
+                        targets,
+                        reporter,
+                        configuration::warmupRuleOf,
+                        configuration::usesFairShares,
+                        configuration::givesUpSilentCalls));
         evacuations = new EvacuationControl(settings.location().failureDomain(), evacuationTable, gates, log, metrics);
         guardedGates = crashGuard.guard(gates);
     }
