--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/placement/PlacementCosts.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/placement/PlacementCosts.java
@@ -163,7 +163,8 @@
     private double costMs(final int index, final double load, final double serviceMs) {
         PlacementCandidate candidate = candidates.get(index);
         double failureShare = candidate.failureShare();
-        double responseMs = candidate.expectedResponseMs(load, serviceMs);
+        double responseMs =
+                candidate.expectedResponseMs(load, serviceMs) + need.transfer().expectedMs(candidate.distance());
         double missedObjectiveMs = responseMs > need.remainingMs() ? MISSED_OBJECTIVE_COST * need.objectiveMs() : 0;
         return responseMs
                 + candidate.distance().trafficCostShare() * need.objectiveMs() * need.trafficFactor()
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/SlotGate.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/SlotGate.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import org.sequoiashunt.call.CallRequest;
 import org.sequoiashunt.call.CallResponse;
 import org.sequoiashunt.call.CallResult;
@@ -21,8 +22,10 @@
 /**
  * Admits, queues and sends all calls to one incarnation of a target, with at most one call for each slot at a time.
  *
- * <p>Calls get slots in the order of {@link SlotQueue}. A closed gate refuses new and waiting calls; running calls end.
- * A suspended gate does the same until it is resumed. {@link WarmupLimiter} limits the starts at a cold target.
+ * <p>Calls get slots in the order of {@link SlotQueue}. A closed gate refuses new and waiting calls; running calls
+ * end. A suspended gate does the same until it is resumed. {@link WarmupLimiter} limits the starts at a cold target.
+ * Calls to a target that stays silent are given up as {@link SilencePolicy} decides, on routes that allow it; their
+ * slots stay in use until the deadlines of the calls.
  *
  * <p>Thread-safe: guarded by this object's monitor; calls to the target and completions happen outside it. Invariants:
  * a refused call was not sent and never will be; after {@link #close} no call is sent.
@@ -42,6 +45,7 @@
     private final TargetMovingAverages usualPaceAverages = new TargetMovingAverages();
 
     private final TargetPace pace = new TargetPace();
+    private final HeldSlots heldSlots = new HeldSlots();
     private TargetAnnouncement target;
     private Reason closeReason;
     private boolean suspended;
@@ -136,8 +140,10 @@
         if (suspended) {
             return Optional.of(CallResult.notRun(Reason.EVACUATED));
         }
+        releaseHeldSlots(nowMs);
         long coldWaitMs = warmupWaitMs(queue.waiting(), nowMs);
-        long earliestStartMs = nowMs + Math.max(coldWaitMs, queue.expectedWaitMs(waiting, nowMs));
+        long heldWaitMs = heldSlots.waitMs(target.slots(), nowMs);
+        long earliestStartMs = nowMs + Math.max(Math.max(coldWaitMs, heldWaitMs), queue.expectedWaitMs(waiting, nowMs));
         if (outlastsStop(waiting.request(), earliestStartMs)) {
             return Optional.of(CallResult.notRun(Reason.DRAINING));
         }
@@ -146,6 +152,10 @@
             return Optional.of(
                     CallResult.notRun(Reason.QUEUE_FULL).withLoad(load()).withExpectedWait(coldWaitMs));
         }
+        if (heldWaitMs > 0 && nowMs + heldWaitMs > waiting.latestStartMs()) {
+            return Optional.of(
+                    CallResult.notRun(Reason.QUEUE_FULL).withLoad(load()).withExpectedWait(heldWaitMs));
+        }
         Optional<Long> waitMs = queue.offer(waiting, nowMs);
         if (waitMs.isEmpty()) {
             dependencies.observer().callAdmitted(target, waiting.request(), queue.running(), queue.waiting());
@@ -173,6 +183,7 @@
 
     private synchronized Optional<WaitingCall> takeNext() {
         long nowMs = dependencies.clock().nowMs();
+        releaseHeldSlots(nowMs);
         if (closeReason != null || suspended || queue.waiting() == 0 || warmupWaitMs(0, nowMs) > 0) {
             return Optional.empty();
         }
@@ -199,7 +210,8 @@
             return;
         }
         countRepeat(request, 1);
-        CompletableFuture<CallResult> run = dependencies.targetCaller().call(target().address(), request);
+        CompletableFuture<CallResult> run =
+                dependencies.targetCaller().call(target().address(), request, silenceLimitMs(request, startedMs));
         waiting.result().whenComplete((result, failure) -> {
             if (waiting.result().isCancelled() && request.idempotent()) {
                 run.cancel(true);
@@ -209,6 +221,17 @@
                 completeCall(waiting, failure == null ? result : CallResult.unknown(Reason.CANCELLED), startedMs));
     }
 
+    private synchronized long silenceLimitMs(final CallRequest request, final long nowMs) {
+        if (!dependencies.givesUpSilentCalls().test(request.route())) {
+            return TargetCaller.NO_SILENCE_LIMIT;
+        }
+        return SilencePolicy.silenceLimitMs(
+                request,
+                movingAverages.meanMs(request.route(), queue.meanMs()),
+                movingAverages.answers(request.route()),
+                nowMs);
+    }
+
     private void completeCall(final WaitingCall waiting, final CallResult result, final long startedMs) {
         long durationMs = Math.max(0, dependencies.clock().nowMs() - startedMs);
         record(waiting.request(), result, durationMs);
@@ -227,7 +250,19 @@
                     request.route(), Math.round(durationMs * TargetPace.USUAL_PERCENT / percent), failed);
         }
         countRepeat(request, -1);
-        releaseSlot(cancelled || failed ? -1 : durationMs);
+        if (result.reason() == Reason.UNRESPONSIVE) {
+            heldSlots.hold(request.deadlineMs());
+        } else {
+            releaseSlot(cancelled || failed ? -1 : durationMs);
+        }
+    }
+
+    /** Frees the slots of given-up calls whose deadlines have passed. */
+    private void releaseHeldSlots(final long nowMs) {
+        int ended = heldSlots.removeEnded(nowMs);
+        for (int slot = 0; slot < ended; slot++) {
+            queue.releaseSlot(-1);
+        }
     }
 
     private synchronized void countRepeat(final CallRequest request, final int change) {
@@ -297,6 +332,7 @@
         List<WaitingCall> outlastingCalls;
         synchronized (this) {
             long nowMs = dependencies.clock().nowMs();
+            releaseHeldSlots(nowMs);
             lateCalls = new ArrayList<>(queue.removeLateCalls(nowMs));
             if (warmupWaitMs(0, nowMs) > 0) {
                 lateCalls.addAll(queue.removeIf(waiting -> waiting.latestStartMs() < nowMs));
@@ -360,12 +396,12 @@
     }
 
     /**
-     * Counts the calls that run.
+     * Counts the calls that run and were not given up.
      *
      * @return the number of calls, zero or more.
      */
     public synchronized int running() {
-        return queue.running();
+        return queue.running() - heldSlots.count();
     }
 
     /**
@@ -412,6 +448,7 @@
      * @param warmupRules returns the limit on cold targets of a service.
      * @param fairSharesInForce whether the flows of a rank share the slots of a target.
      * @param placement the policy by which entries choose targets; it tells how durations are reported.
+     * @param givesUpSilentCalls whether the calls of a route are given up if their target stays silent.
      */
     public record Dependencies(
             Clock clock,
@@ -419,7 +456,28 @@
             GateObserver observer,
             Function<String, WarmupRule> warmupRules,
             BooleanSupplier fairSharesInForce,
-            PlacementPolicy placement) {
+            PlacementPolicy placement,
+            Predicate<String> givesUpSilentCalls) {
+
+        /**
+         * Creates the dependencies of gates that wait for silent targets until the deadlines of the calls.
+         *
+         * @param clock the clock.
+         * @param targetCaller sends calls to targets.
+         * @param observer receives the gate's decisions.
+         * @param warmupRules returns the limit on cold targets of a service.
+         * @param fairSharesInForce whether the flows of a rank share the slots of a target.
+         * @param placement the policy by which entries choose targets.
+         */
+        public Dependencies(
+                final Clock clock,
+                final TargetCaller targetCaller,
+                final GateObserver observer,
+                final Function<String, WarmupRule> warmupRules,
+                final BooleanSupplier fairSharesInForce,
+                final PlacementPolicy placement) {
+            this(clock, targetCaller, observer, warmupRules, fairSharesInForce, placement, route -> false);
+        }
 
         /**
          * Creates the dependencies of gates without a limit on cold targets and without fair shares, which report
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
@@ -214,7 +214,8 @@
                         reporter,
                         configuration::warmupRuleOf,
                         configuration::usesFairShares,
-                        settings.placement()));
+                        settings.placement(),
+                        configuration::givesUpSilentCalls));
         evacuations = new EvacuationControl(settings.location().failureDomain(), evacuationTable, gates, log, metrics);
         guardedGates = crashGuard.guard(gates);
     }
@@ -288,7 +289,7 @@
                 settings.location(), fleet, gates::reports, evacuationTable::isEvacuated, clock);
         SlidingWindowRetryBudget retries = new SlidingWindowRetryBudget(
                 clock, settings.retryBudget(), () -> fleet.liveReports().size() + 1);
-        dispatcher = new MeshDispatcher(new MeshDispatcher.Dependencies(
+        MeshDispatcher.Dependencies dispatcherDependencies = new MeshDispatcher.Dependencies(
                 clock,
                 timers,
                 configuration::current,
@@ -302,7 +303,8 @@
                 // The targets of this VM call other services; requests for their own come from this VM's callers.
                 called -> called.equals(service) ? 0 : gates.repeatedShare(),
                 crashGuard::quarantineLeftMs,
-                new PlacementReporter(log, metrics, candidates::hasRoomElsewhere)));
+                new PlacementReporter(log, metrics, candidates::hasRoomElsewhere));
+        dispatcher = new MeshDispatcher(dispatcherDependencies, settings.linkMbps());
         return new MeshCallerHandler.Dependencies(
                 clock,
                 platformComponents.headerNames(),
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/TargetExchange.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/TargetExchange.java
@@ -66,6 +66,7 @@
     private final CompletableFuture<CallResult> result;
     private final AnswerMemory answerMemory;
     private final Consumer<StatedLoad> statedLoads;
+    private final long silenceLimitMs;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private TargetConnection connection;
     private ChannelFuture writeFuture;
@@ -79,9 +80,11 @@
             final CallRequest request,
             final CompletableFuture<CallResult> result,
             final AnswerMemory answerMemory,
-            final Consumer<StatedLoad> statedLoads) {
+            final Consumer<StatedLoad> statedLoads,
+            final long silenceLimitMs) {
         this.statedLoads = statedLoads;
         this.answerMemory = answerMemory;
+        this.silenceLimitMs = silenceLimitMs;
         this.headerNames = headerNames;
         this.request = request;
         this.requestId = header(request, headerNames.requestId());
@@ -101,6 +104,11 @@
         return requestId;
     }
 
+    /** Returns the time after sending until which the answer must have begun, in milliseconds. */
+    long silenceLimitMs() {
+        return silenceLimitMs;
+    }
+
     String callId() {
         return request.callId();
     }
@@ -312,6 +320,16 @@
         fail(Reason.DEADLINE, ConnectionEnd.DEADLINE, receivedPart());
     }
 
+    /** Returns whether the answer to the request has begun. */
+    boolean hasBegunAnswer() {
+        return response != null;
+    }
+
+    /** Gives the exchange up because its target stays silent. */
+    void giveUpSilent() {
+        fail(Reason.UNRESPONSIVE, ConnectionEnd.SILENT, AnswerTrace.NONE);
+    }
+
     /** Ends the exchange because its request was cancelled. */
     void cancel() {
         fail(Reason.CANCELLED, ConnectionEnd.CANCELLED, receivedPart());
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/MeshNodeTest.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/MeshNodeTest.java
@@ -119,7 +119,8 @@
                 6_000,
                 new SlidingWindowRetryBudget.Bounds(0.2, 50, 10_000),
                 Optional.of(new QuotaBounds(5_000, 0.1, 20)),
-                PlacementPolicy.LOWEST_COST);
+                PlacementPolicy.LOWEST_COST,
+                0);
     }
 
     private static InetSocketAddress nextSocketAddress() {
