Placement: without a setting the configuration decides

Cause: the even policy was off everywhere unless the template of the settings names it for all deployments.

Change: without a value of "placement", nodes use "even" where the configuration has organisations or routes with large bodies, and "lowest-cost" elsewhere.

--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/placement/Placement.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/placement/Placement.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.sequoiashunt.fleet.RouteTime;
 
@@ -21,7 +22,7 @@
 public final class Placement {
 
     private final RandomGenerator random;
-    private final PlacementPolicy policy;
+    private final Supplier<PlacementPolicy> policy;
 
     /**
      * Creates a placement with the policy {@link PlacementPolicy#LOWEST_COST}.
@@ -29,16 +30,16 @@
      * @param random chooses among targets of equivalent cost, not null.
      */
     public Placement(final RandomGenerator random) {
-        this(random, PlacementPolicy.LOWEST_COST);
+        this(random, () -> PlacementPolicy.LOWEST_COST);
     }
 
     /**
      * Creates a placement.
      *
      * @param random the source of the random choices, not null.
-     * @param policy the policy, not null.
+     * @param policy returns the policy in force, not null.
      */
-    public Placement(final RandomGenerator random, final PlacementPolicy policy) {
+    public Placement(final RandomGenerator random, final Supplier<PlacementPolicy> policy) {
         this.random = Objects.requireNonNull(random, "random");
         this.policy = Objects.requireNonNull(policy, "policy");
     }
@@ -58,12 +59,13 @@
             final PlacementNeed need,
             final Collection<String> excludedTargets) {
         PlacementCosts costs = new PlacementCosts(candidates, need, excludedTargets);
-        int chosen = policy.choose(costs, random);
+        PlacementPolicy inForce = policy.get();
+        int chosen = inForce.choose(costs, random);
         if (chosen < 0) {
             return Optional.empty();
         }
         PlacementCandidate candidate = candidates.get(chosen);
-        if (policy.expectsLoad()) {
+        if (inForce.expectsLoad()) {
             candidate = candidate.withExpectedLoad(costs.expectedLoads()[chosen]);
         }
         if (costs.fastestRouteMs() < 0 || candidate.report().hasRouteTime(need.route())) {
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/SlotGate.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/SlotGate.java
@@ -8,6 +8,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 import org.sequoiashunt.call.CallRequest;
 import org.sequoiashunt.call.CallResponse;
 import org.sequoiashunt.call.CallResult;
@@ -423,7 +424,7 @@
     public synchronized TargetReport report() {
         long nowMs = dependencies.clock().nowMs();
         boolean limitedByWarmup = isLimitedByWarmup(nowMs);
-        boolean separatesPace = dependencies.placement().separatesPace();
+        boolean separatesPace = dependencies.placement().get().separatesPace();
         return new TargetReport(
                 target.target(),
                 target.service(),
@@ -447,7 +448,7 @@
      * @param observer receives the gate's decisions.
      * @param warmupRules returns the limit on cold targets of a service.
      * @param fairSharesInForce whether the flows of a rank share the slots of a target.
-     * @param placement the policy by which entries choose targets; it tells how durations are reported.
+     * @param placement returns the policy by which entries choose targets; it tells how durations are reported.
      * @param givesUpSilentCalls whether the calls of a route are given up if their target stays silent.
      */
     public record Dependencies(
@@ -456,39 +457,26 @@
             GateObserver observer,
             Function<String, WarmupRule> warmupRules,
             BooleanSupplier fairSharesInForce,
-            PlacementPolicy placement,
+            Supplier<PlacementPolicy> placement,
             Predicate<String> givesUpSilentCalls) {
 
-        /**
-         * Creates the dependencies of gates that wait for silent targets until the deadlines of the calls.
-         *
-         * @param clock the clock.
-         * @param targetCaller sends calls to targets.
-         * @param observer receives the gate's decisions.
-         * @param warmupRules returns the limit on cold targets of a service.
-         * @param fairSharesInForce whether the flows of a rank share the slots of a target.
-         * @param placement the policy by which entries choose targets.
-         */
-        public Dependencies(
-                final Clock clock,
-                final TargetCaller targetCaller,
-                final GateObserver observer,
-                final Function<String, WarmupRule> warmupRules,
-                final BooleanSupplier fairSharesInForce,
-                final PlacementPolicy placement) {
-            this(clock, targetCaller, observer, warmupRules, fairSharesInForce, placement, route -> false);
-        }
-
         /**
          * Creates the dependencies of gates without a limit on cold targets and without fair shares, which report
-         * durations as measured.
+         * durations as measured and wait for silent targets until the deadlines of the calls.
          *
          * @param clock the clock.
          * @param targetCaller sends calls to targets.
          * @param observer receives the gate's decisions.
          */
         public Dependencies(final Clock clock, final TargetCaller targetCaller, final GateObserver observer) {
-            this(clock, targetCaller, observer, service -> WarmupRule.NONE, () -> false, PlacementPolicy.LOWEST_COST);
+            this(
+                    clock,
+                    targetCaller,
+                    observer,
+                    service -> WarmupRule.NONE,
+                    () -> false,
+                    () -> PlacementPolicy.LOWEST_COST,
+                    route -> false);
         }
     }
 }
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/ActiveConfiguration.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/ActiveConfiguration.java
@@ -9,6 +9,7 @@
 import org.sequoiashunt.mesh.MeshPlatform;
 import org.sequoiashunt.mesh.ServiceSettings;
 import org.sequoiashunt.organisation.RateLimit;
+import org.sequoiashunt.placement.PlacementPolicy;
 import org.sequoiashunt.slot.WarmupRule;
 
 /**
@@ -108,6 +109,14 @@
         return current().map(decoded -> decoded.givesUpSilentCalls(route)).orElse(false);
     }
 
+    /**
+     * Returns the policy by which targets are chosen: the stated one, if there is one. Without one, loads count as old
+     * where organisations or large bodies share targets, since they change faster there than reports arrive.
+     */
+    PlacementPolicy placement(final Optional<PlacementPolicy> stated) {
+        return stated.orElse(usesFairShares() ? PlacementPolicy.EVEN : PlacementPolicy.LOWEST_COST);
+    }
+
     /** Returns the limits of organisations, the same map until another configuration is activated. */
     Map<String, RateLimit> limits() {
         ActiveVersion snapshot = active;
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
@@ -47,6 +47,7 @@
 import org.sequoiashunt.node.ControlLoop;
 import org.sequoiashunt.placement.Placement;
 import org.sequoiashunt.placement.PlacementCandidateSource;
+import org.sequoiashunt.placement.PlacementPolicy;
 import org.sequoiashunt.slot.SlotGate;
 import org.sequoiashunt.slot.SlotGates;
 import org.sequoiashunt.target.TargetRegistry;
@@ -191,7 +192,7 @@
                 "incarnation",
                 incarnation,
                 "placement",
-                settings.placement().settingName(),
+                settings.placement().map(PlacementPolicy::settingName).orElse("by configuration"),
                 "links",
                 settings.location().address().toString());
     }
@@ -214,7 +215,7 @@
                         reporter,
                         configuration::warmupRuleOf,
                         configuration::usesFairShares,
-                        settings.placement(),
+                        () -> configuration.placement(settings.placement()),
                         configuration::givesUpSilentCalls));
         evacuations = new EvacuationControl(settings.location().failureDomain(), evacuationTable, gates, log, metrics);
         guardedGates = crashGuard.guard(gates);
@@ -296,7 +297,7 @@
                 new WeightedServiceSelector(random),
                 new MeshVersionSelector(moveTable, random),
                 candidates,
-                new Placement(random, settings.placement()),
+                new Placement(random, () -> configuration.placement(settings.placement())),
                 retries,
                 new LocalFirstGateCaller(settings.location().address(), guardedGates, linkClient),
                 new CallIdGenerator(settings.location().node(), incarnation),
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshSettings.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshSettings.java
@@ -23,7 +23,8 @@
  * @param shutdownMs the time between the shutdown signal and the forced stop, in milliseconds, at least 1.
  * @param retryBudget the limits of the retry budget that all nodes share.
  * @param quotaBounds the bounds on the requests of organisations with limits; empty if no limit is in force.
- * @param placement the policy by which this node chooses targets; the same at all nodes.
+ * @param placement the policy by which this node chooses targets, the same at all nodes; empty if the configuration
+ *     decides.
  * @param linkMbps the rate of the VM's network link, in Mbit/s, not negative; 0 if it is unknown.
  */
 public record MeshSettings(
@@ -38,7 +39,7 @@
         long shutdownMs,
         SlidingWindowRetryBudget.Bounds retryBudget,
         Optional<QuotaBounds> quotaBounds,
-        PlacementPolicy placement,
+        Optional<PlacementPolicy> placement,
         double linkMbps) {
 
     /**
--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/overload/SimulatedNode.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/overload/SimulatedNode.java
@@ -83,7 +83,8 @@
                         new CountingGate(tally, () -> links.hasRoom(this)),
                         service -> WarmupRule.NONE,
                         () -> false,
-                        scenario.placement()));
+                        scenario::placement,
+                        route -> false));
         gates.update();
         this.dispatcher = new MeshDispatcher(new MeshDispatcher.Dependencies(
                 events.clock(),
@@ -92,7 +93,7 @@
                 new WeightedServiceSelector(random),
                 new MeshVersionSelector(new MoveTable(events.clock()), random),
                 new PlacementCandidateSource(place, fleet, gates::reports, events.clock()),
-                new Placement(random, scenario.placement()),
+                new Placement(random, scenario::placement),
                 new SlidingWindowRetryBudget(
                         events.clock(), RETRIES, () -> fleet.liveReports().size() + 1),
                 (gate, request) -> links.call(place, gate, request),
