Pipelining: a draining node answers what runs ahead before it closes the connection

Cause: the response to the current request closed the connection of a draining node while calls of the requests behind it ran at targets; these requests were lost with their connection.

Change: the connection is closed only with the response behind which nothing runs ahead.

--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/pipeline/ReadAheadCalls.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/pipeline/ReadAheadCalls.java
@@ -233,6 +233,16 @@
                 || result.join().outcome() != Outcome.NOT_RUN;
     }
 
+    /**
+     * Returns whether calls run for requests behind the current one. They reach targets, so the connection has to stay
+     * open until their requests are answered.
+     *
+     * @return false if nothing runs ahead of the current request.
+     */
+    public synchronized boolean hasCallsBehind() {
+        return !waiting.isEmpty();
+    }
+
     /** Compares everything that a target gets or that decides who may send it, but not the times. */
     private static boolean isSame(final Request ahead, final Request reached) {
         MeshCall first = ahead.call();
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshCallerHandler.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshCallerHandler.java
@@ -73,12 +73,10 @@
     @Override
     public void handleRequest(final HttpServerExchange exchange) {
         long arrivedMs = dependencies.clock().nowMs();
-        if (dependencies.draining().getAsBoolean()) {
-            exchange.setPersistent(false);
-        }
         HeaderValues requestIds =
                 exchange.getRequestHeaders().get(dependencies.headerNames().requestId());
         pipelinedRequests.begin(exchange, requestIds == null ? null : requestIds.getFirst());
+        closeAfterResponseIfDraining(exchange);
         if (requestIds == null || requestIds.size() != 1) {
             refuse(
                     exchange,
@@ -129,6 +127,13 @@
                 () -> receiveBody(exchange, match.route().get(), identification, arrivedMs));
     }
 
+    /** Keeps the connection open while calls run for requests behind this one: they have reached targets. */
+    private void closeAfterResponseIfDraining(final HttpServerExchange exchange) {
+        if (dependencies.draining().getAsBoolean() && !pipelinedRequests.hasCallsBehind(exchange)) {
+            exchange.setPersistent(false);
+        }
+    }
+
     private void receiveBody(
             final HttpServerExchange exchange,
             final MeshRoute route,
@@ -352,9 +357,7 @@
         CallResult result = ended.outcome() == Outcome.NOT_RUN && pipelinedRequests.mayHaveRun(exchange)
                 ? CallResult.unknown(Reason.CANCELLED)
                 : ended;
-        if (dependencies.draining().getAsBoolean()) {
-            exchange.setPersistent(false);
-        }
+        closeAfterResponseIfDraining(exchange);
         if (result.response().isPresent()) {
             forward(exchange, result.response().get());
             dependencies.log().log(
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/PipelinedRequests.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/PipelinedRequests.java
@@ -65,6 +65,12 @@
         return calls != null && calls.mayHaveRun();
     }
 
+    /** Returns whether calls run for requests behind this one, which are lost if its response closes the connection. */
+    boolean hasCallsBehind(final HttpServerExchange exchange) {
+        ReadAheadCalls calls = exchange.getConnection().getAttachment(CALLS);
+        return calls != null && calls.hasCallsBehind();
+    }
+
     /** Takes the call that runs ahead for a request that the server has reached. */
     Optional<ReadAheadCalls.RunningCall> take(final HttpServerExchange exchange, final ReadAheadCalls.Request request) {
         ReadAheadCalls calls = exchange.getConnection().getAttachment(CALLS);
