Limits over all nodes: permits for a sudden rise, true waits with part of the permits

Cause: a node held permits for 1.1 s of its demand only, so the first second of a rise was refused until messages had passed; a node that got a part of what it needed refused the rest with a wait of 0.2 s. Change: below 0.6 of the limit a node holds its part by demand of what is unused, up to four times its need; a grant of fewer permits than needed tells the wait.

--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/quota/OrganisationPool.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/quota/OrganisationPool.java
@@ -28,6 +28,9 @@
     /** A node gets this multiple of its part of the free permits, since others that could ask for theirs do not. */
     private static final double SHARE_FACTOR = 3;
 
+    /** A node holds up to this multiple of the permits it needs while much of the limit is unused, for a sudden rise. */
+    private static final double SURGE_FACTOR = 4;
+
     /** Part of the earlier demand that remains in a smoothed value after one period. */
     private static final double REMAINING_DEMAND = 0.6;
 
@@ -115,7 +118,11 @@
         boolean hot = inWindow > HOT_PART * granted;
         double available = granted - inWindow - held;
         double horizon = share.demand * HORIZON_MS;
-        double wanted = hot ? Math.ceil(horizon) : Math.ceil(horizon) + 1;
+        double wanted = Math.ceil(horizon);
+        if (!hot) {
+            wanted = Math.max(
+                    wanted + 1, Math.min(SURGE_FACTOR * horizon, Math.floor((granted - inWindow) * demandPart(share))));
+        }
         if (hot && horizon < 0.5) {
             wanted = 0;
         }
@@ -134,7 +141,7 @@
         double heldBefore = share.held();
         share.bound = Math.max(share.bound, ceiling);
         held += share.held() - heldBefore;
-        int waitMs = target < 1 && wanted >= 1 ? waitMs(granted) : 0;
+        int waitMs = hot && target < wanted ? waitMs(granted) : 0;
         int fillPercent = hot ? (int) Math.ceil(PERCENT * inWindow / bounds.planned(limit)) : 0;
         return new QuotaGrant.Allowance(id, ceiling, waitMs, fillPercent);
     }
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/quota/QuotaLimiter.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/quota/QuotaLimiter.java
@@ -32,6 +32,9 @@
     /** Time after the start in which a node may not know the other nodes yet. */
     static final long DISCOVERY_MS = 3_000;
 
+    /** Time after a report in which refusals of an organisation at its limit do not call for another one. */
+    static final long FULL_REPORT_GAP_MS = 200;
+
     /** Expected wait while a report is on its way: a tick of the control loop and a round trip between regions. */
     static final long GRANT_DELAY_MS = 200;
 
@@ -97,10 +100,11 @@
             return QuotaDecision.ADMITTED;
         }
         account.refused++;
-        if (granted && nowMs < account.fullUntilMs) {
+        boolean full = granted && nowMs < account.fullUntilMs;
+        urgent |= !full || nowMs - reportSentMs >= FULL_REPORT_GAP_MS;
+        if (full) {
             return QuotaDecision.refused(account.fullUntilMs - nowMs);
         }
-        urgent = true;
         return QuotaDecision.refused(GRANT_DELAY_MS);
     }
 
--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/quota/QuotaFleetTest.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/quota/QuotaFleetTest.java
@@ -21,6 +21,11 @@
     private static final int STRONGEST = 3;
 
     private static final double[] RATES = {5, 5, 8, 12, 20, 40, 80, 400};
+    private static final int ORGANISATIONS = 74;
+    private static final double LARGEST_RATE = 480;
+    private static final double SKEW = 1.2;
+    private static final double USUAL_PART = 0.625;
+    private static final double SUDDEN_FACTOR = 5.5;
     private static final int STEPS_PER_SECOND = 1_000 / SimulatedFleet.STEP_MS;
     private static final int CONFIGURATION_MS = 3_000;
 
@@ -49,6 +54,46 @@
         return Arrays.stream(weights).map(weight -> weight / sum).toArray();
     }
 
+    /** Guards against permits that lie at nodes without demand when the demand of one organisation rises at once. */
+    @ParameterizedTest
+    @ValueSource(longs = {51, 52, 53})
+    void permitsFollowASuddenRise(final long seed) {
+        SimulatedFleet fleet = new SimulatedFleet(NODES, seed, SimulatedFleet.Rule.COORDINATED);
+        Random demand = new Random(seed);
+        for (int rank = 1; rank <= ORGANISATIONS; rank++) {
+            fleet.add(LARGEST_RATE / Math.pow(rank, SKEW), weights(rank % 2, demand));
+        }
+        fleet.start();
+        fleet.loads.forEach(load -> load.factor = USUAL_PART);
+        run(fleet, 6);
+        SimulatedFleet.Load rising = fleet.loads.get(0);
+        double calm = firstRefusalsBelow(fleet, fleet.loads, 5);
+        rising.factor *= SUDDEN_FACTOR;
+        double first = firstRefusalsBelow(fleet, List.of(rising), 1);
+        double later = firstRefusalsBelow(fleet, List.of(rising), 7);
+        System.out.printf(
+                Locale.ROOT,
+                "seed %d: refused at first below the entitlement %.3f; in the first second of a rise %.3f, then %.3f%n",
+                seed,
+                calm,
+                first,
+                later);
+        assertBounds(fleet, seed);
+        assertTrue(calm < 0.03, "calm " + calm);
+        assertTrue(first < 0.2, "first second " + first);
+    }
+
+    /** Returns the first refusals below the entitlement, as a part of the requests offered in some seconds. */
+    private static double firstRefusalsBelow(
+            final SimulatedFleet fleet, final List<SimulatedFleet.Load> loads, final double seconds) {
+        int offered = loads.stream().mapToInt(load -> load.offered).sum();
+        int below = loads.stream().mapToInt(load -> load.firstRefusalsBelow).sum();
+        run(fleet, seconds);
+        offered = loads.stream().mapToInt(load -> load.offered).sum() - offered;
+        below = loads.stream().mapToInt(load -> load.firstRefusalsBelow).sum() - below;
+        return below / (double) offered;
+    }
+
     private static void run(final SimulatedFleet fleet, final double seconds) {
         for (int step = 0; step < seconds * STEPS_PER_SECOND; step++) {
             fleet.step();
