A stopping node no longer resets connections accepted just before

Cause: NodeServer.close() stopped Undertow and the process halted a few milliseconds later, with connections open whose request had not arrived or whose refusal had not been written; CallerAdmission does not count these. Moreover the listening socket was closed by another thread than the accepting one, so that connections piled up in the system's queue until the accepting thread ran again, and were reset then. MeshListeners closed its connections in the same way.

Change: HttpServer, used by HttpListener and MeshListeners, closes the listening socket on the accepting thread right after a last accept, keeps the accepted connections until they are closed or a linger time is over (1,000 ms, mesh node 150 ms and never into the forced stop, PlannedStop), and then ends the worker. NodeServer.close() refuses new requests and lets both listeners linger together.

--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/NodeServer.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/NodeServer.java
@@ -70,6 +70,7 @@
     private final NodeMetrics metrics = new NodeMetrics();
     private final CallerAdmission admission = CallerAdmission.withDefaultLimits();
     private final List<BlockingLoop> blockingLoops = new ArrayList<>();
+    private final List<HttpListener> listeners = new ArrayList<>();
     private ReplicaNode replica;
     private NodeGate gate;
     private LinkServer linkServer;
@@ -210,8 +211,8 @@
                 new CallerHandler(dispatcher, admission, metrics.callMetrics(), timers, settings.maximumBodyBytes());
         NodeStatusReader status = new NodeStatusReader(settings, replica, gate);
         AdminHandler admin = new AdminHandler(gate, status::read, metrics::read);
-        closer.register(HttpListener.open("callers", settings.callers(), callers));
-        closer.register(HttpListener.open("admin", settings.admin(), admin));
+        listeners.add(closer.register(HttpListener.open("admin", settings.admin(), admin)));
+        listeners.add(closer.register(HttpListener.open("callers", settings.callers(), callers)));
     }
 
     private long evictStatistics() {
@@ -268,8 +269,13 @@
         return true;
     }
 
+    /** Closes the node. Requests that arrive on connections accepted before are refused for a short time. */
     @Override
     public void close() throws ResourceCloseException {
+        admission.drain();
+        // Both stop before either is closed, so that their linger times run together. The callers' listener is the last
+        // one, since its socket closes faster once the classes for that are loaded.
+        listeners.forEach(HttpListener::stopAccepting);
         closer.close();
     }
 }
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/InboundConnections.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/InboundConnections.java
@@ -3,13 +3,11 @@
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import java.util.LinkedHashSet;
-import java.util.List;
 import java.util.Objects;
 import java.util.Set;
 import java.util.function.IntSupplier;
 import org.sequoiashunt.time.Clock;
 import org.xnio.ChannelListener;
-import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
 
 /**
@@ -23,10 +21,9 @@
  * memory that is held never exceeds the limits; each connection releases what it holds when its request ends or when
  * it closes.
  */
-final class InboundConnections implements ChannelListener<StreamConnection>, HttpHandler {
+final class InboundConnections implements HttpHandler {
 
     private final Dependencies dependencies;
-    private final ChannelListener<? super StreamConnection> next;
     private final Set<InboundConnection> connections = new LinkedHashSet<>();
     private final long[] heldBytes = new long[InputPart.values().length];
 
@@ -34,15 +31,18 @@
      * Creates an empty set of connections.
      *
      * @param dependencies the limits and collaborators, not null.
-     * @param next handles the connections once their input is limited, not null.
      */
-    InboundConnections(final Dependencies dependencies, final ChannelListener<? super StreamConnection> next) {
+    InboundConnections(final Dependencies dependencies) {
         this.dependencies = Objects.requireNonNull(dependencies, "dependencies");
-        this.next = Objects.requireNonNull(next, "next");
     }
 
-    @Override
-    public void handleEvent(final StreamConnection channel) {
+    /**
+     * Limits the input of an accepted connection, or refuses it.
+     *
+     * @param channel the connection, not null.
+     * @param next handles the connection once its input is limited, not null.
+     */
+    void begin(final StreamConnection channel, final ChannelListener<StreamConnection> next) {
         InboundConnection connection = new InboundConnection(channel, this);
         if (!makeRoomForConnection()) {
             connection.refuse(InputRefusal.TOO_MANY_CONNECTIONS);
@@ -189,15 +189,6 @@
         return dependencies.clock().nowMs();
     }
 
-    /** Closes all connections. */
-    void closeAll() {
-        List<InboundConnection> open;
-        synchronized (this) {
-            open = List.copyOf(connections);
-        }
-        open.forEach(connection -> IoUtils.safeClose(connection.channel()));
-    }
-
     /**
      * Limits and collaborators. Immutable; as thread-safe as its components.
      *
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshListeners.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshListeners.java
@@ -1,35 +1,27 @@
 package org.sequoiashunt.node.mesh;
 
 import io.undertow.UndertowOptions;
-import io.undertow.connector.ByteBufferPool;
-import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.server.handlers.HttpContinueReadHandler;
-import io.undertow.server.protocol.http.HttpOpenListener;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Map;
-import org.xnio.ChannelListeners;
-import org.xnio.IoUtils;
+import java.util.Objects;
+import java.util.function.LongSupplier;
+import org.sequoiashunt.node.HttpServer;
 import org.xnio.OptionMap;
-import org.xnio.Options;
-import org.xnio.StreamConnection;
-import org.xnio.Xnio;
-import org.xnio.XnioWorker;
-import org.xnio.channels.AcceptingChannel;
 
 /**
  * HTTP server that listens on all HTTP addresses of a node and runs on one I/O thread.
  *
+ * <p>When it is closed, it goes on answering requests on the connections that it has accepted, until they are closed or
+ * the linger time is over.
+ *
  * <p>Thread-safe. Invariant: what the connections of an address hold in memory stays within the limits of that address.
  */
 final class MeshListeners implements AutoCloseable {
 
     private static final int IO_THREADS = 1;
-    private static final int WORKER_THREADS = 1;
     private static final int BUFFER_BYTES = 8_192;
-    private static final int BUFFERS_PER_THREAD = 4;
 
     /** Higher than the limit that operators set for headers. */
     private static final int MAXIMUM_HEADER_BYTES = 65_536;
@@ -41,14 +33,6 @@
     /** Longer than the idle time that operators allow, so that no caller sends a request on a closed connection. */
     private static final int IDLE_TIMEOUT_MS = 75_000;
 
-    private static final int BACKLOG_CONNECTIONS = 1_024;
-
-    private static final OptionMap SOCKET_OPTIONS = OptionMap.builder()
-            .set(Options.TCP_NODELAY, true)
-            .set(Options.REUSE_ADDRESSES, true)
-            .set(Options.BACKLOG, BACKLOG_CONNECTIONS)
-            .getMap();
-
     private static final OptionMap SERVER_OPTIONS = OptionMap.builder()
             .set(UndertowOptions.MAX_HEADER_SIZE, MAXIMUM_HEADER_BYTES)
             .set(UndertowOptions.MAX_HEADERS, MAXIMUM_HEADERS)
@@ -60,58 +44,51 @@
             .set(UndertowOptions.DECODE_URL, false)
             .getMap();
 
-    private final XnioWorker worker;
-    private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES, -1, BUFFERS_PER_THREAD);
-    private final List<AcceptingChannel<StreamConnection>> channels = new ArrayList<>();
-    private final List<InboundConnections> connections = new ArrayList<>();
+    private final HttpServer server;
+    private final LongSupplier lingerMs;
 
-    private MeshListeners(final XnioWorker worker) {
-        this.worker = worker;
+    private MeshListeners(final HttpServer server, final LongSupplier lingerMs) {
+        this.server = server;
+        this.lingerMs = Objects.requireNonNull(lingerMs, "lingerMs");
     }
 
     /**
      * Starts the server.
      *
      * @param addresses the addresses to listen on, with the limits and the handler of each, not null.
+     * @param lingerMs supplies the longest time for which accepted connections stay open when the server is closed, in
+     *     milliseconds, not null.
      * @return the running server, never null.
      * @throws IOException if an address cannot be bound; nothing is left open.
      */
-    static MeshListeners open(final Map<InetSocketAddress, InboundConnections.Dependencies> addresses)
+    static MeshListeners open(
+            final Map<InetSocketAddress, InboundConnections.Dependencies> addresses, final LongSupplier lingerMs)
             throws IOException {
-        MeshListeners listeners = new MeshListeners(Xnio.getInstance()
-                .createWorker(OptionMap.builder()
-                        .set(Options.WORKER_IO_THREADS, IO_THREADS)
-                        .set(Options.WORKER_TASK_CORE_THREADS, WORKER_THREADS)
-                        .set(Options.WORKER_TASK_MAX_THREADS, WORKER_THREADS)
-                        .set(Options.TCP_NODELAY, true)
-                        .getMap()));
+        HttpServer server = HttpServer.start(IO_THREADS, BUFFER_BYTES);
         try {
             for (Map.Entry<InetSocketAddress, InboundConnections.Dependencies> address : addresses.entrySet()) {
-                listeners.listen(address.getKey(), address.getValue());
+                InboundConnections connections = new InboundConnections(address.getValue());
+                server.listen(
+                        address.getKey(),
+                        SERVER_OPTIONS,
+                        new HttpContinueReadHandler(connections),
+                        next -> channel -> connections.begin(channel, next));
             }
-            return listeners;
+            return new MeshListeners(server, lingerMs);
         } catch (IOException exception) {
-            listeners.close();
+            server.close();
             throw new IOException("cannot listen on " + addresses.keySet() + ": " + exception.getMessage(), exception);
         }
     }
 
-    private void listen(final InetSocketAddress address, final InboundConnections.Dependencies dependencies)
-            throws IOException {
-        HttpOpenListener openListener = new HttpOpenListener(buffers, SERVER_OPTIONS);
-        InboundConnections inbound = new InboundConnections(dependencies, openListener);
-        openListener.setRootHandler(new HttpContinueReadHandler(inbound));
-        AcceptingChannel<StreamConnection> channel = worker.createStreamConnectionServer(
-                address, ChannelListeners.openListenerAdapter(inbound), SOCKET_OPTIONS);
-        channels.add(channel);
-        connections.add(inbound);
-        channel.resumeAccepts();
-    }
-
     @Override
     public void close() {
-        channels.forEach(IoUtils::safeClose);
-        connections.forEach(InboundConnections::closeAll);
-        worker.shutdownNow();
+        server.stopAccepting();
+        try {
+            server.awaitConnectionsClosed(lingerMs.getAsLong());
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        }
+        server.close();
     }
 }
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
@@ -5,7 +5,7 @@
 import io.undertow.util.StatusCodes;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Random;
@@ -76,17 +76,8 @@
     /** Idle time after which a link is replaced: two pings remained unanswered. */
     private static final long SILENCE_LIMIT_MS = 1_500;
 
-    /** Time after the shutdown signal in which requests are accepted: callers need two readiness checks to see it. */
-    private static final long ACCEPT_WHILE_DRAINING_MS = 2_400;
-
-    /** Time before the forced stop at which draining ends even if requests are unfinished. */
-    private static final long FORCED_STOP_MARGIN_MS = 400;
-
     private static final long DRAIN_POLL_MS = 20;
 
-    /** Longest time in which the last answers reach callers and nodes: twice the round trip between regions. */
-    private static final long LAST_ANSWERS_MS = 150;
-
     private final Closer closer = new Closer();
     private final Clock clock = SystemClock.start();
     private final Random random = new Random();
@@ -100,13 +91,12 @@
     private final MeshMetrics metrics;
     private final FleetView fleet = new FleetView(clock);
     private final MeshSettings settings;
+    private final PlannedStop stop;
     private final PlatformComponents platformComponents;
     private final DecisionLog log;
     private final StoreHealth storeHealth;
     private final ActiveConfiguration configuration;
     private final WatcherSelection watcherSelection;
-    private volatile boolean draining;
-    private volatile boolean refusingRequests;
     private volatile String service;
     private SlotGates gates;
     private EvacuationControl evacuations;
@@ -124,6 +114,7 @@
     private MeshNode(final MeshSettings settings, final PlatformComponents platformComponents) {
         this.settings = Objects.requireNonNull(settings, "settings");
         this.platformComponents = Objects.requireNonNull(platformComponents, "platformComponents");
+        this.stop = new PlannedStop(clock, settings.shutdownMs());
         this.service = settings.service();
         this.metrics = platformComponents.metrics();
         this.log = closer.register(DecisionLog.start(settings.location().node(), clock, System.out));
@@ -251,7 +242,7 @@
     }
 
     private MeshQuota.Dependencies quotaDependencies() {
-        return new MeshQuota.Dependencies(clock, fleet, configuration, () -> draining, linkClient, log, metrics);
+        return new MeshQuota.Dependencies(clock, fleet, configuration, stop::isDraining, linkClient, log, metrics);
     }
 
     private LinkContext createLinkContext() {
@@ -280,7 +271,7 @@
                 evacuations,
                 answerCounters,
                 linkClient,
-                () -> draining,
+                stop::isDraining,
                 departureRecorder::peerFound,
                 log);
     }
@@ -314,21 +305,14 @@
                 quota,
                 this::callerLimits,
                 () -> service,
-                () -> draining,
-                () -> refusingRequests,
+                stop::isDraining,
+                stop::refusesRequests,
                 metrics,
                 log);
     }
 
     private void openListeners(final TargetRegistry registry) throws IOException {
-        Map<InetSocketAddress, InboundConnections.Dependencies> addresses = new HashMap<>();
-        addresses.put(
-                settings.callerAddress(),
-                listener(
-                        "callers",
-                        callerHandler,
-                        CALLER_INPUT_LIMITS,
-                        () -> callerLimits().maximumHeaderBytes()));
+        Map<InetSocketAddress, InboundConnections.Dependencies> addresses = new LinkedHashMap<>();
         addresses.put(settings.readinessAddress(), smallListener("readiness", this::handleReadinessCheck));
         addresses.put(
                 settings.announcementAddress(),
@@ -348,7 +332,15 @@
                         smallListener(
                                 "metrics",
                                 exchange -> exchange.getResponseSender().send(metrics.text()))));
-        closer.register(MeshListeners.open(addresses));
+        // The last address closes fastest at a stop, once the classes for that are loaded.
+        addresses.put(
+                settings.callerAddress(),
+                listener(
+                        "callers",
+                        callerHandler,
+                        CALLER_INPUT_LIMITS,
+                        () -> callerLimits().maximumHeaderBytes()));
+        closer.register(MeshListeners.open(addresses, stop::lingerMs));
     }
 
     private void handleReadinessCheck(final HttpServerExchange exchange) {
@@ -409,7 +401,7 @@
     }
 
     private boolean isReady() {
-        return !draining && configuration.current().isPresent();
+        return !stop.isDraining() && configuration.current().isPresent();
     }
 
     /**
@@ -438,21 +430,18 @@
      * @throws InterruptedException if the thread is interrupted while it waits.
      */
     public void drain() throws InterruptedException {
-        long startedMs = clock.nowMs();
-        draining = true;
+        stop.begin();
         fleetController.requestReport();
         log.log(LogKind.STOP, "phase", "draining", "held", callerHandler.activeRequests(), "running", gates.running());
-        long stopMs = startedMs + Math.max(ACCEPT_WHILE_DRAINING_MS, settings.shutdownMs() - FORCED_STOP_MARGIN_MS);
-        gates.drain(stopMs);
-        while (clock.nowMs() < stopMs) {
-            dispatcher.drain(stopMs);
-            refusingRequests = clock.nowMs() - startedMs >= ACCEPT_WHILE_DRAINING_MS;
-            if (refusingRequests && isIdle()) {
+        gates.drain(stop.requestsEndMs());
+        while (clock.nowMs() < stop.requestsEndMs()) {
+            dispatcher.drain(stop.requestsEndMs());
+            if (stop.refusesRequests() && isIdle()) {
                 break;
             }
             Thread.sleep(DRAIN_POLL_MS);
         }
-        refusingRequests = true;
+        stop.refuseRequests();
         dispatcher.stop();
         awaitLastAnswers();
         log.log(
@@ -464,7 +453,7 @@
                 "running",
                 gates.running(),
                 "afterMs",
-                clock.nowMs() - startedMs);
+                stop.elapsedMs());
     }
 
     private boolean isIdle() {
@@ -473,7 +462,7 @@
 
     /** Waits until the answers to callers are written and other nodes have acknowledged the results of their calls. */
     private void awaitLastAnswers() throws InterruptedException {
-        long endMs = clock.nowMs() + LAST_ANSWERS_MS;
+        long endMs = clock.nowMs() + PlannedStop.LAST_ANSWERS_MS;
         while (clock.nowMs() < endMs && (callerHandler.activeRequests() > 0 || linkServer.outstandingCalls() > 0)) {
             Thread.sleep(DRAIN_POLL_MS);
         }
