--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/HttpListener.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/HttpListener.java
@@ -67,7 +67,7 @@
     static HttpListener open(
             final String name, final NodeAddress address, final HttpHandler handler, final long lingerMs)
             throws IOException {
-        HttpServer server = HttpServer.start(IO_THREADS, BUFFER_BYTES);
+        HttpServer server = HttpServer.start(name, IO_THREADS, BUFFER_BYTES);
         HttpListener listener = new HttpListener(server, lingerMs);
         try {
             server.listen(
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/HttpServer.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/HttpServer.java
@@ -75,13 +75,15 @@
     /**
      * Starts the threads of a server that does not listen yet.
      *
+     * @param name the name of the threads, not null.
      * @param ioThreads the number of I/O threads, positive.
      * @param bufferBytes the size of each buffer for reading and writing, in bytes, positive.
      * @return the server, never null.
      * @throws IOException if the threads cannot be started.
      */
-    public static HttpServer start(final int ioThreads, final int bufferBytes) throws IOException {
+    public static HttpServer start(final String name, final int ioThreads, final int bufferBytes) throws IOException {
         OptionMap options = OptionMap.builder()
+                .set(Options.WORKER_NAME, Objects.requireNonNull(name, "name"))
                 .set(Options.WORKER_IO_THREADS, ioThreads)
                 .set(Options.WORKER_TASK_CORE_THREADS, WORKER_THREADS)
                 .set(Options.WORKER_TASK_MAX_THREADS, WORKER_THREADS)
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshListeners.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshListeners.java
@@ -4,14 +4,18 @@
 import io.undertow.server.handlers.HttpContinueReadHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.sequoiashunt.node.HttpServer;
 import org.xnio.OptionMap;
 
 /**
- * HTTP server that listens on all HTTP addresses of a node and runs on one I/O thread.
+ * HTTP server that listens on all HTTP addresses of a node, each with an I/O thread of its own, so that no input at one
+ * address delays the others.
  *
  * <p>When it is closed, it goes on answering requests on the connections that it has accepted, until they are closed or
  * the linger time is over.
@@ -44,11 +48,10 @@
             .set(UndertowOptions.DECODE_URL, false)
             .getMap();
 
-    private final HttpServer server;
+    private final List<HttpServer> servers = new ArrayList<>();
     private final LongSupplier lingerMs;
 
-    private MeshListeners(final HttpServer server, final LongSupplier lingerMs) {
-        this.server = server;
+    private MeshListeners(final LongSupplier lingerMs) {
         this.lingerMs = Objects.requireNonNull(lingerMs, "lingerMs");
     }
 
@@ -64,31 +67,41 @@
     static MeshListeners open(
             final Map<InetSocketAddress, InboundConnections.Dependencies> addresses, final LongSupplier lingerMs)
             throws IOException {
-        HttpServer server = HttpServer.start(IO_THREADS, BUFFER_BYTES);
+        MeshListeners listeners = new MeshListeners(lingerMs);
         try {
             for (Map.Entry<InetSocketAddress, InboundConnections.Dependencies> address : addresses.entrySet()) {
-                InboundConnections connections = new InboundConnections(address.getValue());
-                server.listen(
-                        address.getKey(),
-                        SERVER_OPTIONS,
-                        new HttpContinueReadHandler(connections),
-                        next -> channel -> connections.begin(channel, next));
+                listeners.listen(address.getKey(), address.getValue());
             }
-            return new MeshListeners(server, lingerMs);
+            return listeners;
         } catch (IOException exception) {
-            server.close();
+            listeners.servers.forEach(HttpServer::close);
             throw new IOException("cannot listen on " + addresses.keySet() + ": " + exception.getMessage(), exception);
         }
     }
 
+    private void listen(final InetSocketAddress address, final InboundConnections.Dependencies dependencies)
+            throws IOException {
+        HttpServer server = HttpServer.start(dependencies.name(), IO_THREADS, BUFFER_BYTES);
+        servers.add(server);
+        InboundConnections connections = new InboundConnections(dependencies);
+        server.listen(
+                address,
+                SERVER_OPTIONS,
+                new HttpContinueReadHandler(connections),
+                next -> channel -> connections.begin(channel, next));
+    }
+
     @Override
     public void close() {
-        server.stopAccepting();
+        servers.forEach(HttpServer::stopAccepting);
+        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(lingerMs.getAsLong());
         try {
-            server.awaitConnectionsClosed(lingerMs.getAsLong());
+            for (HttpServer server : servers) {
+                server.awaitConnectionsClosed(TimeUnit.NANOSECONDS.toMillis(endNanos - System.nanoTime()));
+            }
         } catch (InterruptedException exception) {
             Thread.currentThread().interrupt();
         }
-        server.close();
+        servers.forEach(HttpServer::close);
     }
 }
