--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/quota/OrganisationPool.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/quota/OrganisationPool.java
@@ -28,7 +28,7 @@
     /** A node gets this multiple of its part of the free permits, since others that could ask for theirs do not. */
     private static final double SHARE_FACTOR = 3;
 
-    /** A node holds up to this multiple of the permits it needs while much of the limit is unused, for a sudden rise. */
+    /** For a sudden rise, a node holds up to this multiple of what it needs while much of the limit is unused. */
     private static final double SURGE_FACTOR = 4;
 
     /** Part of the earlier demand that remains in a smoothed value after one period. */
