--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/fleet/VersionMove.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/fleet/VersionMove.java
@@ -28,7 +28,8 @@
  * @param durationMs the time within which the move has to complete, in milliseconds, zero if it is not known.
  * @param elapsedMs the time since the request when this value was made, in milliseconds, zero or more.
  * @param recorded whether the platform's store holds this state, which is final if it is terminal.
- * @param verdicts the outcomes of earlier moves, at most {@value #MAXIMUM_VERDICTS}, one for each version.
+ * @param verdicts the outcomes of earlier moves, at most {@value #MAXIMUM_VERDICTS}, one for each version; for the
+ *     version of this move, the latest former revision of the order if the store was restored and the order repeated.
  */
 public record VersionMove(
         String service,
@@ -170,7 +171,9 @@
             return earlier.withVerdicts(earlier.mergeVerdicts(later, false));
         }
         if (later.repeats(earlier)) {
-            return mergeSameOrder(other, isSameRevision(later.order, earlier.order) ? earlier.order : later.order);
+            return isSameRevision(later.order, earlier.order)
+                    ? mergeSameOrder(other, earlier.order)
+                    : mergeSameOrder(other, later.order).withFormerOrder(earlier.order);
         }
         return later.withVerdicts(later.mergeVerdicts(earlier, true));
     }
@@ -191,6 +194,17 @@
                 mergeVerdicts(other, false));
     }
 
+    /**
+     * Remembers the revision that this order had before it was repeated, since a further restore may show it again. It
+     * changes no outcome: the verdict on an earlier move to the same version is kept.
+     */
+    private VersionMove withFormerOrder(final long formerOrder) {
+        boolean rolledBack = verdicts.stream()
+                .anyMatch(verdict -> verdict.version().equals(version) && verdict.rolledBack());
+        VersionVerdict former = new VersionVerdict(version, formerOrder, rolledBack);
+        return withVerdicts(mergeVerdicts(withVerdicts(List.of(former)), false));
+    }
+
     /** The record names the order, so that a state is recorded again if the order has got another revision. */
     private boolean isRecordedAs(final MoveState mergedState, final long mergedOrder) {
         return recorded && state == mergedState && order == mergedOrder;
@@ -205,12 +219,16 @@
                         .noneMatch(verdict -> verdict.version().equals(version) && verdict.order() > earlier.order);
     }
 
-    /** Returns whether a move is an order that this one replaced before the store was restored to it. */
+    /**
+     * Returns whether a move is an order that this one replaced, or its own under a former revision, before the store
+     * was restored to it. Within an era, a later order is always new.
+     */
     private boolean hasReplaced(final VersionMove restored) {
-        return verdicts.stream()
-                .anyMatch(verdict -> verdict.version().equals(restored.version)
-                        && StoreRevision.eraOf(verdict.order()) < StoreRevision.eraOf(restored.order)
-                        && isSameRevision(verdict.order(), restored.order));
+        return StoreRevision.eraOf(order) < StoreRevision.eraOf(restored.order)
+                && verdicts.stream()
+                        .anyMatch(verdict -> verdict.version().equals(restored.version)
+                                && StoreRevision.eraOf(verdict.order()) < StoreRevision.eraOf(restored.order)
+                                && isSameRevision(verdict.order(), restored.order));
     }
 
     private static boolean isSameRevision(final long first, final long second) {
