Evacuation: a peer that lacks the orders says so, and nothing waits for them without regions

Cause: a report with a configuration made the orders known although its node may have had the configuration from a peer alone. Gates refused calls after every start until the orders were known, also where nothing is bound to a region. An order that a restored store had lost was revoked by the first complete read, until the operator wrote it again.

Change: NodeReport.evacuations_unknown, sent only by a node whose configuration binds requests to regions and that lacks the orders; nodes of an earlier version never set it and count as before. Gates wait for the orders only while such a configuration is in force. An order of an earlier era that the store no longer lists holds for 30 s. The constructors of NodeReport, TargetReport and MeshRoute that repeat the components for tests are removed.

--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/fleet/EvacuationTable.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/fleet/EvacuationTable.java
@@ -9,6 +9,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import org.sequoiashunt.store.StoreRevision;
 import org.sequoiashunt.time.Clock;
 
 /**
@@ -32,8 +33,17 @@
      */
     static final long REVOCATION_REPORT_MS = 60_000;
 
+    /**
+     * Time for which an order stays in force that the store no longer lists since it came back from an older copy: the
+     * operator writes it again, but not at once. An order that the operator gave up meanwhile ends with this time.
+     */
+    static final long LOST_ORDER_MS = 30_000;
+
     private final Clock clock;
     private final Map<String, Entry> entriesByDomain = new HashMap<>();
+    /** Orders that were lost in a restore of the store, by their failure domain. */
+    private final Map<String, LostOrder> lostOrders = new HashMap<>();
+
     private boolean known;
 
     /**
@@ -84,7 +94,8 @@
     }
 
     /**
-     * Merges a complete list of the orders in force: it also revokes the orders that it no longer has.
+     * Merges a complete list of the orders in force: it also revokes the orders that it no longer has. Orders of an
+     * earlier era of the store may have been lost; {@link #revokeLostOrders} revokes them later.
      *
      * @param orders the orders in force, not null.
      * @param revision the revision up to which the list is complete; orders of later revisions stay.
@@ -103,12 +114,34 @@
             if (evacuation.active()
                     && evacuation.revision() <= revision
                     && !listed.contains(evacuation.failureDomain())) {
-                changed |= merge(new Evacuation(evacuation.failureDomain(), revision, false));
+                LostOrder lost = new LostOrder(revision, clock.nowMs() + LOST_ORDER_MS);
+                if (StoreRevision.eraOf(evacuation.revision()) < StoreRevision.eraOf(revision)) {
+                    lostOrders.merge(evacuation.failureDomain(), lost, LostOrder::latestEra);
+                } else {
+                    changed |= merge(lost.revocationOf(evacuation.failureDomain()));
+                }
             }
         }
         return changed;
     }
 
+    /**
+     * Revokes the orders that were lost in a restore of the store and not written again in time.
+     *
+     * @return the revocations that came into force, never null.
+     */
+    public synchronized List<Evacuation> revokeLostOrders() {
+        if (lostOrders.isEmpty()) {
+            return List.of();
+        }
+        List<Evacuation> due = lostOrders.entrySet().stream()
+                .filter(lost -> lost.getValue().untilMs() <= clock.nowMs())
+                .map(lost -> lost.getValue().revocationOf(lost.getKey()))
+                .toList();
+        due.forEach(revocation -> lostOrders.remove(revocation.failureDomain()));
+        return due.stream().filter(this::merge).toList();
+    }
+
     /** Records that a node which knows the orders in force has reported them. */
     public synchronized void markKnown() {
         known = true;
@@ -148,6 +181,18 @@
                 .toList();
     }
 
+    /** Revision of the first complete list of an era without the order, and when it ends. Immutable, thread-safe. */
+    private record LostOrder(long revision, long untilMs) {
+
+        private LostOrder latestEra(final LostOrder other) {
+            return StoreRevision.eraOf(other.revision) > StoreRevision.eraOf(revision) ? other : this;
+        }
+
+        private Evacuation revocationOf(final String failureDomain) {
+            return new Evacuation(failureDomain, revision, false);
+        }
+    }
+
     /** Latest entry of a failure domain, and when a different one last arrived. Immutable and thread-safe. */
     private record Entry(Evacuation evacuation, long lastDifferenceMs) {}
 }
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/fleet/NodeReport.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/fleet/NodeReport.java
@@ -28,6 +28,8 @@
  * @param crashes what the node knows of requests that were at work at targets that crashed.
  * @param knownNodes the nodes that the node knows.
  * @param evacuations the evacuations that the node knows, revoked ones too.
+ * @param evacuationsUnknown whether the node's configuration calls for evacuations and the node does not know those in
+ *     force, so that {@code evacuations} may lack some.
  */
 public record NodeReport(
         String node,
@@ -45,7 +47,8 @@
         List<VersionMove> moves,
         List<CrashRecord> crashes,
         List<KnownNode> knownNodes,
-        List<Evacuation> evacuations)
+        List<Evacuation> evacuations,
+        boolean evacuationsUnknown)
         implements ControlMessage {
 
     /**
@@ -67,60 +70,6 @@
         evacuations = List.copyOf(evacuations);
     }
 
-    /**
-     * Creates the report of a node that knows no evacuations.
-     *
-     * @param node the name of the node.
-     * @param incarnation the number of the process.
-     * @param sequence the number of the report within the incarnation.
-     * @param address the link address of the node.
-     * @param failureDomain the failure domain of the node.
-     * @param region the region of the node.
-     * @param capacity the processor capacity of the node's VM, in thousandths of a core.
-     * @param leaving whether the node is shutting down.
-     * @param configurationVersion the configuration version in force, zero for none.
-     * @param confirmedAgeMs the time since the store confirmed the version, in milliseconds, empty if it never did.
-     * @param targets the targets that announce themselves to the node.
-     * @param tallies the answer counts of the node's targets.
-     * @param moves the moves that the node knows.
-     * @param crashes the requests that were at work at targets that crashed.
-     * @param knownNodes the nodes that the node knows.
-     */
-    public NodeReport(
-            final String node,
-            final long incarnation,
-            final long sequence,
-            final NodeAddress address,
-            final String failureDomain,
-            final String region,
-            final int capacity,
-            final boolean leaving,
-            final long configurationVersion,
-            final OptionalLong confirmedAgeMs,
-            final List<TargetReport> targets,
-            final List<VersionTally> tallies,
-            final List<VersionMove> moves,
-            final List<CrashRecord> crashes,
-            final List<KnownNode> knownNodes) {
-        this(
-                node,
-                incarnation,
-                sequence,
-                address,
-                failureDomain,
-                region,
-                capacity,
-                leaving,
-                configurationVersion,
-                confirmedAgeMs,
-                targets,
-                tallies,
-                moves,
-                crashes,
-                knownNodes,
-                List.of());
-    }
-
     /**
      * Returns a copy without the known nodes, which a relay does not pass on: the relayed reports name their nodes.
      *
@@ -143,7 +92,8 @@
                 moves,
                 crashes,
                 List.of(),
-                evacuations);
+                evacuations,
+                evacuationsUnknown);
     }
 
     /**
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/fleet/TargetReport.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/fleet/TargetReport.java
@@ -48,48 +48,6 @@
         routeTimes = List.copyOf(routeTimes);
     }
 
-    /**
-     * Creates the report of a target that does not state its pace.
-     *
-     * @param target the identity of the target.
-     * @param service the service that the target runs.
-     * @param version the version of the target's software.
-     * @param slots the number of requests that the target runs at a time.
-     * @param accepting whether the target accepts new requests.
-     * @param running the number of requests that the target runs.
-     * @param waiting the number of requests that wait at the gate.
-     * @param meanMs the mean time for which a request holds a slot, in milliseconds.
-     * @param failurePermille the share of recent requests that failed at the target, in thousandths.
-     * @param warmupLeftMs the remaining warm-up time, in milliseconds.
-     * @param routeTimes the mean durations by route.
-     */
-    public TargetReport(
-            final String target,
-            final String service,
-            final String version,
-            final int slots,
-            final boolean accepting,
-            final int running,
-            final int waiting,
-            final int meanMs,
-            final int failurePermille,
-            final long warmupLeftMs,
-            final List<RouteTime> routeTimes) {
-        this(
-                target,
-                service,
-                version,
-                slots,
-                accepting,
-                running,
-                waiting,
-                meanMs,
-                failurePermille,
-                warmupLeftMs,
-                routeTimes,
-                0);
-    }
-
     /**
      * Returns a copy of this report with a more recent load. Requests beyond the slots are counted as waiting.
      *
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/fleet/VersionMove.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/fleet/VersionMove.java
@@ -199,8 +199,8 @@
      * changes no outcome: the verdict on an earlier move to the same version is kept.
      */
     private VersionMove withFormerOrder(final long formerOrder) {
-        boolean rolledBack = verdicts.stream()
-                .anyMatch(verdict -> verdict.version().equals(version) && verdict.rolledBack());
+        boolean rolledBack =
+                verdicts.stream().anyMatch(verdict -> verdict.version().equals(version) && verdict.rolledBack());
         VersionVerdict former = new VersionVerdict(version, formerOrder, rolledBack);
         return withVerdicts(mergeVerdicts(withVerdicts(List.of(former)), false));
     }
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshConfiguration.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshConfiguration.java
@@ -29,6 +29,7 @@
 
     private final List<MeshRoute> routes;
     private final boolean fairShares;
+    private final boolean regional;
     /** Names of the routes whose requests may be sent to a second target. */
     private final Set<String> repeatableRoutes;
 
@@ -47,6 +48,9 @@
         this.routes = List.copyOf(routes);
         this.fairShares = organisations.size() > 0
                 || routes.stream().anyMatch(route -> route.kind().hasLargeBodies());
+        this.regional = routes.stream().anyMatch(route -> !route.regions().isEmpty())
+                || organisations.organisations().stream()
+                        .anyMatch(organisation -> !organisation.regions().isEmpty());
         this.repeatableRoutes = routes.stream()
                 .filter(route -> route.idempotent() && route.attempts() > 1)
                 .map(MeshRoute::name)
@@ -206,6 +210,16 @@
         return fairShares;
     }
 
+    /**
+     * Returns whether routes or organisations are bound to regions, so that it matters at any moment where requests are
+     * served and nodes need to know the evacuations in force before they take calls.
+     *
+     * @return true if a route or an organisation names regions.
+     */
+    public boolean bindsToRegions() {
+        return regional;
+    }
+
     /**
      * Returns whether a call to a target that stays silent is given up, so that a second target can be tried.
      *
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshRoute.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshRoute.java
@@ -55,47 +55,10 @@
             throw new IllegalArgumentException("no service with a weight above zero in route " + name);
         }
         if (timeoutMs < 1 || objectiveMs < 1 || attempts < 1 || rank < 0) {
-            throw new IllegalArgumentException(
-                    "times and attempts must be positive and the rank not negative in route " + name);
+            throw new IllegalArgumentException("times and attempts must be positive and the rank not negative: timeout "
+                    + timeoutMs + " ms, objective " + objectiveMs + " ms, attempts " + attempts + ", rank " + rank);
         }
     }
-    /**
-     * Creates a route whose requests need a key where the configuration defines organisations, and may be served in all
-     * regions.
-     *
-     * @param name the name of the route.
-     * @param host the host, in lower case.
-     * @param prefix the prefix of the paths, with a slash at both ends.
-     * @param services the services that receive the requests, with their weights.
-     * @param idempotent whether requests may run more than once.
-     * @param timeoutMs the longest time that a request is kept waiting, in milliseconds.
-     * @param objectiveMs the latency objective, in milliseconds.
-     * @param rank the rank among routes, zero or more.
-     * @param attempts the maximum number of targets that one request may reach.
-     */
-    public MeshRoute(
-            final String name,
-            final String host,
-            final String prefix,
-            final List<WeightedService> services,
-            final boolean idempotent,
-            final long timeoutMs,
-            final long objectiveMs,
-            final int rank,
-            final int attempts) {
-        this(
-                name,
-                host,
-                prefix,
-                services,
-                RequestKind.of(idempotent),
-                timeoutMs,
-                objectiveMs,
-                rank,
-                attempts,
-                false,
-                Set.of());
-    }
 
     /**
      * Returns whether requests may run more than once.
--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/fleet/EvacuationTableTest.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/fleet/EvacuationTableTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
+import org.sequoiashunt.store.StoreRevision;
 import org.sequoiashunt.time.SteppedClock;
 
 class EvacuationTableTest {
@@ -72,4 +73,23 @@
         assertEquals(EvacuationTable.MAXIMUM_ENTRIES, table.reported().size());
         assertTrue(table.isEvacuated("kept"));
     }
+
+    /** Guards against calls to an evacuated domain while the store lacks the order that it had acknowledged. */
+    @Test
+    void orderLostInARestoreHoldsUntilItIsWrittenAgainOrTheTimeHasPassed() {
+        table.merge(order("again", 7));
+        table.merge(order("given-up", 8));
+        assertFalse(table.mergeComplete(List.of(), StoreRevision.of(1, 6)), "the copy lacks both");
+        clock.advance(EvacuationTable.LOST_ORDER_MS - 1);
+        table.merge(order("again", StoreRevision.of(1, 9)));
+        assertFalse(table.mergeComplete(List.of(order("again", StoreRevision.of(1, 9))), StoreRevision.of(1, 9)));
+        assertEquals(List.of(), table.revokeLostOrders());
+        assertTrue(table.isEvacuated("given-up"));
+        clock.advance(1);
+        assertEquals(List.of(revocation("given-up", StoreRevision.of(1, 6))), table.revokeLostOrders());
+        assertFalse(table.isEvacuated("given-up"));
+        assertTrue(table.isEvacuated("again"));
+        assertTrue(table.mergeComplete(List.of(), StoreRevision.of(1, 11)), "revoked within the era");
+        assertFalse(table.isEvacuated("again"));
+    }
 }
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/FleetCodec.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/FleetCodec.java
@@ -171,7 +171,8 @@
                 .setRegion(report.region())
                 .setCapacity(report.capacity())
                 .setLeaving(report.leaving())
-                .setConfigurationVersion(report.configurationVersion());
+                .setConfigurationVersion(report.configurationVersion())
+                .setEvacuationsUnknown(report.evacuationsUnknown());
         report.confirmedAgeMs().ifPresent(builder::setConfirmedAgeMs);
         report.targets().forEach(target -> builder.addTargets(encode(target)));
         report.tallies().forEach(tally -> builder.addTallies(encode(tally)));
@@ -219,7 +220,8 @@
                 report.getEvacuationsList().stream()
                         .map(evacuation -> new Evacuation(
                                 evacuation.getFailureDomain(), evacuation.getRevision(), evacuation.getActive()))
-                        .toList());
+                        .toList(),
+                report.getEvacuationsUnknown());
     }
 
     private static FleetProto.TargetReport encode(final TargetReport target) {
--- a/sequoiashunt-link/src/main/java/org/sequoiashunt/link/wire/FleetProto.java
+++ b/sequoiashunt-link/src/main/java/org/sequoiashunt/link/wire/FleetProto.java
@@ -13242,6 +13242,16 @@
      */
     org.sequoiashunt.link.wire.FleetProto.EvacuationOrBuilder getEvacuationsOrBuilder(
         int index);
+
+    /**
+     * <pre>
+     * True if the configuration calls for evacuations and the node does not know the orders in force.
+     * </pre>
+     *
+     * <code>bool evacuations_unknown = 17;</code>
+     * @return The evacuationsUnknown.
+     */
+    boolean getEvacuationsUnknown();
   }
   /**
    * Protobuf type {@code sequoiashunt.link.NodeReport}
@@ -13770,6 +13780,21 @@
       return evacuations_.get(index);
     }
 
+    public static final int EVACUATIONS_UNKNOWN_FIELD_NUMBER = 17;
+    private boolean evacuationsUnknown_ = false;
+    /**
+     * <pre>
+     * True if the configuration calls for evacuations and the node does not know the orders in force.
+     * </pre>
+     *
+     * <code>bool evacuations_unknown = 17;</code>
+     * @return The evacuationsUnknown.
+     */
+    @java.lang.Override
+    public boolean getEvacuationsUnknown() {
+      return evacuationsUnknown_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -13832,6 +13857,9 @@
       for (int i = 0; i < evacuations_.size(); i++) {
         output.writeMessage(16, evacuations_.get(i));
       }
+      if (evacuationsUnknown_ != false) {
+        output.writeBool(17, evacuationsUnknown_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -13927,6 +13955,10 @@
             }
             size += 2 * count;
           }
+      if (evacuationsUnknown_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(17, evacuationsUnknown_);
+      }
       return size;
     }
     @java.lang.Override
@@ -13989,6 +14021,8 @@
           .equals(other.getCrashesList())) return false;
       if (!getEvacuationsList()
           .equals(other.getEvacuationsList())) return false;
+      if (getEvacuationsUnknown()
+          != other.getEvacuationsUnknown()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -14053,6 +14087,9 @@
         hash = (37 * hash) + EVACUATIONS_FIELD_NUMBER;
         hash = (53 * hash) + getEvacuationsList().hashCode();
       }
+      hash = (37 * hash) + EVACUATIONS_UNKNOWN_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getEvacuationsUnknown());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -14252,6 +14289,7 @@
           evacuationsBuilder_.clear();
         }
         bitField0_ = (bitField0_ & ~0x00008000);
+        evacuationsUnknown_ = false;
         return this;
       }
 
@@ -14378,6 +14416,9 @@
         if (((from_bitField0_ & 0x00002000) != 0)) {
           result.capacity_ = capacity_;
         }
+        if (((from_bitField0_ & 0x00010000) != 0)) {
+          result.evacuationsUnknown_ = evacuationsUnknown_;
+        }
         result.bitField0_ |= to_bitField0_;
       }
 
@@ -14585,6 +14626,9 @@
             }
           }
         }
+        if (other.getEvacuationsUnknown() != false) {
+          setEvacuationsUnknown(other.getEvacuationsUnknown());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -14739,6 +14783,11 @@
                 }
                 break;
               } // case 130
+              case 136: {
+                evacuationsUnknown_ = input.readBool();
+                bitField0_ |= 0x00010000;
+                break;
+              } // case 136
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -16723,6 +16772,50 @@
         return evacuationsBuilder_;
       }
 
+      private boolean evacuationsUnknown_ ;
+      /**
+       * <pre>
+       * True if the configuration calls for evacuations and the node does not know the orders in force.
+       * </pre>
+       *
+       * <code>bool evacuations_unknown = 17;</code>
+       * @return The evacuationsUnknown.
+       */
+      @java.lang.Override
+      public boolean getEvacuationsUnknown() {
+        return evacuationsUnknown_;
+      }
+      /**
+       * <pre>
+       * True if the configuration calls for evacuations and the node does not know the orders in force.
+       * </pre>
+       *
+       * <code>bool evacuations_unknown = 17;</code>
+       * @param value The evacuationsUnknown to set.
+       * @return This builder for chaining.
+       */
+      public Builder setEvacuationsUnknown(boolean value) {
+
+        evacuationsUnknown_ = value;
+        bitField0_ |= 0x00010000;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * True if the configuration calls for evacuations and the node does not know the orders in force.
+       * </pre>
+       *
+       * <code>bool evacuations_unknown = 17;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearEvacuationsUnknown() {
+        bitField0_ = (bitField0_ & ~0x00010000);
+        evacuationsUnknown_ = false;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:sequoiashunt.link.NodeReport)
     }
 
@@ -24590,7 +24683,7 @@
       "\t\022\r\n\005order\030\002 \001(\003\022\023\n\013rolled_back\030\003 \001(\010\"b\n" +
       "\tKnownNode\022\014\n\004node\030\001 \001(\t\022/\n\007address\030\002 \001(" +
       "\0132\036.sequoiashunt.link.NodeAddress\022\026\n\016fai" +
-      "lure_domain\030\003 \001(\t\"\265\004\n\nNodeReport\022\014\n\004node" +
+      "lure_domain\030\003 \001(\t\"\322\004\n\nNodeReport\022\014\n\004node" +
       "\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\020\n\010sequence\030" +
       "\003 \001(\004\022/\n\007address\030\004 \001(\0132\036.sequoiashunt.li" +
       "nk.NodeAddress\022\026\n\016failure_domain\030\005 \001(\t\022\016" +
@@ -24604,30 +24697,31 @@
       "H\000\210\001\001\022\020\n\010capacity\030\016 \001(\r\022/\n\007crashes\030\017 \003(\013" +
       "2\036.sequoiashunt.link.CrashRecord\0222\n\013evac" +
       "uations\030\020 \003(\0132\035.sequoiashunt.link.Evacua" +
-      "tionB\023\n\021_confirmed_age_ms\"F\n\nEvacuation\022" +
-      "\026\n\016failure_domain\030\001 \001(\t\022\020\n\010revision\030\002 \001(" +
-      "\003\022\016\n\006active\030\003 \001(\010\"D\n\013CrashRecord\022\023\n\013fing" +
-      "erprint\030\001 \001(\t\022\020\n\010incident\030\002 \001(\t\022\016\n\006age_m" +
-      "s\030\003 \001(\004\"N\n\rRelayedReport\022-\n\006report\030\001 \001(\013" +
-      "2\035.sequoiashunt.link.NodeReport\022\016\n\006age_m" +
-      "s\030\002 \001(\004\"C\n\016RelayedReports\0221\n\007reports\030\001 \003" +
-      "(\0132 .sequoiashunt.link.RelayedReport\"\036\n\013" +
-      "ReportBatch\022\017\n\007reports\030\001 \001(\014\"A\n\rReportRe" +
-      "quest\0220\n\010reply_to\030\001 \001(\0132\036.sequoiashunt.l" +
-      "ink.NodeAddress\"O\n\017TargetDeparture\022\016\n\006ta" +
-      "rget\030\001 \001(\t\022\032\n\rstarted_at_ms\030\002 \001(\003H\000\210\001\001B\020" +
-      "\n\016_started_at_ms\"\233\001\n\017DepartureNotice\022\014\n\004" +
-      "node\030\001 \001(\t\0226\n\ndepartures\030\002 \003(\0132\".sequoia" +
-      "shunt.link.TargetDeparture\0225\n\010reply_to\030\003" +
-      " \001(\0132\036.sequoiashunt.link.NodeAddressH\000\210\001" +
-      "\001B\013\n\t_reply_to\"J\n\020DepartureReceipt\0226\n\nde" +
-      "partures\030\001 \003(\0132\".sequoiashunt.link.Targe" +
-      "tDeparture\"_\n\024ConfigurationRequest\0220\n\010re" +
+      "tion\022\033\n\023evacuations_unknown\030\021 \001(\010B\023\n\021_co" +
+      "nfirmed_age_ms\"F\n\nEvacuation\022\026\n\016failure_" +
+      "domain\030\001 \001(\t\022\020\n\010revision\030\002 \001(\003\022\016\n\006active" +
+      "\030\003 \001(\010\"D\n\013CrashRecord\022\023\n\013fingerprint\030\001 \001" +
+      "(\t\022\020\n\010incident\030\002 \001(\t\022\016\n\006age_ms\030\003 \001(\004\"N\n\r" +
+      "RelayedReport\022-\n\006report\030\001 \001(\0132\035.sequoias" +
+      "hunt.link.NodeReport\022\016\n\006age_ms\030\002 \001(\004\"C\n\016" +
+      "RelayedReports\0221\n\007reports\030\001 \003(\0132 .sequoi" +
+      "ashunt.link.RelayedReport\"\036\n\013ReportBatch" +
+      "\022\017\n\007reports\030\001 \001(\014\"A\n\rReportRequest\0220\n\010re" +
       "ply_to\030\001 \001(\0132\036.sequoiashunt.link.NodeAdd" +
-      "ress\022\025\n\rknown_version\030\002 \001(\004\"6\n\021Configura" +
-      "tionCopy\022\017\n\007version\030\001 \001(\004\022\020\n\010document\030\002 " +
-      "\001(\014B(\n\032org.sequoiashunt.link.wireB\nFleet" +
-      "Protob\006proto3"
+      "ress\"O\n\017TargetDeparture\022\016\n\006target\030\001 \001(\t\022" +
+      "\032\n\rstarted_at_ms\030\002 \001(\003H\000\210\001\001B\020\n\016_started_" +
+      "at_ms\"\233\001\n\017DepartureNotice\022\014\n\004node\030\001 \001(\t\022" +
+      "6\n\ndepartures\030\002 \003(\0132\".sequoiashunt.link." +
+      "TargetDeparture\0225\n\010reply_to\030\003 \001(\0132\036.sequ" +
+      "oiashunt.link.NodeAddressH\000\210\001\001B\013\n\t_reply" +
+      "_to\"J\n\020DepartureReceipt\0226\n\ndepartures\030\001 " +
+      "\003(\0132\".sequoiashunt.link.TargetDeparture\"" +
+      "_\n\024ConfigurationRequest\0220\n\010reply_to\030\001 \001(" +
+      "\0132\036.sequoiashunt.link.NodeAddress\022\025\n\rkno" +
+      "wn_version\030\002 \001(\004\"6\n\021ConfigurationCopy\022\017\n" +
+      "\007version\030\001 \001(\004\022\020\n\010document\030\002 \001(\014B(\n\032org." +
+      "sequoiashunt.link.wireB\nFleetProtob\006prot" +
+      "o3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -24705,7 +24799,7 @@
     internal_static_sequoiashunt_link_NodeReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_sequoiashunt_link_NodeReport_descriptor,
-        new java.lang.String[] { "Node", "Incarnation", "Sequence", "Address", "FailureDomain", "Region", "Leaving", "ConfigurationVersion", "Targets", "Tallies", "Moves", "Known", "ConfirmedAgeMs", "Capacity", "Crashes", "Evacuations", });
+        new java.lang.String[] { "Node", "Incarnation", "Sequence", "Address", "FailureDomain", "Region", "Leaving", "ConfigurationVersion", "Targets", "Tallies", "Moves", "Known", "ConfirmedAgeMs", "Capacity", "Crashes", "Evacuations", "EvacuationsUnknown", });
     internal_static_sequoiashunt_link_Evacuation_descriptor =
       getDescriptor().getMessageType(12);
     internal_static_sequoiashunt_link_Evacuation_fieldAccessorTable = new
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/ActiveConfiguration.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/ActiveConfiguration.java
@@ -104,6 +104,11 @@
         return current().map(MeshConfiguration::usesFairShares).orElse(false);
     }
 
+    /** Returns whether the active configuration binds requests to regions, so that evacuations have to be known. */
+    boolean bindsToRegions() {
+        return current().map(MeshConfiguration::bindsToRegions).orElse(false);
+    }
+
     /** Returns whether the active configuration lets calls of a route to a silent target be given up. */
     boolean givesUpSilentCalls(final String route) {
         return current().map(decoded -> decoded.givesUpSilentCalls(route)).orElse(false);
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/EvacuationControl.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/EvacuationControl.java
@@ -6,38 +6,55 @@
 import org.sequoiashunt.fleet.EvacuationTable;
 import org.sequoiashunt.fleet.NodeReport;
 import org.sequoiashunt.mesh.DesiredState;
+import org.sequoiashunt.placement.NodeLocation;
 import org.sequoiashunt.slot.SlotGates;
 
 /**
  * Applies the operator's evacuations, as the store and other nodes report them, to the gates of this node.
  *
- * <p>A process that has just started suspends its gates until it knows the orders in force.
+ * <p>While a configuration binds requests to regions, the gates are suspended until the orders in force are known: from
+ * a complete read of the store, or from a node that knows them. Without such a configuration nothing waits for them. A
+ * node that has none yet sends no calls itself, and gets none from nodes that know the orders.
  *
  * <p>Thread-safe: guarded by its own monitor. Invariant: when a method has returned, the gates are suspended exactly if
- * this node's failure domain is evacuated or the orders in force are not known.
+ * this node's failure domain is evacuated or the orders in force are needed and not known.
  */
 final class EvacuationControl {
 
     private final String failureDomain;
     private final EvacuationTable table;
     private final SlotGates gates;
+    private final ActiveConfiguration configuration;
     private final DecisionLog log;
     private final MeshMetrics metrics;
 
     EvacuationControl(
-            final String failureDomain,
+            final NodeLocation location,
             final EvacuationTable table,
             final SlotGates gates,
+            final ActiveConfiguration configuration,
             final DecisionLog log,
             final MeshMetrics metrics) {
-        this.failureDomain = Objects.requireNonNull(failureDomain, "failureDomain");
+        this.failureDomain = location.failureDomain();
         this.table = Objects.requireNonNull(table, "table");
         this.gates = Objects.requireNonNull(gates, "gates");
+        this.configuration = Objects.requireNonNull(configuration, "configuration");
         this.log = Objects.requireNonNull(log, "log");
         this.metrics = Objects.requireNonNull(metrics, "metrics");
+    }
+
+    /** Suspends the gates or resumes them after another configuration came into force. */
+    synchronized void configurationChanged() {
         updateGates();
     }
 
+    /** Revokes orders that the store has lost; returns whether there were any. */
+    synchronized boolean revokeLostOrders() {
+        List<Evacuation> revoked = table.revokeLostOrders();
+        revoked.forEach(evacuation -> logChange(evacuation, "store"));
+        return !revoked.isEmpty() && finish(true, table.reported(), "store");
+    }
+
     /** Applies what the store says; returns whether an order was new or revoked, or the gates changed. */
     synchronized boolean apply(final DesiredState state) {
         List<Evacuation> before = table.reported();
@@ -59,7 +76,8 @@
         for (Evacuation evacuation : report.evacuations()) {
             changed |= table.merge(evacuation);
         }
-        if (report.configurationVersion() > 0) {
+        // A node that needs no orders, and one of an earlier version of this program, never say that they lack them.
+        if (report.configurationVersion() > 0 && !report.evacuationsUnknown()) {
             table.markKnown();
         }
         return finish(changed, before, report.node());
@@ -70,6 +88,11 @@
         return table.reported();
     }
 
+    /** Returns whether orders may be in force that this node needs to know and does not. */
+    boolean lacksOrders() {
+        return configuration.bindsToRegions() && !table.isKnown();
+    }
+
     private boolean finish(final boolean changed, final List<Evacuation> before, final String source) {
         boolean gatesChanged = updateGates();
         if (changed) {
@@ -81,7 +104,7 @@
     }
 
     private boolean updateGates() {
-        return gates.setSuspended(!table.isKnown() || table.isEvacuated(failureDomain));
+        return gates.setSuspended(lacksOrders() || table.isEvacuated(failureDomain));
     }
 
     private void logChange(final Evacuation evacuation, final String source) {
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/FleetController.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/FleetController.java
@@ -78,6 +78,9 @@
         dependencies.gates().update();
         dependencies.gates().tick();
         dependencies.crashTable().expire();
+        if (dependencies.evacuations().revokeLostOrders()) {
+            requestReport();
+        }
         exchange.tick();
         requestConfigurationIfLagging(dependencies.clock().nowMs());
     }
@@ -99,7 +102,8 @@
                 List.copyOf(dependencies.moveTable().all()),
                 dependencies.crashTable().records(),
                 knownNodes,
-                dependencies.evacuations().reported());
+                dependencies.evacuations().reported(),
+                dependencies.evacuations().lacksOrders());
     }
 
     private boolean isMoveRunning(final String service) {
@@ -193,6 +197,7 @@
             answer(request);
         } else if (message instanceof ConfigurationCopy copy) {
             if (dependencies.configuration().activateIfNewer(copy.document(), sender)) {
+                dependencies.evacuations().configurationChanged();
                 requestReport();
                 passOn(sender);
             }
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
@@ -217,7 +217,7 @@
                         configuration::usesFairShares,
                         () -> configuration.placement(settings.placement()),
                         configuration::givesUpSilentCalls));
-        evacuations = new EvacuationControl(settings.location().failureDomain(), evacuationTable, gates, log, metrics);
+        evacuations = new EvacuationControl(settings.location(), evacuationTable, gates, configuration, log, metrics);
         guardedGates = crashGuard.guard(gates);
     }
 
--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/overload/LoadRoute.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/overload/LoadRoute.java
@@ -2,7 +2,9 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.sequoiashunt.mesh.MeshRoute;
+import org.sequoiashunt.mesh.RequestKind;
 import org.sequoiashunt.mesh.WeightedService;
 
 /**
@@ -46,7 +48,17 @@
     MeshRoute route() {
         List<WeightedService> services = List.of(new WeightedService(service, 1));
         return new MeshRoute(
-                name, "host", "/" + name + "/", services, idempotent, timeoutMs, objectiveMs, rank, ATTEMPTS);
+                name,
+                "host",
+                "/" + name + "/",
+                services,
+                RequestKind.of(idempotent),
+                timeoutMs,
+                objectiveMs,
+                rank,
+                ATTEMPTS,
+                false,
+                Set.of());
     }
 
     LoadRoute withLoad(final double factor) {
--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/overload/SimulatedNode.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/overload/SimulatedNode.java
@@ -154,7 +154,9 @@
                 List.of(),
                 List.of(),
                 List.of(),
-                List.of());
+                List.of(),
+                List.of(),
+                false);
     }
 
     CompletableFuture<CallResult> dispatch(final String id, final MeshRoute route, final long deadlineMs) {
