--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/CallerLimits.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/CallerLimits.java
@@ -12,6 +12,9 @@
  */
 public record CallerLimits(int maximumHeaderBytes, long maximumBodyBytes, long headerTimeoutMs, long idleTimeoutMs) {
 
+    /** Length of the longest body that nodes pass to each other, in bytes; longer ones reach targets of the VM alone. */
+    public static final int MAXIMUM_FORWARDED_BODY_BYTES = 4 << 20;
+
     private static final int DEFAULT_HEADER_BYTES = 16_384;
     private static final long DEFAULT_BODY_BYTES = 1 << 20;
     private static final long DEFAULT_HEADER_TIMEOUT_MS = 10_000;
@@ -24,7 +27,9 @@
      */
     public CallerLimits {
         if (maximumHeaderBytes < 1 || maximumBodyBytes < 1 || headerTimeoutMs < 1 || idleTimeoutMs < 1) {
-            throw new IllegalArgumentException("every limit on callers must be positive");
+            throw new IllegalArgumentException("every limit on callers must be positive: header " + maximumHeaderBytes
+                    + " bytes, body " + maximumBodyBytes + " bytes, header timeout " + headerTimeoutMs
+                    + " ms, idle timeout " + idleTimeoutMs + " ms");
         }
     }
 
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshConfiguration.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshConfiguration.java
@@ -15,7 +15,8 @@
  * One complete version of the mesh's configuration, with its routes indexed by host and path prefix.
  *
  * <p>Immutable and thread-safe. Invariants: every service that a route names exists; no two routes have the same host
- * and prefix; a request that an unserved route would match matches no other one.
+ * and prefix; a request that an unserved route would match matches no other one, except
+ * one with the same host and prefix.
  */
 public final class MeshConfiguration {
 
@@ -121,10 +122,9 @@
         Optional<MeshRoute> replaced = routesByHost
                 .computeIfAbsent(route.host(), unused -> new HashMap<>())
                 .put(route.prefix(), Optional.of(route));
-        if (replaced != null) {
-            throw new IllegalArgumentException("routes "
-                    + replaced.map(MeshRoute::name).orElse("that was left out")
-                    + " and " + route.name() + " have the same host and prefix");
+        if (replaced != null && replaced.isPresent()) {
+            throw new IllegalArgumentException("route " + route.name() + ": it has the host and prefix of route "
+                    + replaced.get().name());
         }
     }
 
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshRoute.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshRoute.java
@@ -51,8 +51,8 @@
         if (!prefix.startsWith("/") || !prefix.endsWith("/")) {
             throw new IllegalArgumentException("prefix must begin and end with a slash: " + prefix);
         }
-        if (services.stream().mapToInt(WeightedService::weight).sum() < 1) {
-            throw new IllegalArgumentException("no service with a weight above zero in route " + name);
+        if (services.stream().noneMatch(service -> service.weight() > 0)) {
+            throw new IllegalArgumentException("no service has a weight above zero");
         }
         if (timeoutMs < 1 || objectiveMs < 1 || attempts < 1 || rank < 0) {
             throw new IllegalArgumentException("times and attempts must be positive and the rank not negative: timeout "
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/check/RouteChecks.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/check/RouteChecks.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import java.util.SortedSet;
 import java.util.regex.Pattern;
+import org.sequoiashunt.mesh.CallerLimits;
 import org.sequoiashunt.mesh.MeshConfiguration;
 import org.sequoiashunt.mesh.MeshRoute;
 import org.sequoiashunt.mesh.RequestKind;
@@ -31,6 +32,7 @@
     }
 
     void run() {
+        checkBodyLimit();
         for (MeshRoute route : configuration.routes()) {
             String place = "route " + route.name();
             checkMatching(route, place);
@@ -109,6 +111,18 @@
         }
     }
 
+    private void checkBodyLimit() {
+        long limit = configuration.limits().maximumBodyBytes();
+        if (limit > CallerLimits.MAXIMUM_FORWARDED_BODY_BYTES) {
+            findings.add(Finding.warning(
+                    "body-limit-too-high",
+                    "limits",
+                    "nodes pass bodies of up to " + CallerLimits.MAXIMUM_FORWARDED_BODY_BYTES
+                            + " bytes to each other, so longer ones fail below the limit of " + limit + " bytes",
+                    "lower the limit for bodies"));
+        }
+    }
+
     private void checkUpload(final MeshRoute route, final String place) {
         long limit = configuration.limits().maximumBodyBytes();
         if (route.kind() == RequestKind.UPLOAD && deployment.largestUploadBytes() > limit) {
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/organisation/Organisation.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/organisation/Organisation.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
+import java.util.regex.Pattern;
 
 /**
  * Organisation whose callers use the mesh, without the keys that identify them.
@@ -18,6 +19,8 @@
  */
 public record Organisation(String name, OptionalInt rank, Optional<RateLimit> quota, Set<String> regions) {
 
+    private static final Pattern SENDABLE = Pattern.compile("[\\x21-\\x7e]([\\x20-\\x7e]*[\\x21-\\x7e])?");
+
     /**
      * Checks the components and copies the set.
      *
@@ -36,4 +39,18 @@
             throw new IllegalArgumentException("rank must not be negative: " + rank.getAsInt());
         }
     }
+
+    /**
+     * Returns whether the name reaches targets unchanged.
+     *
+     * @return true if the name can be the value of a header.
+     */
+    public boolean hasSendableName() {
+        return isSendable(name);
+    }
+
+    /** Returns whether a text can be the value of a header, around which white space is removed. */
+    static boolean isSendable(final String text) {
+        return SENDABLE.matcher(text).matches();
+    }
 }
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/organisation/OrganisationDirectory.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/organisation/OrganisationDirectory.java
@@ -8,7 +8,6 @@
 import java.util.Set;
 import java.util.SortedSet;
 import java.util.TreeSet;
-import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 
 /**
@@ -25,8 +24,6 @@
     /** Rank of an organisation that states none. */
     private static final int LEAST_URGENT_RANK = 9;
 
-    private static final Pattern SENDABLE_KEY = Pattern.compile("[\\x21-\\x7e]([\\x20-\\x7e]*[\\x21-\\x7e])?");
-
     private final boolean keysRequired;
     private final Map<String, Organisation> organisationsByKey;
     private final Map<String, Organisation> organisationsByName;
@@ -144,7 +141,7 @@
     public int countUnsendableKeys(final String name) {
         return (int) organisationsByKey.entrySet().stream()
                 .filter(entry -> entry.getValue().name().equals(name))
-                .filter(entry -> !SENDABLE_KEY.matcher(entry.getKey()).matches())
+                .filter(entry -> !Organisation.isSendable(entry.getKey()))
                 .count();
     }
 
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
@@ -61,9 +61,6 @@
  */
 public final class MeshNode implements AutoCloseable {
 
-    /** Largest body that a link carries. */
-    private static final int MAXIMUM_LINK_BODY_BYTES = 4 << 20;
-
     /** Limits on the requests of callers, a fraction of a node's memory and descriptors. */
     private static final InputLimits CALLER_INPUT_LIMITS = new InputLimits(2_048, 16 << 20, 24 << 20);
 
@@ -260,7 +257,7 @@
                 threads,
                 new LinkIdentity(settings.location().node(), incarnation),
                 LinkLimits.standard()
-                        .withMaximumBodyBytes(MAXIMUM_LINK_BODY_BYTES)
+                        .withMaximumBodyBytes(CallerLimits.MAXIMUM_FORWARDED_BODY_BYTES)
                         .withPingTimes(PING_INTERVAL_MS, SILENCE_LIMIT_MS),
                 clock,
                 MessageCodec.standard(),
