--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/quota/OrganisationPool.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/quota/OrganisationPool.java
@@ -12,7 +12,8 @@
 
     /**
      * Part of the granted limit above which an organisation counts as hot: its permits then count in full, and nodes
-     * learn how much is used. With 0.8, windows were above the bound under faults in the fleet test.
+     * learn how much is used. Below it, nodes hold more permits than the limit has room for; the rest of the limit must
+     * take those that are used while a coordinator is lost or nodes are cut off. At 0.8 windows exceed the bound then.
      */
     private static final double HOT_PART = 0.6;
 
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/FairShares.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/FairShares.java
@@ -20,8 +20,9 @@
 final class FairShares {
 
     /**
-     * Largest share of the slot time in which calls without an organisation overtake others. With 0.2 the calls of
-     * running requests fail at a burst of uploads, with 0.8 a flood of them crowds out long requests.
+     * Largest part of the slot time that calls without an organisation get ahead of waiting calls of less urgent ranks.
+     * At 0.2 a burst of uploads makes the calls of running requests fail; at 0.8 a flood of such calls keeps long
+     * requests of callers from being served.
      */
     static final double OVERTAKING_SHARE = 0.5;
 
