--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/CallerLimits.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/CallerLimits.java
@@ -12,7 +12,7 @@
  */
 public record CallerLimits(int maximumHeaderBytes, long maximumBodyBytes, long headerTimeoutMs, long idleTimeoutMs) {
 
-    /** Length of the longest body that nodes pass to each other, in bytes; longer ones reach targets of the VM alone. */
+    /** Length of the longest body that nodes pass to each other, in bytes; longer ones stay on their VM. */
     public static final int MAXIMUM_FORWARDED_BODY_BYTES = 4 << 20;
 
     private static final int DEFAULT_HEADER_BYTES = 16_384;
