--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/FakePlatform.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/FakePlatform.java
@@ -131,58 +131,26 @@
         return Optional.of(Body.of(new byte[] {(byte) current}));
     }
 
+    private static MeshRoute route(
+            final String name,
+            final RequestKind kind,
+            final int timeoutMs,
+            final int objectiveMs,
+            final Set<String> regions) {
+        List<WeightedService> services = List.of(new WeightedService("desk", 1));
+        return new MeshRoute(
+                name, "desk", "/" + name + "/", services, kind, timeoutMs, objectiveMs, 1, 2, false, regions);
+    }
+
     @Override
     public MeshConfiguration decode(final Body document) {
         int decoded = document.bytes()[0];
-        MeshRoute lookRoute = new MeshRoute(
-                "look",
-                "desk",
-                "/look/",
-                List.of(new WeightedService("desk", 1)),
-                RequestKind.IDEMPOTENT,
-                1_500,
-                500,
-                1,
-                2,
-                false,
-                decoded == VERSION_WITH_REGION ? Set.of("north") : Set.of());
-        MeshRoute slowRoute = new MeshRoute(
-                "slow",
-                "desk",
-                "/slow/",
-                List.of(new WeightedService("desk", 1)),
-                RequestKind.NON_IDEMPOTENT,
-                10_000,
-                8_500,
-                1,
-                2,
-                false,
-                Set.of());
+        Set<String> regions = decoded == VERSION_WITH_REGION ? Set.of("north") : Set.of();
+        MeshRoute lookRoute = route("look", RequestKind.IDEMPOTENT, 1_500, 500, regions);
+        MeshRoute slowRoute = route("slow", RequestKind.NON_IDEMPOTENT, 10_000, 8_500, Set.of());
         int waitTimeoutMs = decoded == VERSION_WITH_OTHER_TIMEOUT ? 9_500 : 10_000;
-        MeshRoute waitRoute = new MeshRoute(
-                "wait",
-                "desk",
-                "/wait/",
-                List.of(new WeightedService("desk", 1)),
-                RequestKind.IDEMPOTENT,
-                waitTimeoutMs,
-                8_500,
-                1,
-                2,
-                false,
-                Set.of());
-        MeshRoute versionRoute = new MeshRoute(
-                "v" + decoded,
-                "desk",
-                "/v" + decoded + "/",
-                List.of(new WeightedService("desk", 1)),
-                RequestKind.NON_IDEMPOTENT,
-                1_500,
-                500,
-                1,
-                2,
-                false,
-                Set.of());
+        MeshRoute waitRoute = route("wait", RequestKind.IDEMPOTENT, waitTimeoutMs, 8_500, Set.of());
+        MeshRoute versionRoute = route("v" + decoded, RequestKind.NON_IDEMPOTENT, 1_500, 500, Set.of());
         if (decoded == VERSION_WITH_LIMIT) {
             OrganisationDirectory.Builder organisations = new OrganisationDirectory.Builder();
             organisations.add(
