--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshConfiguration.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshConfiguration.java
@@ -15,7 +15,8 @@
  * One complete version of the mesh's configuration, with its routes indexed by host and path prefix.
  *
  * <p>Immutable and thread-safe. Invariants: every service that a route names exists; no two routes have the same host
- * and prefix; a request that an unserved route would match matches no other one.
+ * and prefix; a request that an unserved route would match matches no other one, except
+ * one with the same host and prefix.
  */
 public final class MeshConfiguration {
 
@@ -29,6 +30,7 @@
 
     private final List<MeshRoute> routes;
     private final boolean fairShares;
+    private final boolean regional;
     /** Names of the routes whose requests may be sent to a second target. */
     private final Set<String> repeatableRoutes;
 
@@ -47,6 +49,9 @@
         this.routes = List.copyOf(routes);
         this.fairShares = organisations.size() > 0
                 || routes.stream().anyMatch(route -> route.kind().hasLargeBodies());
+        this.regional = routes.stream().anyMatch(route -> !route.regions().isEmpty())
+                || organisations.organisations().stream()
+                        .anyMatch(organisation -> !organisation.regions().isEmpty());
         this.repeatableRoutes = routes.stream()
                 .filter(route -> route.idempotent() && route.attempts() > 1)
                 .map(MeshRoute::name)
@@ -117,10 +122,9 @@
         Optional<MeshRoute> replaced = routesByHost
                 .computeIfAbsent(route.host(), unused -> new HashMap<>())
                 .put(route.prefix(), Optional.of(route));
-        if (replaced != null) {
-            throw new IllegalArgumentException("routes "
-                    + replaced.map(MeshRoute::name).orElse("that was left out")
-                    + " and " + route.name() + " have the same host and prefix");
+        if (replaced != null && replaced.isPresent()) {
+            throw new IllegalArgumentException("route " + route.name() + ": it has the host and prefix of route "
+                    + replaced.get().name());
         }
     }
 
@@ -206,6 +210,16 @@
         return fairShares;
     }
 
+    /**
+     * Returns whether routes or organisations are bound to regions, so that it matters at any moment where requests are
+     * served and nodes need to know the evacuations in force before they take calls.
+     *
+     * @return true if a route or an organisation names regions.
+     */
+    public boolean bindsToRegions() {
+        return regional;
+    }
+
     /**
      * Returns whether a call to a target that stays silent is given up, so that a second target can be tried.
      *
