--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
@@ -76,17 +76,6 @@
     /** Idle time after which a link is replaced: two pings remained unanswered. */
     private static final long SILENCE_LIMIT_MS = 1_500;
 
-    /** Time after the shutdown signal in which requests are accepted: callers need two readiness checks to see it. */
-    private static final long ACCEPT_WHILE_DRAINING_MS = 2_400;
-
-    /** Time before the forced stop at which draining ends even if requests are unfinished. */
-    private static final long FORCED_STOP_MARGIN_MS = 400;
-
-    private static final long DRAIN_POLL_MS = 20;
-
-    /** Longest time in which the last answers reach callers and nodes: twice the round trip between regions. */
-    private static final long LAST_ANSWERS_MS = 150;
-
     private final Closer closer = new Closer();
     private final Clock clock = SystemClock.start();
     private final Random random = new Random();
@@ -105,8 +94,7 @@
     private final StoreHealth storeHealth;
     private final ActiveConfiguration configuration;
     private final WatcherSelection watcherSelection;
-    private volatile boolean draining;
-    private volatile boolean refusingRequests;
+    private final NodeDrain drain;
     private volatile String service;
     private SlotGates gates;
     private EvacuationControl evacuations;
@@ -127,6 +115,7 @@
         this.service = settings.service();
         this.metrics = platformComponents.metrics();
         this.log = closer.register(DecisionLog.start(settings.location().node(), clock, System.out));
+        this.drain = new NodeDrain(clock, log, settings.shutdownMs());
         this.storeHealth = new StoreHealth(clock, log);
         this.configuration = new ActiveConfiguration(platformComponents.platform(), log);
         this.watcherSelection =
@@ -251,7 +240,7 @@
     }
 
     private MeshQuota.Dependencies quotaDependencies() {
-        return new MeshQuota.Dependencies(clock, fleet, configuration, () -> draining, linkClient, log, metrics);
+        return new MeshQuota.Dependencies(clock, fleet, configuration, drain::isDraining, linkClient, log, metrics);
     }
 
     private LinkContext createLinkContext() {
@@ -280,7 +269,7 @@
                 evacuations,
                 answerCounters,
                 linkClient,
-                () -> draining,
+                drain::isDraining,
                 departureRecorder::peerFound,
                 log);
     }
@@ -314,8 +303,8 @@
                 quota,
                 this::callerLimits,
                 () -> service,
-                () -> draining,
-                () -> refusingRequests,
+                drain::isDraining,
+                drain::isRefusingRequests,
                 metrics,
                 log);
     }
@@ -409,7 +398,7 @@
     }
 
     private boolean isReady() {
-        return !draining && configuration.current().isPresent();
+        return !drain.isDraining() && configuration.current().isPresent();
     }
 
     /**
@@ -438,45 +427,12 @@
      * @throws InterruptedException if the thread is interrupted while it waits.
      */
     public void drain() throws InterruptedException {
-        long startedMs = clock.nowMs();
-        draining = true;
-        fleetController.requestReport();
-        log.log(LogKind.STOP, "phase", "draining", "held", callerHandler.activeRequests(), "running", gates.running());
-        long stopMs = startedMs + Math.max(ACCEPT_WHILE_DRAINING_MS, settings.shutdownMs() - FORCED_STOP_MARGIN_MS);
-        gates.drain(stopMs);
-        while (clock.nowMs() < stopMs) {
-            dispatcher.drain(stopMs);
-            refusingRequests = clock.nowMs() - startedMs >= ACCEPT_WHILE_DRAINING_MS;
-            if (refusingRequests && isIdle()) {
-                break;
-            }
-            Thread.sleep(DRAIN_POLL_MS);
-        }
-        refusingRequests = true;
-        dispatcher.stop();
-        awaitLastAnswers();
-        log.log(
-                LogKind.STOP,
-                "phase",
-                "ended",
-                "held",
-                callerHandler.activeRequests(),
-                "running",
-                gates.running(),
-                "afterMs",
-                clock.nowMs() - startedMs);
-    }
-
-    private boolean isIdle() {
-        return callerHandler.activeRequests() == 0 && gates.running() == 0;
-    }
-
-    /** Waits until the answers to callers are written and other nodes have acknowledged the results of their calls. */
-    private void awaitLastAnswers() throws InterruptedException {
-        long endMs = clock.nowMs() + LAST_ANSWERS_MS;
-        while (clock.nowMs() < endMs && (callerHandler.activeRequests() > 0 || linkServer.outstandingCalls() > 0)) {
-            Thread.sleep(DRAIN_POLL_MS);
-        }
+        drain.run(new NodeDrain.Parts(
+                fleetController::requestReport,
+                gates,
+                dispatcher,
+                callerHandler::activeRequests,
+                linkServer::outstandingCalls));
     }
 
     @Override
