A gate holds slots for calls that an earlier process may have left

Cause: a gate that opened for a target that ran before gave it all slots while calls of the process or gate before still ran there. The slot of a call that was given up stayed in use until its deadline even if the target stated that it ran nothing. The number of answers of a route overflowed after 2^31. The load that a target states in the answer to a later call frees held slots.

--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/call/CallResult.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/call/CallResult.java
@@ -19,6 +19,8 @@
 public record CallResult(
         Outcome outcome, Reason reason, Optional<CallResponse> response, int load, long expectedWaitMs) {
 
+    private static final int LOWEST_FAILURE_STATUS = 500;
+
     /**
      * Checks the components.
      *
@@ -87,4 +89,17 @@
     public CallResult withExpectedWait(final long newExpectedWaitMs) {
         return new CallResult(outcome, reason, response, load, newExpectedWaitMs);
     }
+
+    /**
+     * Returns whether the result counts as a failure of the target.
+     *
+     * @return true if the response's status is {@value #LOWEST_FAILURE_STATUS} or higher, or the call was refused or
+     *     interrupted, so that its outcome is not {@link Outcome#COMPLETE}.
+     */
+    public boolean isFailure() {
+        boolean failedResponse = response.map(CallResponse::status)
+                .filter(status -> status >= LOWEST_FAILURE_STATUS)
+                .isPresent();
+        return failedResponse || outcome != Outcome.COMPLETE;
+    }
 }
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshAttempts.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/mesh/MeshAttempts.java
@@ -309,7 +309,7 @@
             return true;
         }
         possibleRunResult = attemptResult;
-        return route.idempotent() && SlotGate.isFailure(attemptResult) && isBeforeDeadline();
+        return route.idempotent() && attemptResult.isFailure() && isBeforeDeadline();
     }
 
     private boolean isBeforeDeadline() {
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/move/AnswerCounters.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/move/AnswerCounters.java
@@ -8,7 +8,6 @@
 import org.sequoiashunt.call.CallResult;
 import org.sequoiashunt.call.Reason;
 import org.sequoiashunt.fleet.VersionTally;
-import org.sequoiashunt.slot.SlotGate;
 
 /**
  * Counts the answers, failures and durations of this node's targets by service, version and route.
@@ -37,7 +36,7 @@
         if (tallies.size() >= MAXIMUM_KEYS && !tallies.containsKey(key)) {
             return;
         }
-        long failures = SlotGate.isFailure(result) ? 1 : 0;
+        long failures = result.isFailure() ? 1 : 0;
         VersionTally increment =
                 new VersionTally(request.service(), request.targetVersion(), request.route(), 1, failures, durationMs);
         tallies.merge(key, increment, AnswerCounters::sum);
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/SlotGate.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/SlotGate.java
@@ -10,9 +10,7 @@
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.sequoiashunt.call.CallRequest;
-import org.sequoiashunt.call.CallResponse;
 import org.sequoiashunt.call.CallResult;
-import org.sequoiashunt.call.Outcome;
 import org.sequoiashunt.call.Reason;
 import org.sequoiashunt.call.TargetCaller;
 import org.sequoiashunt.fleet.TargetReport;
@@ -26,14 +24,16 @@
  * <p>Calls get slots in the order of {@link SlotQueue}. A closed gate refuses new and waiting calls; running calls
  * end. A suspended gate does the same until it is resumed. {@link WarmupLimiter} limits the starts at a cold target.
  * Calls to a target that stays silent are given up as {@link SilencePolicy} decides, on routes that allow it; their
- * slots stay in use until the deadlines of the calls.
+ * slots are held as {@link HeldSlots} tells. While fair shares are in force, so are all slots but one of a target that
+ * was announced before its gate opened: calls of an earlier process or gate may still run there.
  *
  * <p>Thread-safe: guarded by this object's monitor; calls to the target and completions happen outside it. Invariants:
  * a refused call was not sent and never will be; after {@link #close} no call is sent.
  */
 public final class SlotGate {
 
-    private static final int LOWEST_FAILURE_STATUS = 500;
+    /** Sequence number of the first announcement of a target, which has run no calls before. */
+    private static final long FIRST_SEQUENCE = 1;
 
     /** Factor on the mean service time that leaves room for slower calls: about four of five calls take less. */
     public static final double LIKELY_SERVICE_FACTOR = 1.25;
@@ -41,15 +41,15 @@
     private final Dependencies dependencies;
     private final SlotQueue queue;
     private final WarmupLimiter warmup;
-    private final TargetMovingAverages movingAverages = new TargetMovingAverages();
-    /** Durations at the usual pace of the VM: those of calls that ran while it was slow, divided by its pace. */
-    private final TargetMovingAverages usualPaceAverages = new TargetMovingAverages();
-
-    private final TargetPace pace = new TargetPace();
+    private final TargetMeasurements measurements = new TargetMeasurements();
     private final HeldSlots heldSlots = new HeldSlots();
+    private final long openedMs;
     private TargetAnnouncement target;
     private Reason closeReason;
     private boolean suspended;
+    /** Whether calls that this gate has not sent may run at the target and no slot is held for them yet. */
+    private boolean mayHaveEarlierRuns;
+
     private int runningRepeats;
     private long stopMs = Long.MAX_VALUE;
 
@@ -63,10 +63,11 @@
         this.target = Objects.requireNonNull(target, "target");
         this.dependencies = Objects.requireNonNull(dependencies, "dependencies");
         this.queue = new SlotQueue(target.slots(), dependencies.fairSharesInForce());
-        long nowMs = dependencies.clock().nowMs();
-        this.warmup = new WarmupLimiter(nowMs, target.sequence());
-        this.warmup.apply(dependencies.warmupRules().apply(target.service()), nowMs);
-        this.warmup.announced(target.warmupLeftMs(), nowMs);
+        this.mayHaveEarlierRuns = target.sequence() > FIRST_SEQUENCE;
+        this.openedMs = dependencies.clock().nowMs();
+        this.warmup = new WarmupLimiter(openedMs, target.sequence());
+        this.warmup.apply(dependencies.warmupRules().apply(target.service()), openedMs);
+        this.warmup.announced(target.warmupLeftMs(), openedMs);
     }
 
     /**
@@ -121,12 +122,12 @@
             final CallRequest request, final long nowMs, final CompletableFuture<CallResult> result) {
         long latestStartMs = Math.max(
                 nowMs, Math.min(request.urgency().objectiveMs(), request.deadlineMs()) - likelyServiceMs(request));
-        long expectedServiceMs = movingAverages.meanMs(request.route(), queue.meanMs());
+        long expectedServiceMs = measurements.meanMs(request.route(), queue.meanMs());
         return new WaitingCall(request, latestStartMs, expectedServiceMs, result);
     }
 
     private long likelyServiceMs(final CallRequest request) {
-        return Math.round(LIKELY_SERVICE_FACTOR * movingAverages.meanMs(request.route(), queue.meanMs()));
+        return Math.round(LIKELY_SERVICE_FACTOR * measurements.meanMs(request.route(), queue.meanMs()));
     }
 
     /** Returns whether a call that starts at a given time probably does not end before this node stops. */
@@ -141,7 +142,7 @@
         if (suspended) {
             return Optional.of(CallResult.notRun(Reason.EVACUATED));
         }
-        releaseHeldSlots(nowMs);
+        updateHeldSlots(nowMs);
         long coldWaitMs = warmupWaitMs(queue.waiting(), nowMs);
         long heldWaitMs = heldSlots.waitMs(target.slots(), nowMs);
         long earliestStartMs = nowMs + Math.max(Math.max(coldWaitMs, heldWaitMs), queue.expectedWaitMs(waiting, nowMs));
@@ -184,7 +185,7 @@
 
     private synchronized Optional<WaitingCall> takeNext() {
         long nowMs = dependencies.clock().nowMs();
-        releaseHeldSlots(nowMs);
+        updateHeldSlots(nowMs);
         if (closeReason != null || suspended || queue.waiting() == 0 || warmupWaitMs(0, nowMs) > 0) {
             return Optional.empty();
         }
@@ -228,8 +229,8 @@
         }
         return SilencePolicy.silenceLimitMs(
                 request,
-                movingAverages.meanMs(request.route(), queue.meanMs()),
-                movingAverages.answers(request.route()),
+                measurements.meanMs(request.route(), queue.meanMs()),
+                measurements.answers(request.route()),
                 nowMs);
     }
 
@@ -242,26 +243,34 @@
     }
 
     private synchronized void record(final CallRequest request, final CallResult result, final long durationMs) {
+        long nowMs = dependencies.clock().nowMs();
         boolean cancelled = result.reason() == Reason.CANCELLED;
-        boolean failed = isFailure(result);
+        boolean failed = result.isFailure();
         if (!cancelled) {
-            movingAverages.recordCall(request.route(), durationMs, failed);
-            double percent = pace.expectedPercent(dependencies.clock().nowMs());
-            usualPaceAverages.recordCall(
-                    request.route(), Math.round(durationMs * TargetPace.USUAL_PERCENT / percent), failed);
+            measurements.recordCall(request.route(), durationMs, failed, nowMs);
         }
         countRepeat(request, -1);
         if (result.reason() == Reason.UNRESPONSIVE) {
-            heldSlots.hold(request.deadlineMs());
+            heldSlots.hold(nowMs, request.deadlineMs());
         } else {
-            releaseSlot(cancelled || failed ? -1 : durationMs);
+            queue.releaseSlot(cancelled || failed ? -1 : durationMs);
         }
     }
 
-    /** Frees the slots of given-up calls whose deadlines have passed. */
-    private void releaseHeldSlots(final long nowMs) {
-        int ended = heldSlots.removeEnded(nowMs);
-        for (int slot = 0; slot < ended; slot++) {
+    /** Frees the held slots whose time has passed, and holds slots for the runs of an earlier process or gate. */
+    private void updateHeldSlots(final long nowMs) {
+        releaseSlots(heldSlots.removeEnded(nowMs));
+        if (mayHaveEarlierRuns && dependencies.fairSharesInForce().getAsBoolean()) {
+            mayHaveEarlierRuns = false;
+            boolean inTime = nowMs < openedMs + HeldSlots.EARLIER_RUNS_MS;
+            for (int slot = 1; slot < target.slots() && inTime && queue.takeSlot(); slot++) {
+                heldSlots.holdForEarlierRun(openedMs);
+            }
+        }
+    }
+
+    private void releaseSlots(final int count) {
+        for (int slot = 0; slot < count; slot++) {
             queue.releaseSlot(-1);
         }
     }
@@ -270,21 +279,6 @@
         runningRepeats += request.repeated() ? change : 0;
     }
 
-    /**
-     * Returns whether a result counts as a failure of the target.
-     *
-     * @param result the result, not null.
-     * @return true if the answer's status is {@value #LOWEST_FAILURE_STATUS} or higher, or the call was refused or
-     *     interrupted, so that its outcome is not {@link Outcome#COMPLETE}.
-     */
-    public static boolean isFailure(final CallResult result) {
-        boolean failedAnswer = result.response()
-                .map(CallResponse::status)
-                .filter(status -> status >= LOWEST_FAILURE_STATUS)
-                .isPresent();
-        return failedAnswer || result.outcome() != Outcome.COMPLETE;
-    }
-
     private synchronized void releaseSlot(final long durationMs) {
         queue.releaseSlot(durationMs);
     }
@@ -333,14 +327,14 @@
         List<WaitingCall> outlastingCalls;
         synchronized (this) {
             long nowMs = dependencies.clock().nowMs();
-            releaseHeldSlots(nowMs);
+            updateHeldSlots(nowMs);
             lateCalls = new ArrayList<>(queue.removeLateCalls(nowMs));
             if (warmupWaitMs(0, nowMs) > 0) {
                 lateCalls.addAll(queue.removeIf(waiting -> waiting.latestStartMs() < nowMs));
             }
             outlastingCalls = queue.removeIf(waiting -> outlastsStop(waiting.request(), nowMs));
             if (queue.running() == 0) {
-                movingAverages.decayFailureShare();
+                measurements.decayFailureShare();
             }
         }
         lateCalls.forEach(waiting -> refuseWaiting(waiting, Reason.QUEUE_FULL));
@@ -388,12 +382,14 @@
     }
 
     /**
-     * Records the load that the target has stated in an answer.
+     * Records the load that the target has stated in the answer to a call, before the result of the call completes.
      *
      * @param load the load, not null.
+     * @param sentMs when the call was sent or before, in milliseconds of the local clock.
      */
-    public synchronized void recordStatedLoad(final StatedLoad load) {
-        pace.record(load.pacePercent(), dependencies.clock().nowMs());
+    public synchronized void recordStatedLoad(final StatedLoad load, final long sentMs) {
+        measurements.recordPace(load.pacePercent(), dependencies.clock().nowMs());
+        releaseSlots(heldSlots.removeBeyond(load.running() + load.waiting(), sentMs));
     }
 
     /**
@@ -423,8 +419,8 @@
      */
     public synchronized TargetReport report() {
         long nowMs = dependencies.clock().nowMs();
+        updateHeldSlots(nowMs);
         boolean limitedByWarmup = isLimitedByWarmup(nowMs);
-        boolean separatesPace = dependencies.placement().get().separatesPace();
         return new TargetReport(
                 target.target(),
                 target.service(),
@@ -434,10 +430,10 @@
                 limitedByWarmup ? warmup.startsInWindow(nowMs) : queue.running(),
                 queue.waiting(),
                 (int) (limitedByWarmup ? warmup.windowMs() : queue.meanMs()),
-                movingAverages.failurePermille(),
+                measurements.failurePermille(),
                 warmup.warmupLeftMs(nowMs),
-                (separatesPace ? usualPaceAverages : movingAverages).routeTimes(),
-                pace.reportedPercent(nowMs));
+                measurements.routeTimes(dependencies.placement().get().separatesPace()),
+                measurements.reportedPercent(nowMs));
     }
 
     /**
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/SlotGates.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/SlotGates.java
@@ -137,11 +137,12 @@
      *
      * @param address the address of the target, not null.
      * @param load the load, not null.
+     * @param sentMs when the answered call was sent or before, in milliseconds of the local clock.
      */
-    public void recordStatedLoad(final NodeAddress address, final StatedLoad load) {
+    public void recordStatedLoad(final NodeAddress address, final StatedLoad load, final long sentMs) {
         for (SlotGate gate : openGates.values()) {
             if (gate.target().address().equals(address)) {
-                gate.recordStatedLoad(load);
+                gate.recordStatedLoad(load, sentMs);
             }
         }
     }
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/SlotQueue.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/SlotQueue.java
@@ -221,6 +221,19 @@
         return all;
     }
 
+    /**
+     * Takes a free slot for a call that never was in the queue.
+     *
+     * @return false if no slot is free.
+     */
+    boolean takeSlot() {
+        if (running >= slots) {
+            return false;
+        }
+        running++;
+        return true;
+    }
+
     /**
      * Frees the slot of a call that has ended.
      *
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/TargetMovingAverages.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/slot/TargetMovingAverages.java
@@ -20,6 +20,9 @@
     private static final int MAXIMUM_ROUTES = 32;
     private static final int PERMILLE = 1_000;
 
+    /** Bound of the counted answers, which must not overflow in a process that runs for years. */
+    private static final int MAXIMUM_ANSWERS = 1 << 30;
+
     private final Map<String, RouteMean> meansByRoute = new LinkedHashMap<>(MAXIMUM_ROUTES, 0.75f, true) {
         @Override
         protected boolean removeEldestEntry(final Map.Entry<String, RouteMean> eldest) {
@@ -61,11 +64,13 @@
         return times;
     }
 
-    /** Moving mean of the durations of a route's calls and the number of calls. Immutable and thread-safe. */
-    private record RouteMean(double meanMs, int answers) {
+    /** Moving mean of the durations of a route's calls and the number of calls, at most 2^30. Immutable. */
+    record RouteMean(double meanMs, int answers) {
 
-        private RouteMean plus(final RouteMean latest) {
-            return new RouteMean(meanMs + LATEST_CALL_WEIGHT * (latest.meanMs - meanMs), answers + latest.answers);
+        RouteMean plus(final RouteMean latest) {
+            return new RouteMean(
+                    meanMs + LATEST_CALL_WEIGHT * (latest.meanMs - meanMs),
+                    Math.min(MAXIMUM_ANSWERS, answers + latest.answers));
         }
     }
 }
--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/placement/PlacementPolicyTest.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/placement/PlacementPolicyTest.java
@@ -133,7 +133,7 @@
             boolean slow = call >= 30;
             gate.handle(request("c" + call, clock.nowMs() + 5_000));
             clock.advance(slow ? 250 : USUAL_MS);
-            gate.recordStatedLoad(new StatedLoad(0, 0, SLOTS, slow ? 250 : 100));
+            gate.recordStatedLoad(new StatedLoad(0, 0, SLOTS, slow ? 250 : 100), 0);
             runs.get(call).complete(CallResult.complete(new CallResponse(200, List.of(), Body.EMPTY)));
         }
         clock.advance(700);
--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/slot/SilencePolicyTest.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/slot/SilencePolicyTest.java
@@ -64,6 +64,20 @@
         assertEquals(NO_SILENCE_LIMIT, SilencePolicy.silenceLimitMs(request(0, true), 100, 9, 0));
     }
 
+    /** Guards against a count that overflows, so that no call is given up from then on. */
+    @Test
+    void answersAreCountedWithoutOverflow() {
+        TargetMovingAverages.RouteMean one = new TargetMovingAverages.RouteMean(WORK_MS, 1);
+        assertTrue(new TargetMovingAverages.RouteMean(WORK_MS, Integer.MAX_VALUE - 1 >> 1)
+                        .plus(one)
+                        .plus(one)
+                        .answers()
+                > 0);
+        assertEquals(
+                1 << 30,
+                new TargetMovingAverages.RouteMean(WORK_MS, 1 << 30).plus(one).answers());
+    }
+
     /**
      * Guards against a factor that gives up slow calls: replays 20 targets with a tail, slow phases and short phases in
      * which calls are never answered.
--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/slot/SlotGateTest.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/slot/SlotGateTest.java
@@ -206,4 +206,87 @@
             assertEquals(limited ? 280 : TargetCaller.NO_SILENCE_LIMIT, limitsMs.get(SilencePolicy.MINIMUM_ANSWERS));
         }
     }
+
+    private SlotGate gateOf(final long sequence, final boolean fairShares) {
+        return new SlotGate(
+                new TargetAnnouncement("t-1", target.address(), "desk", "v1", 8, false, 5, sequence, 0),
+                new SlotGate.Dependencies(
+                        clock,
+                        (address, request) -> {
+                            targetResults.add(new CompletableFuture<>());
+                            return targetResults.get(targetResults.size() - 1);
+                        },
+                        GateObserver.NO_OP,
+                        service -> WarmupRule.NONE,
+                        () -> fairShares,
+                        () -> PlacementPolicy.LOWEST_COST,
+                        route -> true));
+    }
+
+    private void send(final SlotGate opened, final int calls) {
+        for (int number = 0; number < calls; number++) {
+            opened.handle(CallRequests.of("call-" + number, new CallUrgency(1, 9_000), 9_000));
+        }
+    }
+
+    private void answer(final SlotGate opened, final int call, final int statedRunning, final long sentMs) {
+        opened.recordStatedLoad(new StatedLoad(statedRunning, 0, 8, 0), sentMs);
+        targetResults.get(call).complete(answerWithStatus(200));
+    }
+
+    /** Guards against more runs than slots when a node restarts while calls of its earlier process still run. */
+    @Test
+    void gateOfATargetThatRanBeforeOpensOneSlotUntilTheTargetStatesThatOthersAreFree() {
+        SlotGate opened = gateOf(7, true);
+        assertEquals(7, opened.report().running(), "entries must not count on the held slots");
+        assertEquals(0, opened.running(), "the stop of the node does not wait for them");
+        send(opened, 12);
+        assertEquals(1, targetResults.size());
+        answer(opened, 0, 4, 1_000);
+        assertEquals(5, targetResults.size(), "at most four earlier runs are left");
+        clock.advance(HeldSlots.EARLIER_RUNS_MS);
+        answer(opened, 1, 7, 1_000);
+        assertEquals(6, targetResults.size(), "the target has not stated that they ended");
+        clock.advance(HeldSlots.STATED_EARLIER_RUNS_MS - HeldSlots.EARLIER_RUNS_MS);
+        opened.tick();
+        assertEquals(10, targetResults.size());
+    }
+
+    /** Guards against slots that are never returned if the target states no load. */
+    @Test
+    void gateOfATargetThatRanBeforeOpensAllSlotsInTime() {
+        SlotGate opened = gateOf(7, true);
+        send(opened, 8);
+        assertEquals(1, targetResults.size());
+        clock.advance(HeldSlots.EARLIER_RUNS_MS);
+        opened.tick();
+        assertEquals(8, targetResults.size());
+    }
+
+    @Test
+    void gateOfANewTargetOrWithoutFairSharesOpensAllSlots() {
+        send(gateOf(1, true), 8);
+        assertEquals(8, targetResults.size());
+        send(gateOf(7, false), 8);
+        assertEquals(16, targetResults.size());
+    }
+
+    /** Guards against a slot that is lost until a far deadline although its run has ended. */
+    @Test
+    void slotOfAGivenUpCallIsFreedByAnAnswerToALaterCall() {
+        SlotGate opened = gateOf(1, true);
+        send(opened, 8);
+        clock.advance(1_500);
+        targetResults.get(0).complete(CallResult.unknown(Reason.UNRESPONSIVE));
+        answer(opened, 1, 0, 1_000);
+        send(opened, 2);
+        assertEquals(9, targetResults.size(), "the answered call was sent before the slot was held");
+        clock.advance(50);
+        answer(opened, 8, 1, 2_500);
+        assertEquals(10, targetResults.size(), "the slot of the answered call");
+        clock.advance(50);
+        answer(opened, 9, 0, 2_550);
+        send(opened, 3);
+        assertEquals(12, targetResults.size(), "with the held slot");
+    }
 }
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/MeshNode.java
@@ -155,7 +155,7 @@
                 platformComponents.headerNames(),
                 clock,
                 new TargetConnectionReporter(log, metrics),
-                (address, load) -> gates.recordStatedLoad(address, load)));
+                (address, load, sentMs) -> gates.recordStatedLoad(address, load, sentMs)));
         createGates(registry, targets);
         createControllers(registry);
         callerHandler = new MeshCallerHandler(callerHandlerDependencies());
--- a/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/NettyTargetCaller.java
+++ b/sequoiashunt-node/src/main/java/org/sequoiashunt/node/mesh/NettyTargetCaller.java
@@ -22,13 +22,11 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BiConsumer;
 import org.sequoiashunt.call.CallRequest;
 import org.sequoiashunt.call.CallResult;
 import org.sequoiashunt.call.Reason;
 import org.sequoiashunt.call.TargetCaller;
 import org.sequoiashunt.peer.NodeAddress;
-import org.sequoiashunt.slot.StatedLoad;
 import org.sequoiashunt.time.Clock;
 
 /**
@@ -59,7 +57,7 @@
     private final MeshHeaders headerNames;
     private final Clock clock;
     private final TargetConnectionObserver observer;
-    private final BiConsumer<NodeAddress, StatedLoad> statedLoads;
+    private final StatedLoadListener statedLoads;
     private final Set<String> singleHeaderNames;
     private final Map<NodeAddress, Deque<TargetConnection>> idleConnections = new HashMap<>();
     private long openedConnections;
@@ -69,7 +67,7 @@
             final MeshHeaders headerNames,
             final Clock clock,
             final TargetConnectionObserver observer,
-            final BiConsumer<NodeAddress, StatedLoad> statedLoads) {
+            final StatedLoadListener statedLoads) {
         this.statedLoads = Objects.requireNonNull(statedLoads, "statedLoads");
         this.loop = Objects.requireNonNull(loop, "loop");
         this.headerNames = Objects.requireNonNull(headerNames, "headerNames");
@@ -95,7 +93,7 @@
             final MeshHeaders headerNames,
             final Clock clock,
             final TargetConnectionObserver observer) {
-        return create(loop, headerNames, clock, observer, (address, load) -> {});
+        return create(loop, headerNames, clock, observer, (address, load, sentMs) -> {});
     }
 
     /**
@@ -105,8 +103,7 @@
      * @param headerNames the names of the headers that are exchanged with targets, not null.
      * @param clock the time source of the deadlines, not null.
      * @param observer receives the events of the connections, not null.
-     * @param statedLoads receives the loads that targets state in their answers, on the event loop, before the result
-     *     of the call; must neither block nor throw; not null.
+     * @param statedLoads receives the loads that targets state in their answers, not null.
      * @return a caller without connections, never null.
      */
     static NettyTargetCaller create(
@@ -114,7 +111,7 @@
             final MeshHeaders headerNames,
             final Clock clock,
             final TargetConnectionObserver observer,
-            final BiConsumer<NodeAddress, StatedLoad> statedLoads) {
+            final StatedLoadListener statedLoads) {
         return new NettyTargetCaller(loop, headerNames, clock, observer, statedLoads);
     }
 
@@ -149,7 +146,12 @@
             return;
         }
         TargetExchange exchange = new TargetExchange(
-                headerNames, request, result, answerMemory, load -> statedLoads.accept(target, load), silenceLimitMs);
+                headerNames,
+                request,
+                result,
+                answerMemory,
+                load -> statedLoads.loadStated(target, load, nowMs),
+                silenceLimitMs);
         TargetConnection idleConnection = takeIdle(target, exchange.requestId(), nowMs);
         if (idleConnection != null) {
             send(idleConnection, exchange, request, result);
--- a/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/NettyTargetCallerTest.java
+++ b/sequoiashunt-node/src/test/java/org/sequoiashunt/node/mesh/NettyTargetCallerTest.java
@@ -126,7 +126,7 @@
                 HEADER_NAMES,
                 clock,
                 TargetConnectionObserver.NONE,
-                (address, load) -> loads.add(load))) {
+                (address, load, sentMs) -> loads.add(load))) {
             for (String stated : List.of("3,0,8,120", "3,zero")) {
                 CallResult result = reading.call(target.address(), request(stated, "GET", "", 3_000))
                         .get(10, TimeUnit.SECONDS);
--- a/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/overload/SimulatedNode.java
+++ b/sequoiashunt-trial/src/main/java/org/sequoiashunt/trial/overload/SimulatedNode.java
@@ -120,7 +120,7 @@
     }
 
     void recordStatedLoad(final StatedLoad load) {
-        gates.recordStatedLoad(place.address(), load);
+        gates.recordStatedLoad(place.address(), load, 0); // No slots are held here.
     }
 
     BalanceStatistics.TargetState state() {
