The targets of a service are listed from an index

Cause: each call went through the reports of all nodes twice. A report that arrived during the listing had a negative age, by which expected loads grow without bound. Change: FleetView keeps the reports by service and the latest relayed report of each failure domain; ages are not negative.

--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/fleet/FleetView.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/fleet/FleetView.java
@@ -43,6 +43,11 @@
 
     private final Clock clock;
     private final Map<String, ReceivedReport> reportsByNode = new HashMap<>();
+    /** The same reports by the services of their targets: a call needs only the nodes of one. */
+    private final Map<String, Map<String, ReceivedReport>> reportsByService = new HashMap<>();
+    /** The relayed report of each failure domain that was received last. */
+    private final Map<String, ReceivedReport> latestRelayed = new HashMap<>();
+
     private final Map<String, Contact> contactsByNode = new HashMap<>();
     private final Map<String, Set<Long>> replacedIncarnations = new HashMap<>();
 
@@ -89,6 +94,7 @@
                 || previous.report().incarnation() != report.incarnation()
                 || nowMs - previous.receivedAtMs() > previous.livenessTimeoutMs();
         reportsByNode.put(report.node(), received);
+        updateIndexes(previous, received);
         report.knownNodes().forEach(this::addKnownNode);
         return regained ? Change.REGAINED : Change.REFRESHED;
     }
@@ -140,21 +146,79 @@
      * @return the latest report of each live node with its time of receipt, never null.
      */
     public synchronized List<ReceivedReport> liveReports() {
+        return live(reportsByNode.values());
+    }
+
+    /**
+     * Lists the reports of live nodes with a target of a service, see {@link #liveReports()}.
+     *
+     * @param service the service, not null.
+     * @return the latest report of each of these nodes with its time of receipt, never null.
+     */
+    public synchronized List<ReceivedReport> liveReports(final String service) {
+        return live(reportsByService.getOrDefault(service, Map.of()).values());
+    }
+
+    private List<ReceivedReport> live(final Collection<ReceivedReport> reports) {
         long nowMs = clock.nowMs();
-        Map<String, Long> latestRelayedMs = new HashMap<>();
-        List<ReceivedReport> candidates = new ArrayList<>(reportsByNode.size());
-        for (ReceivedReport received : reportsByNode.values()) {
-            if (nowMs - received.receivedAtMs() <= received.livenessTimeoutMs()) {
-                candidates.add(received);
-                if (received.relayed()) {
-                    latestRelayedMs.merge(received.report().failureDomain(), received.receivedAtMs(), Math::max);
+        List<ReceivedReport> live = new ArrayList<>(reports.size());
+        for (ReceivedReport received : reports) {
+            if (isLive(received, nowMs)) {
+                live.add(received);
+            }
+        }
+        return live;
+    }
+
+    private boolean isLive(final ReceivedReport received, final long nowMs) {
+        if (nowMs - received.receivedAtMs() > received.livenessTimeoutMs()) {
+            return false;
+        }
+        return !received.relayed()
+                || latestRelayed.get(received.report().failureDomain()).receivedAtMs() - received.receivedAtMs()
+                        <= LIVENESS_TIMEOUT_MS;
+    }
+
+    private void updateIndexes(final ReceivedReport previous, final ReceivedReport received) {
+        if (previous != null) {
+            removeFromServices(previous);
+        }
+        for (TargetReport target : received.report().targets()) {
+            reportsByService
+                    .computeIfAbsent(target.service(), unused -> new HashMap<>())
+                    .put(received.report().node(), received);
+        }
+        if (received.relayed()) {
+            latestRelayed.merge(received.report().failureDomain(), received, ReceivedReport::later);
+        }
+        if (previous != null) {
+            findLatestRelayedAgain(previous);
+        }
+    }
+
+    private void removeFromServices(final ReceivedReport removed) {
+        for (TargetReport target : removed.report().targets()) {
+            Map<String, ReceivedReport> reports = reportsByService.get(target.service());
+            if (reports != null) {
+                reports.remove(removed.report().node());
+                if (reports.isEmpty()) {
+                    reportsByService.remove(target.service());
+                }
+            }
+        }
+    }
+
+    /** Finds the latest relayed report of a failure domain if it was one that has been removed or replaced. */
+    private void findLatestRelayedAgain(final ReceivedReport removed) {
+        String domain = removed.report().failureDomain();
+        if (latestRelayed.get(domain) == removed) {
+            latestRelayed.remove(domain);
+            for (ReceivedReport other : reportsByNode.values()) {
+                if (other.relayed() && other.report().failureDomain().equals(domain)) {
+                    latestRelayed.merge(domain, other, ReceivedReport::later);
                 }
             }
         }
-        candidates.removeIf(received -> received.relayed()
-                && latestRelayedMs.get(received.report().failureDomain()) - received.receivedAtMs()
-                        > LIVENESS_TIMEOUT_MS);
-        return candidates;
     }
 
     /**
@@ -175,7 +239,12 @@
      */
     public synchronized Collection<KnownNode> knownNodes() {
         long oldestMs = clock.nowMs() - RETENTION_MS;
-        reportsByNode.values().removeIf(received -> received.receivedAtMs() < oldestMs);
+        List<ReceivedReport> expired = reportsByNode.values().stream()
+                .filter(received -> received.receivedAtMs() < oldestMs)
+                .toList();
+        expired.forEach(received -> reportsByNode.remove(received.report().node()));
+        expired.forEach(this::removeFromServices);
+        expired.forEach(this::findLatestRelayedAgain);
         replacedIncarnations.keySet().retainAll(reportsByNode.keySet());
         contactsByNode.values().removeIf(contact -> contact.learnedAtMs() < oldestMs);
         Map<String, KnownNode> nodes = new HashMap<>();
@@ -205,6 +274,10 @@
      */
     public record ReceivedReport(NodeReport report, long receivedAtMs, boolean relayed) {
 
+        private ReceivedReport later(final ReceivedReport other) {
+            return other.receivedAtMs >= receivedAtMs ? other : this;
+        }
+
         private long livenessTimeoutMs() {
             return relayed ? RELAYED_LIVENESS_TIMEOUT_MS : LIVENESS_TIMEOUT_MS;
         }
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/placement/PlacementCandidateSource.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/placement/PlacementCandidateSource.java
@@ -107,7 +107,7 @@
                     .filter(report -> acceptsCallsFor(report, service))
                     .forEach(report -> preferred.add(localCandidate(report)));
         }
-        for (FleetView.ReceivedReport received : fleet.liveReports()) {
+        for (FleetView.ReceivedReport received : fleet.liveReports(service)) {
             NodeReport node = received.report();
             if (node.leaving()
                     || node.node().equals(location.node())
@@ -177,7 +177,7 @@
                 node.address(),
                 Distance.of(false, sameDomain, sameRegion),
                 report,
-                nowMs - loadAtMs,
+                Math.max(0, nowMs - loadAtMs), // A report may arrive while the targets are listed.
                 callsSentSinceReport,
                 node.failureDomain(),
                 node.region());
--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/fleet/FleetViewTest.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/fleet/FleetViewTest.java
@@ -3,8 +3,11 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.Random;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.sequoiashunt.peer.NodeAddress;
 import org.sequoiashunt.time.SteppedClock;
@@ -114,4 +117,52 @@
         view.accept(report);
         assertTrue(view.knownNodes().contains(other));
     }
+
+    /** Guards against calls to nodes that have left a service, and nodes that are missed, in the index by service. */
+    @Test
+    void nodesOfAServiceAreThoseOfAllLiveNodesThatHaveATargetOfIt() {
+        Random random = new Random(7);
+        for (int step = 1; step <= 20_000; step++) {
+            clock.advance(random.nextInt(10) == 0 ? random.nextInt(4_000) : random.nextInt(20));
+            String node = "n" + random.nextInt(24);
+            NodeReport report = withService(node, "s" + random.nextInt(3), 1 + step / 5_000, step);
+            if (random.nextBoolean()) {
+                acceptRelayed(report, random.nextInt(3_000));
+            } else {
+                view.accept(report);
+            }
+            if (random.nextInt(40) == 0) {
+                view.knownNodes();
+            }
+            for (String service : List.of("s0", "s1", "s2", "s3")) {
+                Set<FleetView.ReceivedReport> expected = new HashSet<>(view.liveReports());
+                expected.removeIf(received -> received.report().targets().stream()
+                        .noneMatch(target -> target.service().equals(service)));
+                assertEquals(expected, new HashSet<>(view.liveReports(service)));
+            }
+        }
+    }
+
+    private static NodeReport withService(
+            final String node, final String service, final long incarnation, final long sequence) {
+        NodeReport bare =
+                NodeReports.of(node, "d" + node.length(), "north", 600, incarnation, sequence, 1, OptionalLong.empty());
+        TargetReport target = new TargetReport("t-" + node, service, "v1", 4, true, 0, 0, 20, 0, 0, List.of());
+        return new NodeReport(
+                node,
+                incarnation,
+                sequence,
+                bare.address(),
+                bare.failureDomain(),
+                bare.region(),
+                600,
+                false,
+                1,
+                OptionalLong.empty(),
+                List.of(target),
+                List.of(),
+                List.of(),
+                List.of(),
+                List.of());
+    }
 }
