Even load with targets of unequal size, short and long calls, paces below the usual

Cause: an idle target of one slot looked less busy than a large one with room, so that all entries sent to it. A pace below 100 percent counted as an advantage over all targets beyond 40 ms. 40 ms is longer than short objectives and below a percent of the time of long calls. A link rate near zero made the cost infinite, which excludes a target. Change: targets are compared by their load with the call; only the time beyond the usual one is a delay; the margin is at most a third and at least a fiftieth of the objective; the transfer is bounded to an hour.

--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/placement/BodyTransfer.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/placement/BodyTransfer.java
@@ -21,6 +21,9 @@
      */
     private static final double REMOTE_FACTOR = 2;
 
+    /** Bound of the time, an hour: a cost without bound would exclude every target. */
+    private static final double MAXIMUM_MS = 3_600_000;
+
     private static final double KILOBITS_PER_BYTE = 8 / 1_000.0;
 
     /**
@@ -38,12 +41,13 @@
      * Estimates how long the body is on its way between this node and that of a target.
      *
      * @param distance the distance to the target's node, not null.
-     * @return the time in milliseconds; 0 for a target on this node.
+     * @return the time in milliseconds, at most an hour; 0 for a target on this node.
      */
     public double expectedMs(final Distance distance) {
         if (linkMbps == 0 || distance == Distance.NODE) {
             return 0;
         }
-        return bytes * KILOBITS_PER_BYTE / linkMbps * (distance == Distance.REMOTE ? REMOTE_FACTOR : 1);
+        double factor = distance == Distance.REMOTE ? REMOTE_FACTOR : 1;
+        return Math.min(MAXIMUM_MS, bytes * KILOBITS_PER_BYTE / linkMbps * factor);
     }
 }
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/placement/PlacementCosts.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/placement/PlacementCosts.java
@@ -37,6 +37,9 @@
     /** Loads that are expected now, null until a policy asks for them. */
     private double[] expectedLoads;
 
+    /** How many times as long work is expected to take now as usually, null until a policy asks for it. */
+    private double[] paceFactors;
+
     PlacementCosts(
             final List<PlacementCandidate> candidates,
             final PlacementNeed need,
@@ -88,6 +91,18 @@
         return routeMs[index];
     }
 
+    /**
+     * Returns the part of the service time at a candidate that is no delay, in milliseconds: the usual one, or the
+     * expected one if that is shorter.
+     */
+    double undelayedMs(final int index) {
+        return routeMs[index] * Math.min(1, paceFactors()[index]);
+    }
+
+    double objectiveMs() {
+        return need.objectiveMs();
+    }
+
     private boolean isExcluded(final int index) {
         return !excludedTargets.isEmpty()
                 && excludedTargets.contains(candidates.get(index).report().target());
@@ -107,10 +122,10 @@
     /** Returns the costs by the loads and paces that are expected now, in milliseconds. */
     double[] expected() {
         double[] loads = expectedLoads();
+        double[] factors = paceFactors();
         double[] costs = new double[size()];
         for (int index = 0; index < costs.length; index++) {
-            costs[index] =
-                    isExcluded(index) ? EXCLUDED : costMs(index, loads[index], routeMs[index] * paceFactor(index));
+            costs[index] = isExcluded(index) ? EXCLUDED : costMs(index, loads[index], routeMs[index] * factors[index]);
         }
         return costs;
     }
@@ -150,8 +165,18 @@
         return loads;
     }
 
+    private double[] paceFactors() {
+        if (paceFactors == null) {
+            paceFactors = new double[size()];
+            for (int index = 0; index < paceFactors.length; index++) {
+                paceFactors[index] = paceFactor(index);
+            }
+        }
+        return paceFactors;
+    }
+
     /** Returns how many times as long work is expected to take now as usually; 1 if the gate has stated no pace. */
-    double paceFactor(final int index) {
+    private double paceFactor(final int index) {
         PlacementCandidate candidate = candidates.get(index);
         int pacePercent = candidate.report().pacePercent();
         if (pacePercent <= 0) {
--- a/sequoiashunt-core/src/main/java/org/sequoiashunt/placement/PlacementPolicy.java
+++ b/sequoiashunt-core/src/main/java/org/sequoiashunt/placement/PlacementPolicy.java
@@ -97,9 +97,9 @@
         }
     },
     /**
-     * Among the targets with room, by the loads and paces that are expected now, the less busy one of two that are
-     * drawn in proportion to the calls that they can serve in a time. The service time itself counts only as far as it
-     * is longer than usual: otherwise the fastest targets would be overrun in turns.
+     * Among the targets with room, by the loads and paces that are expected now, the one of two that is less busy with
+     * this call; the two are drawn in proportion to the calls that they can serve in a time. The service time itself
+     * counts only as far as it is longer than usual: otherwise the fastest targets would be overrun in turns.
      */
     EVEN {
         @Override
@@ -111,15 +111,16 @@
             for (int index = 0; index < delaysMs.length; index++) {
                 delaysMs[index] = costsMs[index] == PlacementCosts.EXCLUDED
                         ? PlacementCosts.EXCLUDED
-                        : costsMs[index] - costs.routeMs(index);
+                        : costsMs[index] - costs.undelayedMs(index);
             }
-            double limitMs = lowest(delaysMs) + EQUIVALENT_DELAY_MARGIN_MS;
+            double limitMs = lowest(delaysMs) + equivalentDelayMs(costs.objectiveMs());
             double[] weights = new double[costsMs.length];
             for (int index = 0; index < weights.length; index++) {
                 if (delaysMs[index] < PlacementCosts.EXCLUDED && delaysMs[index] <= limitMs) {
                     weights[index] = costs.candidate(index).report().slots() / Math.max(1, costs.routeMs(index));
+                    // With this call: an idle target of one slot is full then, one of 64 slots is not.
                     busyShares[index] =
-                            loads[index] / costs.candidate(index).report().slots();
+                            (loads[index] + 1) / costs.candidate(index).report().slots();
                 }
             }
             return cheaperOfTwo(weights, busyShares, random);
@@ -137,6 +138,15 @@
      */
     private static final double EQUIVALENT_DELAY_MARGIN_MS = 40;
 
+    /** Part of the objective that the margin does not exceed: a target that misses a short one is not equivalent. */
+    private static final double LARGEST_MARGIN_SHARE = 1 / 3.0;
+
+    /**
+     * Part of the objective that the margin reaches: the pace of a VM, which is stated in percent, differs by that much
+     * between targets that are equally fast. The margin is 40 ms for objectives from 120 to 2,000 ms.
+     */
+    private static final double SMALLEST_MARGIN_SHARE = 1 / 50.0;
+
     private static final double OFFER_COST_MARGIN_MS = 60;
     private static final long OFFER_VALIDITY_MS = 150;
     private static final double SPREAD_PER_MS_OF_AGE = 0.1;
@@ -198,6 +208,12 @@
         return lowestMs;
     }
 
+    private static double equivalentDelayMs(final double objectiveMs) {
+        return Math.max(
+                SMALLEST_MARGIN_SHARE * objectiveMs,
+                Math.min(LARGEST_MARGIN_SHARE * objectiveMs, EQUIVALENT_DELAY_MARGIN_MS));
+    }
+
     private static int cheaperOfTwo(final double[] weights, final double[] costs, final RandomGenerator random) {
         int first = drawOrNone(weights, random);
         if (first == NONE) {
--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/placement/PlacementPolicyTest.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/placement/PlacementPolicyTest.java
@@ -43,14 +43,24 @@
         return new TargetReport(target, "desk", "v1", SLOTS, true, load, 0, meanMs, 0, 0, times, 0);
     }
 
+    private static TargetReport report(final String target, final int slots, final int load, final int pacePercent) {
+        List<RouteTime> times = List.of(new RouteTime("r", 20_000));
+        return new TargetReport(target, "desk", "v1", slots, true, load, 0, 20_000, 0, 0, times, pacePercent);
+    }
+
     private static PlacementCandidate candidate(final TargetReport report, final long ageMs, final int ownCalls) {
         NodeAddress address = new NodeAddress("127.0.0.1", 4);
         return new PlacementCandidate("n-" + report.target(), address, Distance.DOMAIN, report, ageMs, ownCalls);
     }
 
     private String choose(final PlacementPolicy policy, final List<PlacementCandidate> candidates) {
+        return choose(policy, candidates, NEED);
+    }
+
+    private String choose(
+            final PlacementPolicy policy, final List<PlacementCandidate> candidates, final PlacementNeed need) {
         return new Placement(random, () -> policy)
-                .choose(candidates, NEED, Set.of())
+                .choose(candidates, need, Set.of())
                 .orElseThrow()
                 .report()
                 .target();
@@ -58,11 +68,53 @@
 
     /** Returns how many of the entries, each with one call and the same reports, choose the most chosen target. */
     private int mostChosen(final PlacementPolicy policy, final List<PlacementCandidate> candidates) {
+        return Collections.max(choices(policy, candidates, NEED).values());
+    }
+
+    private Map<String, Integer> choices(
+            final PlacementPolicy policy, final List<PlacementCandidate> candidates, final PlacementNeed need) {
         Map<String, Integer> choices = new HashMap<>();
         for (int entry = 0; entry < ENTRIES; entry++) {
-            choices.merge(choose(policy, candidates), 1, Integer::sum);
+            choices.merge(choose(policy, candidates, need), 1, Integer::sum);
+        }
+        return choices;
+    }
+
+    /** Guards against entries that all send to targets of one slot, since idle ones look less busy than a large one. */
+    @Test
+    void largeTargetIsPreferredToSmallOnesThatOneCallFills() {
+        List<PlacementCandidate> candidates = new ArrayList<>(List.of(candidate(report("large", 64, 6, 0), 0, 0)));
+        for (int index = 0; index < 8; index++) {
+            candidates.add(candidate(report("small" + index, 1, 0, 0), 0, 0));
+        }
+        int large = choices(PlacementPolicy.EVEN, candidates, NEED).getOrDefault("large", 0);
+        assertTrue(large >= ENTRIES - 4, "calls to the large target: " + large);
+    }
+
+    /** Guards against herding on the target whose latest reading of its pace was the lowest. */
+    @Test
+    void paceBelowTheUsualAndSmallDifferencesOfItAttractNoHerd() {
+        PlacementNeed need = new PlacementNeed("r", 1, 80_000, 80_000);
+        for (int lowest : new int[] {70, 99}) {
+            List<PlacementCandidate> candidates = new ArrayList<>();
+            for (int index = 0; index < 10; index++) {
+                candidates.add(candidate(report("t" + index, SLOTS, 2, index == 0 ? lowest : 101), 0, 0));
+            }
+            int most = Collections.max(
+                    choices(PlacementPolicy.EVEN, candidates, need).values());
+            assertTrue(most <= 2 * SLOTS, "calls to one target: " + most);
+        }
+    }
+
+    /** Guards against a margin longer than a short objective: targets that miss it would equal idle ones. */
+    @Test
+    void shortCallsAvoidTargetsWhoseQueueMissesTheObjective() {
+        List<PlacementCandidate> candidates = new ArrayList<>(List.of(candidate(report("idle", 0, 1), 0, 0)));
+        for (int index = 0; index < 4; index++) {
+            candidates.add(candidate(report("full" + index, 130, 1), 0, 0));
         }
-        return Collections.max(choices.values());
+        PlacementNeed need = new PlacementNeed("r", 1, 10, 10);
+        assertEquals(Map.of("idle", ENTRIES), choices(PlacementPolicy.EVEN, candidates, need));
     }
 
     /** Guards against herding: all entries send their calls to the one target that an old report shows as idle. */
--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/placement/PlacementTest.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/placement/PlacementTest.java
@@ -56,6 +56,19 @@
         assertEquals(0, new BodyTransfer(0, 90_000).expectedMs(Distance.REMOTE), "the rate is not known");
     }
 
+    /** Guards against a cost without bound, which excludes every target, at a link rate near zero. */
+    @Test
+    void bodyThatNeverArrivesExcludesNoTarget() {
+        BodyTransfer transfer = new BodyTransfer(Double.MIN_VALUE, 4 << 20);
+        List<PlacementCandidate> candidates = List.of(candidate("other", Distance.REMOTE, 0, 80, 0));
+        for (PlacementPolicy policy : PlacementPolicy.values()) {
+            assertTrue(new Placement(new Random(5), () -> policy)
+                    .choose(candidates, new PlacementNeed("r", 1, OBJECTIVE_MS, OBJECTIVE_MS, transfer), Set.of())
+                    .isPresent());
+        }
+        assertEquals(0, new BodyTransfer(7, 0).expectedMs(Distance.REMOTE));
+    }
+
     @Test
     void callWithLittleTrafficChoosesFarTarget() {
         List<PlacementCandidate> candidates =
