--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/fleet/FleetViewTest.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/fleet/FleetViewTest.java
@@ -149,7 +149,7 @@
             final String node, final String service, final long incarnation, final long sequence) {
         NodeReport bare =
                 NodeReports.of(node, "d" + node.length(), "north", 600, incarnation, sequence, 1, OptionalLong.empty());
-        TargetReport target = new TargetReport("t-" + node, service, "v1", 4, true, 0, 0, 20, 0, 0, List.of());
+        TargetReport target = new TargetReport("t-" + node, service, "v1", 4, true, 0, 0, 20, 0, 0, List.of(), 0);
         return new NodeReport(
                 node,
                 incarnation,
@@ -165,6 +165,8 @@
                 List.of(),
                 List.of(),
                 List.of(),
-                List.of());
+                List.of(),
+                List.of(),
+                false);
     }
 }
--- a/sequoiashunt-core/src/test/java/org/sequoiashunt/placement/PlacementCandidateSourceTest.java
+++ b/sequoiashunt-core/src/test/java/org/sequoiashunt/placement/PlacementCandidateSourceTest.java
@@ -19,7 +19,7 @@
     private final FleetView view = new FleetView(clock);
 
     private static NodeReport report(final String node, final String service) {
-        TargetReport target = new TargetReport("t-" + node, service, "v1", 4, true, 1, 0, 20, 0, 0, List.of());
+        TargetReport target = new TargetReport("t-" + node, service, "v1", 4, true, 1, 0, 20, 0, 0, List.of(), 0);
         return new NodeReport(
                 node,
                 1,
@@ -35,7 +35,9 @@
                 List.of(),
                 List.of(),
                 List.of(),
-                List.of());
+                List.of(),
+                List.of(),
+                false);
     }
 
     /** Guards against a load that grows without bound: its decay with a negative age is a growth. */
