--- a/review/standins-2/SettingsCase.java
+++ b/review/standins-2/SettingsCase.java
@@ -10,8 +10,8 @@
  */
 final class SettingsCase {
 
-    /** Times after the start of a process at which its settings file changes; one of them meets each speed of a start. */
-    private static final long[] CHANGE_AFTER_START_MS = {100, 200, 300, 400, 600};
+    /** Times after the start of a process at which its settings file changes; one of them meets a start of any speed. */
+    private static final long[] CHANGE_AFTER_START_MS = {60, 110, 200, 380, 700};
 
     private static final String FIRST_SERVICE = "registry-desk";
     private static final String LATER_SERVICE = "press-floor";
